--- /dev/null
+++ b/admission/admission.go
@@ -0,0 +1,448 @@
+package admission
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/poppywall/poppywall/route"
+)
+
+// Class tells how a request uses a target.
+type Class uint8
+
+const (
+	// Request is short work that takes part in the adaptive limit.
+	Request Class = iota
+	// Stream is a long answer such as a board stream; it has a limit of its
+	// own and never waits.
+	Stream
+)
+
+// Outcome is how a request ended at the target.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Succeeded Outcome = iota
+	// Failed is an error of the target.
+	Failed
+	// Shed means that the target refused for load.
+	Shed
+	// Cancelled means that the caller gave up; it says nothing of the target.
+	Cancelled
+)
+
+// Result is an Outcome with what it says of the target's speed.
+type Result struct {
+	Outcome Outcome
+	// Comparable tells that the time taken is the target's own: no long body
+	// in either direction, whose time is the caller's.
+	Comparable bool
+}
+
+// Reason is the machine-readable cause of a refusal.
+type Reason string
+
+// The reasons of a refusal.
+const (
+	NoTarget   Reason = "no-target"
+	Overloaded Reason = "overloaded"
+	Deadline   Reason = "deadline"
+)
+
+// Options are the limits of a controller.
+type Options struct {
+	Limit LimitOptions
+	// MaxQueue bounds the waiting requests of one service.
+	MaxQueue int
+	// MaxWait is the longest time in the queue.
+	MaxWait time.Duration
+	// MaxMembers bounds the members told apart in one service.
+	MaxMembers int
+	// RetryAfter is the least time that a refused caller is told to wait.
+	RetryAfter time.Duration
+}
+
+// Defaults returns the options in use.
+func Defaults() Options {
+	return Options{
+		Limit:      DefaultLimit(),
+		MaxQueue:   256,
+		MaxWait:    500 * time.Millisecond,
+		MaxMembers: 1024,
+		RetryAfter: time.Second,
+	}
+}
+
+// Offer is a request that asks to run.
+type Offer struct {
+	Service route.ServiceID
+	Member  string
+	// Weight is the member's share; at least 1.
+	Weight int
+	Class  Class
+	// Deadline is when the caller gives up; zero is never.
+	Deadline time.Time
+}
+
+// Ticket names a request inside a controller.
+type Ticket uint64
+
+// Verb tells what to do with an offer.
+type Verb uint8
+
+const (
+	// Refuse answers at once; nothing ran.
+	Refuse Verb = iota
+	// Run hands the request to Target.
+	Run
+	// Wait keeps the ticket until a Decision for it comes.
+	Wait
+)
+
+// Decision is the controller's word on one ticket.
+type Decision struct {
+	Ticket     Ticket
+	Verb       Verb
+	Target     string
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// TargetSpec describes what a target may bear.
+type TargetSpec struct {
+	Slots int
+	// Requests and Streams are the limits of the whole target.
+	Requests, Streams int
+	// Ready is false while the target drains or is ejected: it gets nothing
+	// new, what runs goes on.
+	Ready bool
+}
+
+type target struct {
+	name     string
+	spec     TargetSpec
+	limit    limit
+	requests int
+	streams  int
+	removed  bool
+}
+
+// running is a request at a target.
+type running struct {
+	target  *target
+	service route.ServiceID
+	member  *member
+	weight  int
+	class   Class
+	since   time.Time
+	charged float64
+}
+
+// Controller is the admission state of one host. It is not safe for
+// concurrent use; its owner holds a lock.
+type Controller struct {
+	opts     Options
+	rnd      *rand.Rand
+	targets  map[string]*target
+	services map[route.ServiceID]*service
+	running  map[Ticket]*running
+	next     Ticket
+}
+
+// New returns a controller without targets.
+func New(opts Options, rnd *rand.Rand) *Controller {
+	return &Controller{
+		opts:     opts,
+		rnd:      rnd,
+		targets:  map[string]*target{},
+		services: map[route.ServiceID]*service{},
+		running:  map[Ticket]*running{},
+	}
+}
+
+// SetTarget adds or changes a target and returns what may run now.
+func (c *Controller) SetTarget(now time.Time, name string, spec TargetSpec) []Decision {
+	t, ok := c.targets[name]
+	if !ok {
+		t = &target{name: name, limit: newLimit(c.opts.Limit, spec.Requests)}
+		c.targets[name] = t
+	}
+	t.limit.setMax(spec.Requests)
+	t.spec = spec
+	t.removed = false
+	return c.dispatchAll(now)
+}
+
+// RemoveTarget takes a target out for good; what runs there is still counted
+// until it ends.
+func (c *Controller) RemoveTarget(now time.Time, name string) []Decision {
+	t, ok := c.targets[name]
+	if !ok {
+		return nil
+	}
+	t.spec.Ready = false
+	t.removed = true
+	c.forgetIdle(t)
+	return c.dispatchAll(now)
+}
+
+func (c *Controller) forgetIdle(t *target) {
+	if t.removed && t.requests == 0 && t.streams == 0 {
+		delete(c.targets, t.name)
+	}
+}
+
+// SetService sets the targets of a service. When none is left, what waits is
+// refused at once.
+func (c *Controller) SetService(now time.Time, id route.ServiceID, targets []string) []Decision {
+	s, ok := c.services[id]
+	if !ok {
+		s = newService(c.opts)
+		c.services[id] = s
+	}
+	s.targets = slices.Clone(targets)
+	return c.dispatchAll(now)
+}
+
+// Slots returns the ready slots of a service and its load in thousandths of
+// the limit.
+func (c *Controller) Slots(id route.ServiceID) (slots, busy int) {
+	s, ok := c.services[id]
+	if !ok {
+		return 0, 0
+	}
+	used, allowed := s.waiting, 0
+	for _, t := range c.ready(s) {
+		slots += t.spec.Slots
+		used += t.requests
+		allowed += t.limit.allowed()
+	}
+	if allowed == 0 {
+		return slots, 0
+	}
+	return slots, used * 1000 / allowed
+}
+
+// InProgress returns the requests and streams at a target.
+func (c *Controller) InProgress(name string) (requests, streams int) {
+	t, ok := c.targets[name]
+	if !ok {
+		return 0, 0
+	}
+	return t.requests, t.streams
+}
+
+// Offer asks for a request to run. Other tickets may have to give way, so
+// several decisions can come back; the first is the offer's own.
+func (c *Controller) Offer(now time.Time, o Offer) []Decision {
+	c.next++
+	ticket := c.next
+	s, ok := c.services[o.Service]
+	if !ok || len(c.ready(s)) == 0 {
+		return []Decision{c.refusal(ticket, NoTarget, 0)}
+	}
+	if expired(now, o.Deadline) {
+		return []Decision{c.refusal(ticket, Deadline, 0)}
+	}
+	if o.Class == Stream {
+		return []Decision{c.offerStream(now, ticket, s, o)}
+	}
+	return c.offerRequest(now, ticket, s, o)
+}
+
+func expired(now, deadline time.Time) bool { return !deadline.IsZero() && !now.Before(deadline) }
+
+func (c *Controller) offerStream(now time.Time, ticket Ticket, s *service, o Offer) Decision {
+	best := leastLoaded(c.ready(s), func(t *target) (int, int) { return t.streams, t.spec.Streams })
+	if best == nil {
+		return c.refusal(ticket, Overloaded, 0)
+	}
+	best.streams++
+	c.running[ticket] = &running{target: best, service: o.Service, class: Stream, since: now}
+	return Decision{Ticket: ticket, Verb: Run, Target: best.name}
+}
+
+func (c *Controller) offerRequest(now time.Time, ticket Ticket, s *service, o Offer) []Decision {
+	dropped := s.enqueue(waiter{ticket: ticket, offer: o, since: now})
+	out := []Decision{{Ticket: ticket, Verb: Wait}}
+	for _, w := range dropped {
+		d := c.refusal(w.ticket, Overloaded, s.waiting)
+		if w.ticket == ticket {
+			out[0] = d
+			continue
+		}
+		out = append(out, d)
+	}
+	for _, d := range c.dispatch(now, o.Service, s) {
+		if d.Ticket == ticket {
+			out[0] = d
+			continue
+		}
+		out = append(out, d)
+	}
+	return out
+}
+
+// dispatch hands out free room of a service's targets in fair order.
+func (c *Controller) dispatch(now time.Time, id route.ServiceID, s *service) []Decision {
+	var out []Decision
+	for s.waiting > 0 {
+		ready := c.ready(s)
+		if len(ready) == 0 {
+			return append(out, c.refuseAll(s)...)
+		}
+		t := leastLoaded(ready, func(t *target) (int, int) { return t.requests, t.limit.allowed() })
+		if t == nil {
+			return out
+		}
+		w, m := s.dequeue()
+		if expired(now, w.offer.Deadline) {
+			out = append(out, c.refusal(w.ticket, Deadline, 0))
+			continue
+		}
+		c.start(now, id, s, t, w, m)
+		out = append(out, Decision{Ticket: w.ticket, Verb: Run, Target: t.name})
+	}
+	return out
+}
+
+func (c *Controller) start(now time.Time, id route.ServiceID, s *service, t *target, w waiter, m *member) {
+	t.requests++
+	c.running[w.ticket] = &running{
+		target:  t,
+		service: id,
+		member:  m,
+		weight:  w.offer.Weight,
+		since:   now,
+		charged: s.charge(m, w.offer.Weight),
+	}
+}
+
+// Done ends a running request and returns what may run now.
+func (c *Controller) Done(now time.Time, ticket Ticket, res Result) []Decision {
+	r, ok := c.running[ticket]
+	if !ok {
+		return nil
+	}
+	delete(c.running, ticket)
+	if r.class == Stream {
+		r.target.streams--
+		c.forgetIdle(r.target)
+		return nil
+	}
+	r.target.requests--
+	held := now.Sub(r.since)
+	r.target.limit.done(now, res, held)
+	r.member.settle(held, r.charged, r.weight)
+	c.forgetIdle(r.target)
+	return c.dispatchAll(now)
+}
+
+// Promote turns a running request into a stream: its answer proved to be one.
+// It frees room for waiting requests.
+func (c *Controller) Promote(now time.Time, ticket Ticket) []Decision {
+	r, ok := c.running[ticket]
+	if !ok || r.class == Stream {
+		return nil
+	}
+	r.class = Stream
+	r.target.requests--
+	r.target.streams++
+	return c.dispatchAll(now)
+}
+
+// Cancel removes a waiting ticket; a running one ends by Done.
+func (c *Controller) Cancel(ticket Ticket) {
+	for _, s := range c.services {
+		if s.remove(ticket) {
+			return
+		}
+	}
+}
+
+// Expire refuses what waited too long or passed its deadline.
+func (c *Controller) Expire(now time.Time) []Decision {
+	var out []Decision
+	for _, s := range c.services {
+		late := s.takeLate(func(w *waiter) bool {
+			return now.Sub(w.since) >= c.opts.MaxWait || expired(now, w.offer.Deadline)
+		})
+		for _, w := range late {
+			reason := Overloaded
+			if expired(now, w.offer.Deadline) {
+				reason = Deadline
+			}
+			out = append(out, c.refusal(w.ticket, reason, s.waiting))
+		}
+	}
+	return out
+}
+
+func (c *Controller) dispatchAll(now time.Time) []Decision {
+	var out []Decision
+	for _, id := range c.inTurn() {
+		out = append(out, c.dispatch(now, id, c.services[id])...)
+	}
+	return out
+}
+
+// inTurn returns services with waiting requests, the longest wait first, so
+// that services that share a target take turns.
+func (c *Controller) inTurn() []route.ServiceID {
+	var ids []route.ServiceID
+	for id, s := range c.services {
+		if s.waiting > 0 {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b route.ServiceID) int {
+		return cmp.Or(c.services[a].oldest().Compare(c.services[b].oldest()), cmp.Compare(a, b))
+	})
+	return ids
+}
+
+func (c *Controller) refuseAll(s *service) []Decision {
+	var out []Decision
+	for _, w := range s.takeLate(func(*waiter) bool { return true }) {
+		out = append(out, c.refusal(w.ticket, NoTarget, 0))
+	}
+	return out
+}
+
+// refusal tells when to come back: later when more wait, jittered so that the
+// refused do not return together.
+func (c *Controller) refusal(t Ticket, reason Reason, waiting int) Decision {
+	pressure := 1 + float64(waiting)/float64(max(c.opts.MaxQueue, 1))
+	after := time.Duration(float64(c.opts.RetryAfter) * pressure * (1 + 2*c.rnd.Float64()))
+	return Decision{Ticket: t, Verb: Refuse, Reason: reason, RetryAfter: after}
+}
+
+func (c *Controller) ready(s *service) []*target {
+	var out []*target
+	for _, name := range s.targets {
+		if t, ok := c.targets[name]; ok && t.spec.Ready {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// leastLoaded returns the target with the smallest used share that has room.
+func leastLoaded(targets []*target, load func(*target) (used, allowed int)) *target {
+	var best *target
+	bestShare := 0.0
+	for _, t := range targets {
+		used, allowed := load(t)
+		if used >= allowed {
+			continue
+		}
+		share := float64(used) / float64(allowed)
+		if best == nil || share < bestShare {
+			best, bestShare = t, share
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/agent/announce.go
@@ -0,0 +1,328 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc/pool"
+	"go.uber.org/zap"
+
+	"github.com/poppywall/poppywall/catalog"
+	"github.com/poppywall/poppywall/control"
+	"github.com/poppywall/poppywall/directory"
+	"github.com/poppywall/poppywall/feed"
+	"github.com/poppywall/poppywall/platform"
+	"github.com/poppywall/poppywall/telemetry"
+)
+
+const (
+	maxAnnouncement = 64 << 10
+	// askPlatformAfter is how many rounds in a row must fail before the
+	// platform is asked for balancers.
+	askPlatformAfter = 3
+	// seedsTried is the number of bootstrap addresses tried in one round.
+	seedsTried = 2
+)
+
+// announceAPI is the loopback endpoint of targets.
+func (a *Agent) announceAPI() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /v1/targets/{name}", a.putTarget)
+	mux.HandleFunc("DELETE /v1/targets/{name}", a.deleteTarget)
+	mux.HandleFunc("GET /v1/targets", a.listTargets)
+	return mux
+}
+
+func (a *Agent) putTarget(w http.ResponseWriter, r *http.Request) {
+	name := r.PathValue("name")
+	if len(name) > directory.MaxNameLen {
+		http.Error(w, "target name is too long", http.StatusBadRequest)
+		return
+	}
+	var ann Announcement
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&ann); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	a.state.mu.Lock()
+	changed, err := a.state.registry.put(time.Now(), name, ann)
+	a.state.mu.Unlock()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if changed {
+		a.replan()
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(announceReply{TTLMillis: a.cfg.TargetTTL.D().Milliseconds()})
+}
+
+// announceReply tells a target how often it must announce itself.
+type announceReply struct {
+	TTLMillis int64 `json:"ttlMillis"`
+}
+
+func (a *Agent) deleteTarget(w http.ResponseWriter, r *http.Request) {
+	a.state.mu.Lock()
+	known := a.state.registry.remove(r.PathValue("name"))
+	a.state.mu.Unlock()
+	if known {
+		a.replan()
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// targetStatus is one target in the list for operators and targets.
+type targetStatus struct {
+	Name     string         `json:"name"`
+	Labels   catalog.Labels `json:"labels"`
+	Draining bool           `json:"draining"`
+	Ready    bool           `json:"ready"`
+	Requests int            `json:"requests"`
+	Streams  int            `json:"streams"`
+}
+
+func (a *Agent) listTargets(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(a.targetStatus())
+}
+
+func (a *Agent) targetStatus() []targetStatus {
+	a.state.mu.Lock()
+	defer a.state.mu.Unlock()
+	out := []targetStatus{}
+	for name, t := range a.state.registry.targets {
+		eff := a.state.catalog.Target(a.cfg.Host, name, t.Labels)
+		st := targetStatus{Name: name, Labels: eff.Labels, Draining: eff.Drain || t.Draining}
+		st.Ready = a.state.plan.targets[name].spec.Ready
+		st.Requests, st.Streams = a.gate.inProgress(name)
+		out = append(out, st)
+	}
+	slices.SortFunc(out, func(x, y targetStatus) int {
+		if x.Name < y.Name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// announcer keeps the host's entry known at its registrars.
+type announcer struct {
+	registrars []directory.Entry
+	// told is the sequence that each registrar has acknowledged.
+	told    map[netip.AddrPort]uint32
+	period  time.Duration
+	failing int
+}
+
+// announceLoop sends heartbeats each period, and at once on a change.
+func (a *Agent) announceLoop(ctx context.Context) error {
+	an := &announcer{told: map[netip.AddrPort]uint32{}, period: a.cfg.Heartbeat.D()}
+	for ctx.Err() == nil {
+		a.announceRound(ctx, an)
+		a.waitForChange(ctx, jitter(an.period))
+	}
+	return nil
+}
+
+// jitter spreads the hosts' heartbeats over the period.
+func jitter(d time.Duration) time.Duration { return d*9/10 + rand.N(d/5+1) }
+
+func (a *Agent) waitForChange(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-a.kick:
+	}
+}
+
+type heartbeatResult struct {
+	peer  directory.Entry
+	reply control.HeartbeatReply
+	seq   uint32
+	err   error
+}
+
+// announceRound talks to all registrars at once, or looks for some.
+func (a *Agent) announceRound(ctx context.Context, an *announcer) {
+	peers := an.registrars
+	if len(peers) == 0 {
+		peers = a.bootstrap(ctx, an)
+	}
+	results := a.heartbeatAll(ctx, an, peers)
+	ok := 0
+	for _, r := range results {
+		if r.err != nil {
+			a.metrics.heartbeatErrors.Inc()
+			a.log.Debug("heartbeat failed", zap.String(telemetry.FieldPeer, r.peer.Control.String()), zap.Error(r.err))
+			delete(an.told, r.peer.Data)
+			continue
+		}
+		ok++
+		a.takeReply(ctx, an, r)
+	}
+	if ok == 0 {
+		an.failing++
+		an.registrars = nil
+		return
+	}
+	an.failing = 0
+}
+
+// bootstrap returns addresses to find registrars by.
+func (a *Agent) bootstrap(ctx context.Context, an *announcer) []directory.Entry {
+	addresses := slices.Clone(a.cfg.Balancers)
+	if an.failing >= askPlatformAfter && a.store != nil {
+		addresses = append(addresses, a.platformSeeds(ctx)...)
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	var out []directory.Entry
+	for _, s := range addresses[:min(len(addresses), seedsTried+an.failing)] {
+		if ap, err := netip.ParseAddrPort(s); err == nil {
+			out = append(out, directory.Entry{Control: ap, Data: ap})
+		}
+	}
+	return out
+}
+
+func (a *Agent) platformSeeds(ctx context.Context) []string {
+	var seeds []string
+	req := platform.RangeRequest{Key: feed.SeedPrefix, End: platform.PrefixEnd(feed.SeedPrefix)}
+	_, err := platform.ReadAll(ctx, a.store, req, func(kv platform.KV) error {
+		seeds = append(seeds, string(kv.Value))
+		return nil
+	})
+	if err != nil {
+		a.log.Warn("balancers not read from the platform", zap.Error(err))
+	}
+	return seeds
+}
+
+func (a *Agent) heartbeatAll(ctx context.Context, an *announcer, peers []directory.Entry) []heartbeatResult {
+	p := pool.NewWithResults[heartbeatResult]()
+	for _, peer := range peers {
+		req := a.heartbeat(an, peer)
+		p.Go(func() heartbeatResult {
+			res := heartbeatResult{peer: peer, seq: req.Sequence}
+			res.err = a.client.Call(ctx, peer.Control.String(), control.MethodHeartbeat, req, &res.reply)
+			return res
+		})
+	}
+	return p.Wait()
+}
+
+func (a *Agent) heartbeat(an *announcer, peer directory.Entry) control.HeartbeatRequest {
+	a.state.mu.Lock()
+	defer a.state.mu.Unlock()
+	e := a.state.entry
+	req := control.HeartbeatRequest{
+		Data:        e.Data,
+		Incarnation: e.Incarnation,
+		Sequence:    e.Sequence,
+		Host:        a.cfg.Host,
+		Zone:        a.cfg.Zone,
+		Revision:    a.state.catalog.Revision(),
+		Registrars:  control.RegistrarHash(an.registrars),
+	}
+	if an.told[peer.Data] != e.Sequence {
+		req.Entry = &e
+	}
+	return req
+}
+
+// takeReply learns from one registrar's answer.
+func (a *Agent) takeReply(ctx context.Context, an *announcer, r heartbeatResult) {
+	if r.reply.NeedEntry {
+		delete(an.told, r.peer.Data)
+		a.kickNow()
+	} else {
+		an.told[r.peer.Data] = r.seq
+	}
+	if r.reply.Sequence > 0 || r.reply.Incarnation > 0 {
+		a.refute(r.reply)
+	}
+	if r.reply.PeriodMillis > 0 {
+		an.period = max(a.cfg.Heartbeat.D(), time.Duration(r.reply.PeriodMillis)*time.Millisecond)
+	}
+	if len(r.reply.Registrars) > 0 {
+		a.changeRegistrars(ctx, an, r.reply.Registrars)
+	}
+	if r.reply.Update != nil {
+		a.takeUpdate(*r.reply.Update)
+	}
+}
+
+// refute raises the entry above a claim that stands against this host.
+func (a *Agent) refute(reply control.HeartbeatReply) {
+	a.state.mu.Lock()
+	e := &a.state.entry
+	if reply.Incarnation > e.Incarnation {
+		e.Incarnation, e.Sequence = reply.Incarnation+1, 0
+	}
+	e.Sequence = max(e.Sequence, reply.Sequence) + 1
+	a.state.mu.Unlock()
+	a.metrics.refutations.Inc()
+	a.kickNow()
+}
+
+// changeRegistrars moves to a new list and says farewell to the old ones.
+func (a *Agent) changeRegistrars(ctx context.Context, an *announcer, list []directory.Entry) {
+	old := an.registrars
+	if control.RegistrarHash(old) == control.RegistrarHash(list) {
+		return
+	}
+	an.registrars = list
+	known := make([]netip.AddrPort, 0, len(list))
+	for _, e := range list {
+		known = append(known, e.Data)
+	}
+	a.mux.setKnown(known)
+	for _, e := range old {
+		if slices.ContainsFunc(list, func(n directory.Entry) bool { return n.Data == e.Data }) {
+			continue
+		}
+		req := a.heartbeat(an, e)
+		req.Final = true
+		delete(an.told, e.Data)
+		var reply control.HeartbeatReply
+		_ = a.client.Call(ctx, e.Control.String(), control.MethodHeartbeat, req, &reply)
+	}
+	a.kickNow()
+}
+
+func (a *Agent) takeUpdate(u catalog.Update) {
+	a.state.mu.Lock()
+	changed, err := a.state.catalog.Apply(u)
+	a.state.mu.Unlock()
+	if err != nil {
+		a.log.Error("configuration not applied", zap.Error(err))
+		return
+	}
+	if changed {
+		a.replan()
+	}
+	if u.More {
+		a.kickNow()
+	}
+}
+
+func (a *Agent) listenAnnounce() (net.Listener, error) {
+	ap, err := netip.ParseAddrPort(a.cfg.Announce)
+	if err != nil || !ap.Addr().IsLoopback() {
+		return nil, errors.New("field \"announce\": must be a loopback address")
+	}
+	return net.Listen("tcp4", a.cfg.Announce)
+}
--- /dev/null
+++ b/agent/certificates.go
@@ -0,0 +1,91 @@
+package agent
+
+import (
+	"crypto/tls"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// reloadEvery is the least time between two looks at a key pair's files.
+const reloadEvery = 10 * time.Second
+
+// certificate is one key pair that follows its files; mu guards the rest.
+type certificate struct {
+	files Certificate
+
+	mu       sync.Mutex
+	pair     *tls.Certificate
+	modified time.Time
+	lookedAt time.Time
+}
+
+func loadCertificate(files Certificate) (*certificate, error) {
+	c := &certificate{files: files}
+	if err := c.load(); err != nil {
+		return nil, errors.Wrap(err, "field \"certificates\"")
+	}
+	return c, nil
+}
+
+func (c *certificate) load() error {
+	info, err := os.Stat(c.files.Cert)
+	if err != nil {
+		return err
+	}
+	pair, err := tls.LoadX509KeyPair(c.files.Cert, c.files.Key)
+	if err != nil {
+		return err
+	}
+	c.pair, c.modified = &pair, info.ModTime()
+	return nil
+}
+
+// get returns the current key pair; one that cannot be reloaded stays in use.
+func (c *certificate) get(now time.Time) *tls.Certificate {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.lookedAt) < reloadEvery {
+		return c.pair
+	}
+	c.lookedAt = now
+	if info, err := os.Stat(c.files.Cert); err == nil && !info.ModTime().Equal(c.modified) {
+		_ = c.load()
+	}
+	return c.pair
+}
+
+// certificates finds the key pair of a service.
+type certificates struct{ byService map[string]*certificate }
+
+func loadCertificates(list []Certificate) (*certificates, error) {
+	cs := &certificates{byService: map[string]*certificate{}}
+	for _, files := range list {
+		c, err := loadCertificate(files)
+		if err != nil {
+			return nil, err
+		}
+		cs.byService[files.Service] = c
+	}
+	return cs, nil
+}
+
+// tlsConfig returns the TLS settings of a service, nil when it has no key pair
+// here.
+func (cs *certificates) tlsConfig(service string) *tls.Config {
+	c, ok := cs.byService[service]
+	if !ok {
+		c, ok = cs.byService[""]
+	}
+	if !ok {
+		return nil
+	}
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return c.get(time.Now()), nil
+		},
+	}
+}
--- /dev/null
+++ b/agent/endpoint.go
@@ -0,0 +1,190 @@
+package agent
+
+import (
+	"context"
+	"crypto/tls"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+	"go.uber.org/zap"
+
+	"github.com/poppywall/poppywall/catalog"
+	"github.com/poppywall/poppywall/route"
+	"github.com/poppywall/poppywall/telemetry"
+)
+
+const (
+	// maxIdle ends a connection whose caller is silent.
+	maxIdle = 30 * time.Second
+	// keepAlive keeps board streams open through silence.
+	keepAlive = 10 * time.Second
+	// maxStreamsPerConn bounds the requests in progress on one connection.
+	maxStreamsPerConn = 256
+	maxHeaderBytes    = 64 << 10
+	// drainPoll is how often a closing endpoint looks for its last connection.
+	drainPoll = 100 * time.Millisecond
+)
+
+// connIDs makes the QUIC library use routes as connection IDs.
+type connIDs struct{ minter *route.Minter }
+
+// GenerateConnectionID implements quic.ConnectionIDGenerator.
+func (g connIDs) GenerateConnectionID() (quic.ConnectionID, error) {
+	id := g.minter.Next()
+	return quic.ConnectionIDFromBytes(id[:]), nil
+}
+
+// ConnectionIDLen implements quic.ConnectionIDGenerator.
+func (g connIDs) ConnectionIDLen() int { return route.Len }
+
+// endpoint ends QUIC for one service at this host.
+//
+// It is serving or draining. While draining it sends GOAWAY on every
+// connection, refuses what is new and lets what is open run on; it can be
+// resumed, then only new connections are served again.
+type endpoint struct {
+	id        route.ServiceID
+	log       *zap.Logger
+	conn      *serviceConn
+	transport *quic.Transport
+	listener  *quic.Listener
+	handler   http.Handler
+	maxConns  int
+
+	open    atomic.Int64
+	service atomic.Pointer[catalog.Service]
+
+	// mu guards server and serving.
+	mu      sync.Mutex
+	server  *http3.Server
+	serving bool
+}
+
+func newEndpoint(m *mux, s *catalog.Service, tlsConf *tls.Config, maxConns int, log *zap.Logger) (*endpoint, error) {
+	base := route.Route{Host: m.socket.Addr(), Incarnation: m.inc, Service: s.ID}
+	minter, err := route.NewMinter(m.codec, base, rand.Uint32())
+	if err != nil {
+		return nil, err
+	}
+	e := &endpoint{
+		id:       s.ID,
+		log:      log.With(zap.String(telemetry.FieldService, s.Name)),
+		maxConns: maxConns,
+	}
+	e.service.Store(s)
+	e.conn = newServiceConn(m, s.ID, func() (int, int, int) { return 0, 0, 0 })
+	e.transport = &quic.Transport{
+		Conn:                  e.conn,
+		ConnectionIDGenerator: connIDs{minter},
+		StatelessResetKey:     m.resets.currentKey(),
+		// Every new flow gets a Retry, whose connection ID is a route. Tokens
+		// of former connections would skip it, so they are born expired.
+		VerifySourceAddress: func(_ net.Addr) bool { return true },
+		MaxTokenAge:         time.Nanosecond,
+	}
+	e.listener, err = e.transport.Listen(http3.ConfigureTLSConfig(tlsConf), quicConfig())
+	if err != nil {
+		return nil, err
+	}
+	return e, nil
+}
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		MaxIdleTimeout:        maxIdle,
+		KeepAlivePeriod:       keepAlive,
+		MaxIncomingStreams:    maxStreamsPerConn,
+		MaxIncomingUniStreams: 8,
+		// A request exists only on the connection that finished its
+		// handshake: at most once needs 0-RTT off.
+		Allow0RTT: false,
+	}
+}
+
+// resume makes the endpoint take new work.
+func (e *endpoint) resume() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.serving {
+		return
+	}
+	e.serving = true
+	e.server = &http3.Server{Handler: e.handler, MaxHeaderBytes: maxHeaderBytes}
+	e.conn.accepting.Store(true)
+	e.log.Info("endpoint serving")
+}
+
+// drain makes the endpoint take no new work and tells callers.
+func (e *endpoint) drain() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.serving {
+		return
+	}
+	e.serving = false
+	e.conn.accepting.Store(false)
+	server := e.server
+	e.log.Info("endpoint draining", zap.Int64("connections", e.open.Load()))
+	// Shutdown sends GOAWAY at once and then waits for the connections; those
+	// given to ServeQUICConn are never closed by it.
+	go func() { _ = server.Shutdown(context.Background()) }()
+}
+
+// acceptLoop serves connections until the listener closes.
+func (e *endpoint) acceptLoop(ctx context.Context) {
+	for {
+		conn, err := e.listener.Accept(ctx)
+		if err != nil {
+			return
+		}
+		go e.serveConn(conn)
+	}
+}
+
+func (e *endpoint) serveConn(conn *quic.Conn) {
+	if e.open.Add(1) > int64(e.maxConns) {
+		e.open.Add(-1)
+		e.refuse(conn)
+		return
+	}
+	defer e.open.Add(-1)
+	e.mu.Lock()
+	server, serving := e.server, e.serving
+	e.mu.Unlock()
+	if !serving {
+		e.refuse(conn)
+		return
+	}
+	_ = server.ServeQUICConn(conn)
+}
+
+// refuse closes a connection on which no request was read.
+func (e *endpoint) refuse(conn *quic.Conn) {
+	_ = conn.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeRequestRejected), "not serving")
+}
+
+// closeWhenIdle waits for the last connection, at most until ctx ends, and
+// closes the endpoint.
+func (e *endpoint) closeWhenIdle(ctx context.Context) {
+	tick := time.NewTicker(drainPoll)
+	defer tick.Stop()
+	for e.open.Load() > 0 && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		}
+	}
+	e.close()
+}
+
+func (e *endpoint) close() {
+	_ = e.listener.Close()
+	_ = e.transport.Close()
+	_ = e.conn.Close()
+}
--- /dev/null
+++ b/agent/proxy.go
@@ -0,0 +1,289 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/poppywall/poppywall/admission"
+	"github.com/poppywall/poppywall/catalog"
+	"github.com/poppywall/poppywall/route"
+	"github.com/poppywall/poppywall/verdict"
+)
+
+const (
+	// HeaderTimeout is the caller's deadline in milliseconds from the arrival
+	// of the request; the target gets what is left of it.
+	HeaderTimeout = "Poppywall-Timeout-Ms"
+	// maxTimeout bounds HeaderTimeout.
+	maxTimeout = 24 * time.Hour
+	// longBody is the size from which a body's time is the caller's.
+	longBody      = 64 << 10
+	copyBuffer    = 32 << 10
+	eventStream   = "text/event-stream"
+	headerForward = "X-Forwarded-For"
+)
+
+// proxy is the HTTP handler of one service.
+type proxy struct {
+	id       route.ServiceID
+	service  func() *catalog.Service
+	gate     *gate
+	handover *handover
+	metrics  *metrics
+}
+
+// ServeHTTP admits a request, hands it to a target and relays the answer. An
+// answer is relayed whole or the stream is reset.
+func (p *proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	started := time.Now()
+	svc := p.service()
+	member := memberOf(svc, r.Host)
+	status, v := p.serve(w, r, svc, member, started)
+	p.metrics.observe(svc.Name, member, v, status, time.Since(started))
+}
+
+func (p *proxy) serve(w http.ResponseWriter, r *http.Request, svc *catalog.Service, member string, now time.Time) (int, verdict.Verdict) {
+	ctx, cancel, failed := p.prepare(r, svc, now)
+	if failed != nil {
+		failed.WriteTo(w)
+		return failed.Status, failed.Verdict
+	}
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	grant, err := p.gate.enter(ctx, admission.Offer{
+		Service:  p.id,
+		Member:   member,
+		Weight:   weightOf(svc, member),
+		Class:    classOf(r),
+		Deadline: deadline,
+	})
+	if err != nil {
+		return p.refuse(w, err)
+	}
+	return p.run(ctx, w, r, grant)
+}
+
+// prepare checks the request and applies the caller's deadline.
+func (p *proxy) prepare(r *http.Request, svc *catalog.Service, now time.Time) (context.Context, context.CancelFunc, *verdict.Error) {
+	if !svc.Allows(hostName(r.Host)) {
+		return nil, nil, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusMisdirectedRequest, Reason: "wrong-authority"}
+	}
+	if r.Method == http.MethodConnect {
+		return nil, nil, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusNotImplemented, Reason: "connect"}
+	}
+	timeout, err := parseTimeout(r.Header.Get(HeaderTimeout))
+	if err != nil {
+		return nil, nil, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusBadRequest, Reason: "bad-timeout", Err: err}
+	}
+	if timeout == 0 {
+		ctx, cancel := context.WithCancel(r.Context())
+		return ctx, cancel, nil
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), now.Add(timeout))
+	return ctx, cancel, nil
+}
+
+func parseTimeout(s string) (time.Duration, error) {
+	if s == "" {
+		return 0, nil
+	}
+	ms, err := strconv.ParseInt(s, 10, 64)
+	if err != nil || ms <= 0 || ms > maxTimeout.Milliseconds() {
+		return 0, errors.Errorf("%s must be 1 to %d", HeaderTimeout, maxTimeout.Milliseconds())
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+func (p *proxy) refuse(w http.ResponseWriter, err error) (int, verdict.Verdict) {
+	var e *verdict.Error
+	if !errors.As(err, &e) {
+		e = &verdict.Error{Verdict: verdict.Unknown, Status: http.StatusInternalServerError, Reason: "internal", Err: err}
+	}
+	e.WriteTo(w)
+	return e.Status, e.Verdict
+}
+
+// run hands an admitted request over and relays the answer.
+func (p *proxy) run(ctx context.Context, w http.ResponseWriter, r *http.Request, g *grant) (int, verdict.Verdict) {
+	// The process may have been frozen since admission: this is the last look
+	// at the deadline before the target can see the request.
+	if passed(ctx, time.Now()) {
+		g.done(admission.Result{Outcome: admission.Cancelled})
+		return p.refuse(w, notRunInTime(ctx))
+	}
+	out := p.outgoing(ctx, r, g.address)
+	resp, err := p.handover.do(out)
+	if err != nil {
+		g.done(admission.Result{Outcome: outcomeOf(r)})
+		return p.refuse(w, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream) {
+		g.promote()
+	}
+	writeHead(w, resp)
+	err = relayBody(w, resp)
+	g.done(resultOf(ctx, r, resp, err))
+	if err != nil {
+		// Resetting the stream tells the caller that the answer is not whole.
+		panic(http.ErrAbortHandler)
+	}
+	return resp.StatusCode, verdict.Ran
+}
+
+// passed tells whether the caller has given up. It reads the clock itself: right
+// after a freeze the context's timer may not have fired yet.
+func passed(ctx context.Context, now time.Time) bool {
+	deadline, ok := ctx.Deadline()
+	return ctx.Err() != nil || (ok && !now.Before(deadline))
+}
+
+func notRunInTime(ctx context.Context) error {
+	e := &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable, Reason: "cancelled"}
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		e.Status, e.Reason = http.StatusGatewayTimeout, string(admission.Deadline)
+	}
+	return e
+}
+
+// outgoing builds the target's request.
+func (p *proxy) outgoing(ctx context.Context, r *http.Request, address string) *http.Request {
+	out := r.Clone(ctx)
+	out.URL.Scheme = "http"
+	out.URL.Host = address
+	out.RequestURI = ""
+	out.Proto, out.ProtoMajor, out.ProtoMinor = "HTTP/1.1", 1, 1
+	out.Header = http.Header{}
+	copyEndToEnd(out.Header, r.Header)
+	if caller, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
+		out.Header.Set(headerForward, caller)
+	}
+	out.Header.Del(HeaderTimeout)
+	if deadline, ok := ctx.Deadline(); ok {
+		left := max(time.Until(deadline).Milliseconds(), 1)
+		out.Header.Set(HeaderTimeout, strconv.FormatInt(left, 10))
+	}
+	if _, ok := out.Header["User-Agent"]; !ok {
+		out.Header.Set("User-Agent", "")
+	}
+	out.Body = bodyOf(r)
+	return out
+}
+
+func bodyOf(r *http.Request) io.ReadCloser {
+	if r.ContentLength == 0 || r.Body == nil {
+		return http.NoBody
+	}
+	return onceBody{r.Body}
+}
+
+func writeHead(w http.ResponseWriter, resp *http.Response) {
+	h := w.Header()
+	copyEndToEnd(h, resp.Header)
+	h.Del(verdict.HeaderReason)
+	h.Set(verdict.HeaderVerdict, verdict.Ran.String())
+	w.WriteHeader(resp.StatusCode)
+}
+
+// relayBody copies the answer and flushes after each read, so that events of a
+// stream are not held back.
+func relayBody(w http.ResponseWriter, resp *http.Response) error {
+	rc := http.NewResponseController(w)
+	buf := make([]byte, copyBuffer)
+	if err := rc.Flush(); err != nil {
+		return err
+	}
+	for {
+		n, err := resp.Body.Read(buf)
+		if n > 0 {
+			if _, werr := w.Write(buf[:n]); werr != nil {
+				return werr
+			}
+			if ferr := rc.Flush(); ferr != nil {
+				return ferr
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			copyTrailers(w, resp)
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func copyTrailers(w http.ResponseWriter, resp *http.Response) {
+	for name, values := range resp.Trailer {
+		for _, v := range values {
+			w.Header().Add(http.TrailerPrefix+name, v)
+		}
+	}
+}
+
+// outcomeOf tells what a failed hand-over says of the target: nothing when the
+// caller went away first.
+func outcomeOf(r *http.Request) admission.Outcome {
+	if r.Context().Err() != nil {
+		return admission.Cancelled
+	}
+	return admission.Failed
+}
+
+func resultOf(ctx context.Context, r *http.Request, resp *http.Response, err error) admission.Result {
+	res := admission.Result{
+		Outcome:    admission.Succeeded,
+		Comparable: r.ContentLength >= 0 && r.ContentLength < longBody && resp.ContentLength >= 0 && resp.ContentLength < longBody,
+	}
+	switch {
+	case r.Context().Err() != nil:
+		res.Outcome = admission.Cancelled
+	case err != nil && ctx.Err() == nil:
+		res.Outcome = admission.Failed
+	case resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests:
+		res.Outcome = admission.Shed
+	case resp.StatusCode >= http.StatusInternalServerError:
+		res.Outcome = admission.Failed
+	}
+	return res
+}
+
+// classOf guesses the class from the request; the answer can promote it.
+func classOf(r *http.Request) admission.Class {
+	if strings.Contains(r.Header.Get("Accept"), eventStream) {
+		return admission.Stream
+	}
+	return admission.Request
+}
+
+func hostName(authority string) string {
+	host, _, err := net.SplitHostPort(authority)
+	if err != nil {
+		host = authority
+	}
+	return strings.ToLower(host)
+}
+
+// otherMembers stands for all authorities that the service does not name, so
+// that callers cannot make up members.
+const otherMembers = "other"
+
+func memberOf(s *catalog.Service, authority string) string {
+	name := hostName(authority)
+	if _, ok := s.Members[name]; ok {
+		return name
+	}
+	if len(s.Authorities) > 0 && s.Allows(name) {
+		return name
+	}
+	return otherMembers
+}
+
+func weightOf(s *catalog.Service, member string) int { return max(s.Members[member], 1) }
--- /dev/null
+++ b/balancer/api.go
@@ -0,0 +1,137 @@
+package balancer
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/poppywall/poppywall/catalog"
+	"github.com/poppywall/poppywall/control"
+	"github.com/poppywall/poppywall/directory"
+)
+
+func (b *Balancer) registerHandlers() {
+	b.server.Register(control.MethodHeartbeat, control.Handle(b.handleHeartbeat))
+	b.server.Register(control.MethodExchange, control.Handle(b.handleExchange))
+	b.server.Register(control.MethodPush, control.Handle(b.handlePush))
+	b.server.Register(control.MethodDigest, control.Handle(b.handleDigest))
+	b.server.Register(control.MethodEntries, control.Handle(b.handleEntries))
+	b.server.Register(control.MethodSync, control.Handle(b.handleSync))
+	b.server.Register(control.MethodStatus, control.Handle(b.handleStatus))
+}
+
+// handleHeartbeat serves as a registrar for an agent.
+func (b *Balancer) handleHeartbeat(_ context.Context, req control.HeartbeatRequest) (control.HeartbeatReply, error) {
+	if req.Entry != nil {
+		if err := req.Entry.Validate(); err != nil {
+			return control.HeartbeatReply{}, err
+		}
+	}
+	now := time.Now()
+	b.view.mu.Lock()
+	defer b.view.mu.Unlock()
+	if req.Entry != nil {
+		b.view.dir.Merge(now, []directory.Entry{*req.Entry})
+		b.applyDirectory(now)
+	}
+	reply := control.HeartbeatReply{
+		HeartbeatReply: b.view.dir.Heartbeat(now, req.Data, req.Incarnation, req.Sequence),
+		Update:         b.view.catalog.Since(req.Revision, func(r *catalog.Record) bool { return r.ForHost(req.Host) }),
+	}
+	if req.Final {
+		b.view.dir.Release(req.Data)
+		return reply, nil
+	}
+	list := directory.Registrars(req.Data.String(), req.Zone, b.view.dir.Balancers(), control.RegistrarsPerHost)
+	if control.RegistrarHash(list) != req.Registrars {
+		reply.Registrars = list
+	}
+	return reply, nil
+}
+
+func (b *Balancer) handleExchange(_ context.Context, req control.ExchangeRequest) (control.ExchangeReply, error) {
+	b.take(req.Rumours, nil)
+	b.view.mu.Lock()
+	defer b.view.mu.Unlock()
+	// The own entry goes along: the requester may have come by a bare address.
+	rumours := append(b.view.dir.Rumours(), b.view.dir.Self())
+	return control.ExchangeReply{
+		Rumours:  rumours,
+		Root:     b.view.dir.Root(),
+		Revision: b.view.catalog.Revision(),
+		Update:   b.view.catalog.Since(req.Revision, catalog.Everything),
+	}, nil
+}
+
+func (b *Balancer) handlePush(_ context.Context, req control.PushRequest) (control.PushReply, error) {
+	b.take(nil, &req.Update)
+	return control.PushReply{Revision: b.heard()}, nil
+}
+
+func (b *Balancer) handleDigest(_ context.Context, req control.DigestRequest) (control.DigestReply, error) {
+	b.view.mu.Lock()
+	defer b.view.mu.Unlock()
+	of := b.view.dir.DiffBranches(req.Branches, repairBranches)
+	return control.DigestReply{Of: of, Leaves: b.view.dir.Leaves(of)}, nil
+}
+
+func (b *Balancer) handleEntries(_ context.Context, req control.EntriesRequest) (control.EntriesReply, error) {
+	if len(req.Entries) > control.MaxEntriesPerCall {
+		return control.EntriesReply{}, errors.Errorf("more than %d entries", control.MaxEntriesPerCall)
+	}
+	b.view.mu.Lock()
+	reply := control.EntriesReply{Entries: b.view.dir.EntriesOf(req.Leaves, control.MaxEntriesPerCall)}
+	b.view.mu.Unlock()
+	b.take(req.Entries, nil)
+	return reply, nil
+}
+
+func (b *Balancer) handleSync(_ context.Context, req control.SyncRequest) (control.SyncReply, error) {
+	return control.SyncReply{Update: b.since(req.Revision, catalog.Everything)}, nil
+}
+
+func (b *Balancer) handleStatus(_ context.Context, req control.StatusRequest) (control.StatusReply, error) {
+	b.view.mu.Lock()
+	defer b.view.mu.Unlock()
+	reply := control.StatusReply{
+		Self:      b.view.dir.Self(),
+		Revision:  b.view.catalog.InForce(),
+		Feeder:    b.view.feeder,
+		Leaving:   b.leaving.started(),
+		Balancers: b.view.dir.Balancers(),
+		Services:  b.serviceStatus(),
+	}
+	if req.Entries {
+		reply.Entries = b.view.dir.All()
+	}
+	return reply, nil
+}
+
+// serviceStatus runs under view.mu.
+func (b *Balancer) serviceStatus() []control.ServiceStatus {
+	var out []control.ServiceStatus
+	for id, s := range b.view.catalog.Services() {
+		st := control.ServiceStatus{Name: s.Name, ID: id, Address: s.Address}
+		for _, h := range b.view.dir.Hosts(id) {
+			st.Hosts++
+			st.Slots += int(h.Slots)
+		}
+		out = append(out, st)
+	}
+	slices.SortFunc(out, func(a, c control.ServiceStatus) int { return strings.Compare(a.Name, c.Name) })
+	return out
+}
+
+// Slots returns the ready slots of each service as this balancer sees them.
+func (b *Balancer) Slots() map[string]int {
+	b.view.mu.Lock()
+	defer b.view.mu.Unlock()
+	out := map[string]int{}
+	for _, s := range b.serviceStatus() {
+		out[s.Name] = s.Slots
+	}
+	return out
+}
--- /dev/null
+++ b/change/change.go
@@ -0,0 +1,456 @@
+package change
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/go-faster/errors"
+
+	"github.com/poppywall/poppywall/catalog"
+	"github.com/poppywall/poppywall/feed"
+	"github.com/poppywall/poppywall/platform"
+	"github.com/poppywall/poppywall/route"
+	"github.com/poppywall/poppywall/settings"
+	"github.com/poppywall/poppywall/verdict"
+)
+
+// Outcome is what became of a change.
+type Outcome uint8
+
+const (
+	// Unknown means that the platform could not be asked.
+	Unknown Outcome = iota
+	// Accepted means that the change is stored and comes into force.
+	Accepted
+	// Rejected means that the change has not and never will be stored.
+	Rejected
+)
+
+// String returns the outcome as operators read it.
+func (o Outcome) String() string {
+	switch o {
+	case Accepted:
+		return "accepted"
+	case Rejected:
+		return "rejected"
+	default:
+		return "unknown"
+	}
+}
+
+// Limits of a change.
+const (
+	// MaxRecords keeps a change within one transaction of the platform.
+	MaxRecords = 40
+	// attempts bounds the tries against racing operators.
+	attempts = 8
+	// markerTTL is how long history is kept.
+	markerTTL = 24 * time.Hour
+	// maxServices bounds service IDs; zero is not used.
+	maxServices = 1<<16 - 1
+)
+
+// Item is one record to set or delete.
+type Item struct {
+	Service *catalog.Service `json:"service,omitempty"`
+	Target  *catalog.Target  `json:"target,omitempty"`
+	// Delete removes the record; of Service or Target only the name counts.
+	Delete bool `json:"delete,omitempty"`
+	// Revision, when given, must be the record's current one: the operator's
+	// picture is checked, not just the instant of writing.
+	Revision *catalog.Revision `json:"revision,omitempty"`
+}
+
+// Key returns the key of the item's record.
+func (it *Item) Key() (string, error) {
+	switch {
+	case it.Service != nil && it.Target == nil:
+		return catalog.ServiceKey(it.Service.Name), nil
+	case it.Target != nil && it.Service == nil:
+		return catalog.TargetKey(it.Target.Host, it.Target.Name), nil
+	default:
+		return "", errors.New("an item holds either \"service\" or \"target\"")
+	}
+}
+
+// Document is a set of items that change together.
+type Document struct {
+	Items []Item `json:"items" validate:"required,min=1,max=40,dive"`
+}
+
+// Validate checks every item without asking the platform.
+func (d *Document) Validate() error {
+	if len(d.Items) == 0 {
+		return errors.New("field \"items\": a change needs at least one item")
+	}
+	if len(d.Items) > MaxRecords {
+		return errors.Errorf("field \"items\": at most %d items in one change", MaxRecords)
+	}
+	seen := map[string]bool{}
+	for i := range d.Items {
+		if err := d.Items[i].validate(seen); err != nil {
+			return errors.Wrapf(err, "items[%d]", i)
+		}
+	}
+	return nil
+}
+
+func (it *Item) validate(seen map[string]bool) error {
+	key, err := it.Key()
+	if err != nil {
+		return err
+	}
+	if seen[key] {
+		return errors.Errorf("%q is given twice", key)
+	}
+	seen[key] = true
+	if it.Delete {
+		return nil
+	}
+	if it.Service != nil {
+		return settings.Validate(it.Service)
+	}
+	return settings.Validate(it.Target)
+}
+
+// Marker is what a change leaves under its ID.
+type Marker struct {
+	ID     string    `json:"id"`
+	Author string    `json:"author"`
+	At     time.Time `json:"at"`
+	Keys   []string  `json:"keys"`
+	// Fenced tells that the change was stopped, not accepted.
+	Fenced bool `json:"fenced,omitempty"`
+}
+
+// Result tells what became of a change.
+type Result struct {
+	ID       string           `json:"id"`
+	Outcome  Outcome          `json:"-"`
+	Text     string           `json:"outcome"`
+	Revision catalog.Revision `json:"revision,omitempty"`
+	Reason   string           `json:"reason,omitempty"`
+}
+
+func result(id string, o Outcome, rev catalog.Revision, reason string) Result {
+	return Result{ID: id, Outcome: o, Text: o.String(), Revision: rev, Reason: reason}
+}
+
+// Applier makes changes.
+type Applier struct {
+	store  platform.Store
+	author string
+	now    func() time.Time
+	newID  func() string
+	// pause is the first wait between tries.
+	pause time.Duration
+}
+
+// NewApplier returns an applier; newID makes IDs that never repeat.
+func NewApplier(store platform.Store, author string, now func() time.Time, newID func() string, pause time.Duration) *Applier {
+	return &Applier{store: store, author: author, now: now, newID: newID, pause: pause}
+}
+
+// conflict is a failed precondition, final for this change.
+type conflict struct{ reason string }
+
+// Error implements error.
+func (c *conflict) Error() string { return c.reason }
+
+// Apply makes the change and tells its outcome.
+func (a *Applier) Apply(ctx context.Context, doc Document) Result {
+	return a.Edit(ctx, func(context.Context) (Document, error) { return doc, nil })
+}
+
+// Edit makes a change that depends on what is stored: build is called anew
+// when another operator was faster.
+func (a *Applier) Edit(ctx context.Context, build func(context.Context) (Document, error)) Result {
+	var last Result
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval = a.pause
+	for range attempts {
+		id := a.newID()
+		var again bool
+		last, again = a.try(ctx, id, build)
+		if !again {
+			return last
+		}
+		if !sleep(ctx, wait.NextBackOff()) {
+			break
+		}
+	}
+	last.Reason = "other operators changed the same records at every try"
+	return last
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// try runs one attempt under an ID of its own and tells whether another may
+// follow.
+func (a *Applier) try(ctx context.Context, id string, build func(context.Context) (Document, error)) (Result, bool) {
+	doc, err := build(ctx)
+	if err != nil {
+		return result(id, Rejected, 0, err.Error()), false
+	}
+	if err := doc.Validate(); err != nil {
+		return result(id, Rejected, 0, err.Error()), false
+	}
+	txn, err := a.transaction(ctx, id, doc)
+	if err != nil {
+		// Nothing was written yet, whatever failed.
+		return result(id, Rejected, 0, err.Error()), false
+	}
+	resp, err := a.store.Txn(ctx, txn)
+	switch {
+	case err == nil && resp.Succeeded:
+		return result(id, Accepted, catalog.Revision(resp.Revision), ""), false
+	case err == nil:
+		return result(id, Rejected, 0, "changed meanwhile"), true
+	case verdict.Of(err) == verdict.NotRun:
+		return result(id, Rejected, 0, err.Error()), false
+	default:
+		return a.Resolve(ctx, id), false
+	}
+}
+
+// Resolve tells what became of a change whose answer was lost. It asks until
+// it knows or ctx ends.
+func (a *Applier) Resolve(ctx context.Context, id string) Result {
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval = a.pause
+	for {
+		res, err := a.resolveOnce(ctx, id)
+		if err == nil {
+			return res
+		}
+		if !sleep(ctx, wait.NextBackOff()) {
+			return result(id, Unknown, 0, "the platform cannot be asked: "+err.Error())
+		}
+	}
+}
+
+func (a *Applier) resolveOnce(ctx context.Context, id string) (Result, error) {
+	// The fence and the change exclude each other: both need the marker absent.
+	fence, err := json.Marshal(Marker{ID: id, Author: a.author, At: a.now(), Fenced: true})
+	if err != nil {
+		return Result{}, err
+	}
+	lease, err := a.store.Grant(ctx, markerTTL)
+	if err != nil {
+		return Result{}, err
+	}
+	key := feed.ChangePrefix + id
+	resp, err := a.store.Txn(ctx, platform.Txn{
+		Compares: []platform.Compare{{Key: key, Field: platform.CreateRevision}},
+		Puts:     []platform.Put{{Key: key, Value: fence, Lease: lease}},
+	})
+	if err != nil {
+		return Result{}, err
+	}
+	if resp.Succeeded {
+		return result(id, Rejected, 0, "the request never reached the platform"), nil
+	}
+	return a.readMarker(ctx, id)
+}
+
+func (a *Applier) readMarker(ctx context.Context, id string) (Result, error) {
+	resp, err := a.store.Range(ctx, platform.RangeRequest{Key: feed.ChangePrefix + id})
+	if err != nil {
+		return Result{}, err
+	}
+	if len(resp.KVs) == 0 {
+		return Result{}, errors.New("marker not readable yet")
+	}
+	var m Marker
+	if err := json.Unmarshal(resp.KVs[0].Value, &m); err != nil {
+		return Result{}, err
+	}
+	if m.Fenced {
+		return result(id, Rejected, 0, "the request never reached the platform"), nil
+	}
+	return result(id, Accepted, catalog.Revision(resp.KVs[0].ModRevision), ""), nil
+}
+
+// transaction reads what the change depends on and builds the swap.
+func (a *Applier) transaction(ctx context.Context, id string, doc Document) (platform.Txn, error) {
+	b := &builder{ctx: ctx, store: a.store, id: id}
+	marker := Marker{ID: id, Author: a.author, At: a.now()}
+	for i := range doc.Items {
+		key, err := b.item(&doc.Items[i])
+		if err != nil {
+			return platform.Txn{}, err
+		}
+		marker.Keys = append(marker.Keys, key)
+	}
+	if err := b.finish(); err != nil {
+		return platform.Txn{}, err
+	}
+	value, err := json.Marshal(marker)
+	if err != nil {
+		return platform.Txn{}, err
+	}
+	lease, err := a.store.Grant(ctx, markerTTL)
+	if err != nil {
+		return platform.Txn{}, err
+	}
+	key := feed.ChangePrefix + id
+	b.txn.Compares = append(b.txn.Compares, platform.Compare{Key: key, Field: platform.CreateRevision})
+	b.txn.Puts = append(b.txn.Puts, platform.Put{Key: key, Value: value, Lease: lease})
+	return b.txn, nil
+}
+
+// builder collects the compares and puts of one transaction.
+type builder struct {
+	ctx   context.Context
+	store platform.Store
+	id    string
+	txn   platform.Txn
+	// counter is the service ID counter once it was read; next is its value.
+	counter *platform.KV
+	next    int
+}
+
+func (b *builder) read(key string) (platform.KV, bool, error) {
+	resp, err := b.store.Range(b.ctx, platform.RangeRequest{Key: key})
+	if err != nil || len(resp.KVs) == 0 {
+		return platform.KV{}, false, err
+	}
+	return resp.KVs[0], true, nil
+}
+
+func (b *builder) swap(key string, modRevision int64, value []byte) {
+	b.txn.Compares = append(b.txn.Compares, platform.Compare{Key: key, Field: platform.ModRevision, Equal: modRevision})
+	b.txn.Puts = append(b.txn.Puts, platform.Put{Key: key, Value: value})
+}
+
+func (b *builder) item(it *Item) (string, error) {
+	key, err := it.Key()
+	if err != nil {
+		return "", err
+	}
+	stored := feed.CatalogPrefix + key
+	kv, found, err := b.read(stored)
+	if err != nil {
+		return "", err
+	}
+	if it.Revision != nil && catalog.Revision(kv.ModRevision) != *it.Revision {
+		return "", &conflict{key + " is at revision " + strconv.FormatInt(kv.ModRevision, 10)}
+	}
+	var old catalog.Record
+	if found {
+		if old, err = catalog.ParseRecord(key, catalog.Revision(kv.ModRevision), kv.Value); err != nil {
+			return "", err
+		}
+	}
+	rec := catalog.Record{Key: key, Change: b.id, Deleted: it.Delete, Service: it.Service, Target: it.Target}
+	if err := b.complete(&rec, &old); err != nil {
+		return "", err
+	}
+	value, err := json.Marshal(rec)
+	if err != nil {
+		return "", err
+	}
+	b.swap(stored, kv.ModRevision, value)
+	return key, nil
+}
+
+// complete fills in what the tool decides: a service's ID and its claim of the
+// address. A tombstone keeps the ID, so that a service made again under the
+// same name never takes flows of the former one: it gets a new ID.
+func (b *builder) complete(rec, old *catalog.Record) error {
+	if !rec.IsService() {
+		return nil
+	}
+	if rec.Deleted {
+		rec.Service = nil
+		if old.Service != nil {
+			return b.release(old.Service)
+		}
+		return nil
+	}
+	svc := *rec.Service
+	rec.Service = &svc
+	if old.Service != nil && !old.Deleted {
+		svc.ID = old.Service.ID
+	} else if err := b.assignID(&svc); err != nil {
+		return err
+	}
+	if old.Service != nil && !old.Deleted && old.Service.Address != svc.Address {
+		if err := b.release(old.Service); err != nil {
+			return err
+		}
+	}
+	return b.claim(&svc)
+}
+
+// assignID takes the next service ID; IDs are never reused.
+func (b *builder) assignID(s *catalog.Service) error {
+	if b.counter == nil {
+		kv, _, err := b.read(feed.CounterKey)
+		if err != nil {
+			return err
+		}
+		b.counter = &kv
+		b.next, _ = strconv.Atoi(string(kv.Value))
+	}
+	b.next++
+	if b.next > maxServices {
+		return &conflict{"all service IDs are used up"}
+	}
+	s.ID = route.ServiceID(b.next)
+	return nil
+}
+
+func claimKey(address string) string { return feed.ClaimPrefix + address }
+
+// claim makes the address the service's own.
+func (b *builder) claim(s *catalog.Service) error {
+	kv, _, err := b.read(claimKey(s.Address))
+	if err != nil {
+		return err
+	}
+	if owner := string(kv.Value); owner != "" && owner != s.Name {
+		return &conflict{"field \"address\": " + s.Address + " belongs to service " + owner}
+	}
+	b.swap(claimKey(s.Address), kv.ModRevision, []byte(s.Name))
+	return nil
+}
+
+func (b *builder) release(s *catalog.Service) error {
+	kv, found, err := b.read(claimKey(s.Address))
+	if err != nil || !found || string(kv.Value) != s.Name {
+		return err
+	}
+	b.swap(claimKey(s.Address), kv.ModRevision, nil)
+	return nil
+}
+
+func (b *builder) finish() error {
+	if b.counter != nil {
+		b.swap(feed.CounterKey, b.counter.ModRevision, []byte(strconv.Itoa(b.next)))
+	}
+	return b.noDoubles()
+}
+
+// noDoubles refuses a change that writes one key twice, as when two services of
+// one change trade addresses: the platform would refuse the transaction.
+func (b *builder) noDoubles() error {
+	seen := map[string]bool{}
+	for _, p := range b.txn.Puts {
+		if seen[p.Key] {
+			return &conflict{"the change uses " + p.Key + " twice; make it in two changes"}
+		}
+		seen[p.Key] = true
+	}
+	return nil
+}
--- /dev/null
+++ b/directory/directory.go
@@ -0,0 +1,347 @@
+package directory
+
+import (
+	"cmp"
+	"math/bits"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/poppywall/poppywall/route"
+)
+
+// Options are the limits and periods of a directory.
+type Options struct {
+	// MinPeriod and MaxPeriod bound the period of heartbeats;
+	// HeartbeatsPerSecond is the budget that all hosts registered at one
+	// balancer share.
+	MinPeriod, MaxPeriod time.Duration
+	HeartbeatsPerSecond  int
+	// MissedHeartbeats is how many periods a registrar waits in silence.
+	MissedHeartbeats time.Duration
+	// GoneAfter is how long a suspicion stands before the entry is gone.
+	GoneAfter time.Duration
+	// ForgetAfter is how long a tombstone is kept against late copies.
+	ForgetAfter time.Duration
+	// MaxEntries bounds the table, tombstones included.
+	MaxEntries int
+	// RumourFactor times log2 of the balancers is how often a change is
+	// passed on.
+	RumourFactor int
+	// MaxRumours bounds the entries in one message.
+	MaxRumours int
+}
+
+// Defaults returns the options of docs/CAPACITY.md.
+func Defaults() Options {
+	return Options{
+		MinPeriod:           time.Second,
+		MaxPeriod:           4 * time.Second,
+		HeartbeatsPerSecond: 8,
+		MissedHeartbeats:    3,
+		GoneAfter:           6 * time.Second,
+		ForgetAfter:         time.Hour,
+		MaxEntries:          40000,
+		RumourFactor:        3,
+		MaxRumours:          32,
+	}
+}
+
+type record struct {
+	Entry
+	// changedAt is when the entry last changed here.
+	changedAt time.Time
+	// heardAt is when this balancer, as a registrar, last heard the owner.
+	heardAt time.Time
+	// spread counts how often this change was passed on.
+	spread int
+	hot    bool
+	// registered tells that the owner sends its heartbeats here, period how
+	// far apart it was told to.
+	registered bool
+	period     time.Duration
+	// orphanSince is when an audit first found no registrar.
+	orphanSince time.Time
+}
+
+// Directory is one balancer's view. It is not safe for concurrent use; its
+// owner holds a lock.
+type Directory struct {
+	opts    Options
+	self    netip.AddrPort
+	entries map[netip.AddrPort]*record
+	leaves  [digestLeaves]leafState
+	// hot is the queue of changes still to be passed on.
+	hot []netip.AddrPort
+	// byService lists hosts that offer a service.
+	byService map[route.ServiceID]map[netip.AddrPort]uint16
+	dirty     map[route.ServiceID]struct{}
+	balancers int
+	// registered counts the hosts that send their heartbeats here.
+	registered int
+	rejected   int
+	// auditQueue is what is left of the current audit round.
+	auditQueue []netip.AddrPort
+}
+
+type leafState struct {
+	sum  uint64
+	keys []netip.AddrPort
+}
+
+// New returns a directory that knows only its owner.
+func New(opts Options, self Entry, now time.Time) *Directory {
+	d := &Directory{
+		opts:      opts,
+		self:      self.Key(),
+		entries:   map[netip.AddrPort]*record{},
+		byService: map[route.ServiceID]map[netip.AddrPort]uint16{},
+		dirty:     map[route.ServiceID]struct{}{},
+	}
+	d.put(now, self)
+	return d
+}
+
+// Len returns the number of entries, tombstones included.
+func (d *Directory) Len() int { return len(d.entries) }
+
+// Rejected returns how many entries were refused because the table was full.
+func (d *Directory) Rejected() int { return d.rejected }
+
+// Get returns the entry of a key.
+func (d *Directory) Get(key netip.AddrPort) (Entry, bool) {
+	r, ok := d.entries[key]
+	if !ok {
+		return Entry{}, false
+	}
+	return r.Entry, true
+}
+
+// Self returns the owner's own entry.
+func (d *Directory) Self() Entry { return d.entries[d.self].Entry }
+
+// Merge takes entries heard from others and returns how many were news. A
+// claim against the owner itself is refuted at once.
+func (d *Directory) Merge(now time.Time, entries []Entry) int {
+	news := 0
+	for i := range entries {
+		if d.merge(now, entries[i]) {
+			news++
+		}
+	}
+	return news
+}
+
+func (d *Directory) merge(now time.Time, e Entry) bool {
+	if e.Key() == d.self {
+		return d.refute(now, e)
+	}
+	old, known := d.entries[e.Key()]
+	if known && !e.Newer(&old.Entry) {
+		return false
+	}
+	if !known && len(d.entries) >= d.opts.MaxEntries {
+		d.rejected++
+		return false
+	}
+	if known && e.Status == Gone && old.Status == Alive {
+		// Others gave up on an owner that looks alive from here, as after a
+		// partition. It gets the time of a suspicion to refute the claim.
+		e.Status = Suspect
+	}
+	d.put(now, e)
+	return true
+}
+
+// refute answers a claim about the owner with its next sequence.
+func (d *Directory) refute(now time.Time, claim Entry) bool {
+	own := d.entries[d.self].Entry
+	if !claim.Newer(&own) {
+		return false
+	}
+	own.Incarnation = max(own.Incarnation, claim.Incarnation)
+	own.Sequence = claim.Sequence + 1
+	d.put(now, own)
+	return true
+}
+
+// UpdateSelf changes the owner's entry and gives it the next sequence.
+func (d *Directory) UpdateSelf(now time.Time, change func(*Entry)) {
+	own := d.entries[d.self].Entry
+	change(&own)
+	own.Sequence++
+	d.put(now, own)
+}
+
+func (d *Directory) put(now time.Time, e Entry) {
+	key := e.Key()
+	r, ok := d.entries[key]
+	if !ok {
+		r = &record{}
+		d.entries[key] = r
+		l := &d.leaves[leaf(key)]
+		l.keys = append(l.keys, key)
+	}
+	d.unindex(r)
+	r.Entry, r.changedAt, r.spread = e, now, 0
+	if r.heardAt.IsZero() || e.Status == Alive {
+		r.heardAt = now
+	}
+	d.indexRecord(r)
+	if !r.hot {
+		r.hot = true
+		d.hot = append(d.hot, key)
+	}
+}
+
+// unindex removes what an entry contributed to sums and service lists.
+func (d *Directory) unindex(r *record) {
+	if r.Incarnation == 0 && r.Sequence == 0 && r.Status == 0 {
+		return
+	}
+	d.leaves[leaf(r.Key())].sum ^= r.hash()
+	if r.Kind == KindBalancer && r.Status == Alive {
+		d.balancers--
+	}
+	for _, o := range r.Offers {
+		delete(d.byService[o.Service], r.Key())
+		d.dirty[o.Service] = struct{}{}
+	}
+}
+
+func (d *Directory) indexRecord(r *record) {
+	d.leaves[leaf(r.Key())].sum ^= r.hash()
+	if r.Kind == KindBalancer && r.Status == Alive {
+		d.balancers++
+	}
+	if r.Kind != KindHost || !r.Usable() {
+		return
+	}
+	for _, o := range r.Offers {
+		d.offer(o, r.Key())
+	}
+}
+
+func (d *Directory) offer(o Offer, key netip.AddrPort) {
+	hosts := d.byService[o.Service]
+	if hosts == nil {
+		hosts = map[netip.AddrPort]uint16{}
+		d.byService[o.Service] = hosts
+	}
+	if o.Slots > 0 {
+		hosts[key] = o.Slots
+	}
+	d.dirty[o.Service] = struct{}{}
+}
+
+// Dirty returns the services whose hosts changed since the last call.
+func (d *Directory) Dirty() []route.ServiceID {
+	out := make([]route.ServiceID, 0, len(d.dirty))
+	for id := range d.dirty {
+		out = append(out, id)
+	}
+	clear(d.dirty)
+	slices.Sort(out)
+	return out
+}
+
+// ServiceHost is a usable host of a service.
+type ServiceHost struct {
+	Addr  netip.AddrPort
+	Zone  string
+	Slots uint16
+}
+
+// Hosts returns the usable hosts of a service in address order.
+func (d *Directory) Hosts(id route.ServiceID) []ServiceHost {
+	var out []ServiceHost
+	for key, slots := range d.byService[id] {
+		out = append(out, ServiceHost{Addr: key, Zone: d.entries[key].Zone, Slots: slots})
+	}
+	slices.SortFunc(out, func(a, b ServiceHost) int { return a.Addr.Compare(b.Addr) })
+	return out
+}
+
+// Balancers returns the entries of live balancers, the owner included.
+func (d *Directory) Balancers() []Entry {
+	out := make([]Entry, 0, d.balancers)
+	for _, r := range d.entries {
+		if r.Kind == KindBalancer && r.Status == Alive {
+			out = append(out, r.Entry)
+		}
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return a.Data.Compare(b.Data) })
+	return out
+}
+
+// All returns every entry in key order, tombstones included.
+func (d *Directory) All() []Entry {
+	out := make([]Entry, 0, len(d.entries))
+	for _, r := range d.entries {
+		out = append(out, r.Entry)
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.Data.String(), b.Data.String()) })
+	return out
+}
+
+// goneOdds is how rarely, one in so many, an exchange tries a balancer that is
+// taken for gone: it heals a partition in which each side gave the other up.
+const goneOdds = 8
+
+// Peer picks a random other balancer to exchange with; a suspect one counts,
+// for the exchange may bring its refutation.
+func (d *Directory) Peer(rnd *rand.Rand) (Entry, bool) {
+	worst := Suspect
+	if rnd.IntN(goneOdds) == 0 {
+		worst = Gone
+	}
+	var picked Entry
+	seen := 0
+	for _, r := range d.entries {
+		if r.Kind != KindBalancer || r.Key() == d.self || r.Status > worst {
+			continue
+		}
+		seen++
+		// Reservoir sampling: each candidate is kept with probability 1/seen.
+		if rnd.IntN(seen) == 0 {
+			picked = r.Entry
+		}
+	}
+	return picked, seen > 0
+}
+
+// Rumours returns changes to pass on in one message and counts them as passed.
+func (d *Directory) Rumours() []Entry {
+	limit := d.opts.RumourFactor * bits.Len(uint(max(d.balancers, 1)))
+	var out []Entry
+	keep := d.hot[:0]
+	for i, key := range d.hot {
+		if len(out) >= d.opts.MaxRumours {
+			keep = append(keep, d.hot[i:]...)
+			break
+		}
+		r, ok := d.entries[key]
+		if !ok {
+			continue
+		}
+		out = append(out, r.Entry)
+		r.spread++
+		if r.spread < limit {
+			keep = append(keep, key)
+			continue
+		}
+		r.hot = false
+	}
+	d.hot = rotate(keep, len(out))
+	return out
+}
+
+// rotate moves the first n keys to the end, so that a full queue is served in
+// turn.
+func rotate(keys []netip.AddrPort, n int) []netip.AddrPort {
+	if n >= len(keys) {
+		return keys
+	}
+	return append(slices.Clone(keys[n:]), keys[:n]...)
+}
--- /dev/null
+++ b/load/caller.go
@@ -0,0 +1,76 @@
+// Package load drives services as callers do and measures what callers see:
+// broken flows, imbalance, verdicts, latencies.
+package load
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+)
+
+// Caller is one ordinary HTTP/3 client with a connection of its own.
+type Caller struct {
+	transport *http3.Transport
+	udp       *net.UDPConn
+	quic      *quic.Transport
+	authority string
+}
+
+const (
+	callerIdle      = 30 * time.Second
+	callerKeepAlive = 5 * time.Second
+	callerHandshake = 10 * time.Second
+)
+
+// NewCaller returns a client that reaches the authority at the service address
+// and trusts the given authorities.
+func NewCaller(address, authority string, roots *x509.CertPool) (*Caller, error) {
+	udp, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return nil, err
+	}
+	service, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		_ = udp.Close()
+		return nil, err
+	}
+	c := &Caller{udp: udp, quic: &quic.Transport{Conn: udp}, authority: authority}
+	c.transport = &http3.Transport{
+		TLSClientConfig: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS13},
+		QUICConfig: &quic.Config{
+			MaxIdleTimeout:       callerIdle,
+			KeepAlivePeriod:      callerKeepAlive,
+			HandshakeIdleTimeout: callerHandshake,
+		},
+		Dial: func(ctx context.Context, _ string, tlsConf *tls.Config, conf *quic.Config) (*quic.Conn, error) {
+			return c.quic.DialEarly(ctx, service, tlsConf, conf)
+		},
+	}
+	return c, nil
+}
+
+// Do sends one request for the path.
+func (c *Caller) Do(ctx context.Context, method, path string, body io.Reader, header http.Header) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "https://"+c.authority+path, body)
+	if err != nil {
+		return nil, err
+	}
+	for k, v := range header {
+		req.Header[k] = v
+	}
+	return c.transport.RoundTrip(req)
+}
+
+// Close ends the connection.
+func (c *Caller) Close() {
+	_ = c.transport.Close()
+	_ = c.quic.Close()
+	_ = c.udp.Close()
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,172 @@
+// Package settings reads a process's JSON settings whole at the edge: a value
+// that Load returns has been validated, later code never checks again.
+package settings
+
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/netip"
+	"os"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-playground/validator/v10"
+
+	"github.com/poppywall/poppywall/route"
+)
+
+// ExitBadSettings is the exit code for settings that do not validate.
+const ExitBadSettings = 2
+
+// Duration is a time.Duration written as a string such as "1.5s".
+type Duration time.Duration
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (d *Duration) UnmarshalJSON(b []byte) error {
+	var s string
+	if err := json.Unmarshal(b, &s); err != nil {
+		return errors.New(`a duration is a string such as "250ms"`)
+	}
+	v, err := time.ParseDuration(s)
+	if err != nil {
+		return errors.Errorf("%q is not a duration such as \"250ms\"", s)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// MarshalJSON implements json.Marshaler.
+func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(time.Duration(d).String()) }
+
+// D returns the value as a time.Duration.
+func (d Duration) D() time.Duration { return time.Duration(d) }
+
+// Secret is a numbered cluster secret. Bytes are given in hexadecimal, or by
+// the name of an environment variable or file that holds them.
+type Secret struct {
+	Number int    `json:"number" validate:"gte=0,lte=255"`
+	Hex    string `json:"hex,omitempty" validate:"required_without_all=Env File,omitempty,hexadecimal,min=32"`
+	Env    string `json:"env,omitempty"`
+	File   string `json:"file,omitempty"`
+}
+
+// Log selects the level and the format of the log.
+type Log struct {
+	Level  string `json:"level" validate:"omitempty,oneof=debug info warn error"`
+	Format string `json:"format" validate:"omitempty,oneof=json console"`
+}
+
+// Load reads, decodes and validates the file into a T that starts from
+// defaults.
+func Load[T any](path string, defaults T) (T, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return defaults, errors.Wrap(err, "read settings")
+	}
+	return Parse(data, defaults)
+}
+
+// Parse decodes and validates settings. The error names the field at fault.
+func Parse[T any](data []byte, defaults T) (T, error) {
+	out := defaults
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&out); err != nil {
+		return defaults, decodeError(err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return defaults, errors.New("settings: data after the closing brace")
+	}
+	if err := Validate(out); err != nil {
+		return defaults, err
+	}
+	return out, nil
+}
+
+// Validate checks the struct tags of v and names the first field at fault.
+func Validate(v any) error {
+	err := newValidator().Struct(v)
+	var fields validator.ValidationErrors
+	if errors.As(err, &fields) && len(fields) > 0 {
+		return fieldError(fields[0])
+	}
+	return err
+}
+
+func newValidator() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(jsonName)
+	// The tag is a constant, so registration cannot fail.
+	_ = v.RegisterValidation("addrport4", isAddrPort4)
+	return v
+}
+
+func jsonName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+	return name
+}
+
+// isAddrPort4 accepts "IPv4:port", the only form a route can carry.
+func isAddrPort4(fl validator.FieldLevel) bool {
+	ap, err := netip.ParseAddrPort(fl.Field().String())
+	return err == nil && ap.Addr().Is4()
+}
+
+func fieldError(f validator.FieldError) error {
+	_, name, _ := strings.Cut(f.Namespace(), ".")
+	want := f.Tag()
+	if f.Param() != "" {
+		want += "=" + f.Param()
+	}
+	return errors.Errorf("field %q: value %v does not satisfy %q", name, f.Value(), want)
+}
+
+func decodeError(err error) error {
+	var typeErr *json.UnmarshalTypeError
+	if errors.As(err, &typeErr) {
+		return errors.Errorf("field %q: want %s, got %s", typeErr.Field, typeErr.Type, typeErr.Value)
+	}
+	if name, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
+		return errors.Errorf("field %s: unknown field", name)
+	}
+	return errors.Wrap(err, "settings")
+}
+
+// Secrets resolves the list to key material, first one current.
+func Secrets(list []Secret) ([]route.Secret, error) {
+	out := make([]route.Secret, 0, len(list))
+	for _, s := range list {
+		b, err := s.bytes()
+		if err != nil {
+			return nil, errors.Wrapf(err, "field \"secrets\": number %d", s.Number)
+		}
+		out = append(out, route.Secret{Number: byte(s.Number), Bytes: b})
+	}
+	return out, nil
+}
+
+func (s Secret) bytes() ([]byte, error) {
+	text := s.Hex
+	if s.Env != "" {
+		text = os.Getenv(s.Env)
+	}
+	if s.File != "" {
+		data, err := os.ReadFile(s.File)
+		if err != nil {
+			return nil, err
+		}
+		text = string(data)
+	}
+	b, err := hex.DecodeString(strings.TrimSpace(text))
+	if err != nil {
+		return nil, errors.New("secret is not hexadecimal")
+	}
+	if len(b) < route.MinSecretLen {
+		return nil, errors.Errorf("secret is shorter than %d bytes", route.MinSecretLen)
+	}
+	return b, nil
+}
--- /dev/null
+++ b/standin/gateway.go
@@ -0,0 +1,101 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/poppywall/poppywall/platform"
+)
+
+// PathFaults takes a Faults document by POST.
+const PathFaults = "/standin/faults"
+
+// maxBody bounds a request to the gateway.
+const maxBody = 4 << 20
+
+// Gateway serves a Store over the platform's HTTP protocol.
+func Gateway(s *Store) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+platform.PathRange, serve(s, rangeCall))
+	mux.HandleFunc("POST "+platform.PathTxn, serve(s, txnCall))
+	mux.HandleFunc("POST "+platform.PathGrant, serve(s, grantCall))
+	mux.HandleFunc("POST "+PathFaults, func(w http.ResponseWriter, r *http.Request) {
+		var f Faults
+		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.SetFaults(f)
+	})
+	return mux
+}
+
+func serve[Req, Resp any](s *Store, call func(context.Context, *Store, Req) (Resp, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(s.Delay())
+		var req Req
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&req); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		resp, err := call(r.Context(), s, req)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(resp)
+	}
+}
+
+func rangeCall(ctx context.Context, s *Store, in platform.WireRange) (platform.WireRangeResponse, error) {
+	resp, err := s.Range(ctx, platform.RangeRequest{
+		Key:            string(in.Key),
+		End:            string(in.RangeEnd),
+		Limit:          in.Limit,
+		Revision:       in.Revision,
+		MinModRevision: in.MinModRevision,
+	})
+	out := platform.WireRangeResponse{Header: platform.WireHeader{Revision: resp.Revision}, More: resp.More}
+	for _, kv := range resp.KVs {
+		out.KVs = append(out.KVs, platform.WireKV{
+			Key:            []byte(kv.Key),
+			Value:          kv.Value,
+			CreateRevision: kv.CreateRevision,
+			ModRevision:    kv.ModRevision,
+		})
+	}
+	return out, err
+}
+
+func txnCall(ctx context.Context, s *Store, in platform.WireTxn) (platform.WireTxnResponse, error) {
+	var txn platform.Txn
+	for _, c := range in.Compare {
+		cmp := platform.Compare{Key: string(c.Key), Field: platform.ModRevision, Equal: c.ModRevision}
+		if c.Target == platform.WireCreate {
+			cmp.Field, cmp.Equal = platform.CreateRevision, c.CreateRevision
+		}
+		txn.Compares = append(txn.Compares, cmp)
+	}
+	for _, op := range in.Success {
+		if op.Put != nil {
+			txn.Puts = append(txn.Puts, platform.Put{
+				Key:   string(op.Put.Key),
+				Value: op.Put.Value,
+				Lease: platform.LeaseID(op.Put.Lease),
+			})
+		}
+	}
+	resp, err := s.Txn(ctx, txn)
+	return platform.WireTxnResponse{
+		Header:    platform.WireHeader{Revision: resp.Revision},
+		Succeeded: resp.Succeeded,
+	}, err
+}
+
+func grantCall(ctx context.Context, s *Store, in platform.WireGrant) (platform.WireGrantResponse, error) {
+	id, err := s.Grant(ctx, time.Duration(in.TTL)*time.Second)
+	return platform.WireGrantResponse{ID: int64(id), TTL: in.TTL}, err
+}
--- /dev/null
+++ b/telemetry/telemetry.go
@@ -0,0 +1,100 @@
+// Package telemetry makes a process visible: its logger, its metrics registry
+// and the HTTP endpoint that serves /metrics and /healthz.
+package telemetry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+
+	"github.com/poppywall/poppywall/settings"
+)
+
+// Log field names shared by all binaries.
+const (
+	FieldHost     = "host"
+	FieldService  = "service"
+	FieldTarget   = "target"
+	FieldPeer     = "peer"
+	FieldRevision = "revision"
+	FieldAddress  = "address"
+	FieldReason   = "reason"
+)
+
+// Version is set at link time.
+var Version = "dev"
+
+// NewLogger builds a logger; settings are valid already.
+func NewLogger(cfg settings.Log) (*zap.Logger, error) {
+	zc := zap.NewProductionConfig()
+	if cfg.Format == "console" {
+		zc = zap.NewDevelopmentConfig()
+	}
+	zc.Level = zap.NewAtomicLevelAt(zap.InfoLevel)
+	if cfg.Level != "" {
+		if err := zc.Level.UnmarshalText([]byte(cfg.Level)); err != nil {
+			return nil, err
+		}
+	}
+	return zc.Build()
+}
+
+// Health is a process's readiness; it starts unhealthy.
+type Health struct{ ready atomic.Bool }
+
+// Set changes the readiness.
+func (h *Health) Set(ready bool) { h.ready.Store(ready) }
+
+// Ready tells the readiness.
+func (h *Health) Ready() bool { return h.ready.Load() }
+
+// ServeHTTP answers 200 when ready and 503 otherwise; the fabric's health
+// check reads it.
+func (h *Health) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	if !h.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+// Endpoint serves /metrics and /healthz.
+type Endpoint struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+const headerTimeout = 5 * time.Second
+
+// Listen opens the endpoint's listener.
+func Listen(address string, reg *prometheus.Registry, health *Health) (*Endpoint, error) {
+	ln, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for metrics")
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
+	mux.Handle("GET /healthz", health)
+	return &Endpoint{server: &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, listener: ln}, nil
+}
+
+// Addr returns the bound address.
+func (e *Endpoint) Addr() string { return e.listener.Addr().String() }
+
+// Serve runs until ctx ends.
+func (e *Endpoint) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = e.server.Close() })
+	defer stop()
+	err := e.server.Serve(e.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/tools/modules.sh
@@ -0,0 +1,17 @@
+#!/usr/bin/env bash
+# Writes each module's go.mod: local modules are replaced by their folders, so
+# that every module also builds outside the workspace. Run after adding a module
+# or a dependency.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+base=github.com/poppywall/poppywall
+mods=$(find . -name go.mod -not -path './bin/*' | sed 's,^\./,,;s,/go.mod$,,' | sort)
+for m in $mods; do
+  for other in $mods; do
+    [ "$other" = "$m" ] && continue
+    up=$(echo "$m" | sed 's,[^/]\+,..,g')
+    (cd "$m" && go mod edit -replace "$base/$other=$up/$other")
+  done
+done
+for m in $mods; do (cd "$m" && GOWORK=off go mod tidy); done
+go work sync
--- /dev/null
+++ b/trial/cluster.go
@@ -0,0 +1,355 @@
+// Package trial runs a whole small site in one process: the platform stand-in,
+// balancers, agents and target stand-ins on loopback, with the kernel spraying
+// each datagram to a random balancer. It is the embedded default of
+// poppywall-trial and the bed of load experiments; every part is the real one.
+package trial
+
+import (
+	"context"
+	"crypto/x509"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/poppywall/poppywall/agent"
+	"github.com/poppywall/poppywall/balancer"
+	"github.com/poppywall/poppywall/catalog"
+	"github.com/poppywall/poppywall/change"
+	"github.com/poppywall/poppywall/settings"
+	"github.com/poppywall/poppywall/standin"
+)
+
+// LabelService is the label that the trial's selectors match.
+const LabelService = "service"
+
+// ServiceSpec describes one service of a site.
+type ServiceSpec struct {
+	Name string `json:"name" validate:"required,hostname_rfc1123"`
+	// Hosts and Slots are the hosts and the slots of each.
+	Hosts int `json:"hosts" validate:"gte=1,lte=64"`
+	Slots int `json:"slots" validate:"gte=1,lte=64"`
+	// SlotRequests bounds requests at one slot; zero is the default.
+	SlotRequests int `json:"slotRequests,omitempty" validate:"gte=0"`
+	// SlotStreams bounds streams at one slot; zero is the default.
+	SlotStreams int `json:"slotStreams,omitempty" validate:"gte=0"`
+	// Members are the weights of members by authority.
+	Members map[string]int `json:"members,omitempty"`
+	// WorkMillis is how long a target takes for a short request.
+	WorkMillis int `json:"workMillis,omitempty" validate:"gte=0"`
+}
+
+// Site describes what to run.
+type Site struct {
+	Zones     []string      `json:"zones" validate:"required,min=1,dive,required"`
+	Balancers int           `json:"balancers" validate:"gte=1,lte=16"`
+	Services  []ServiceSpec `json:"services" validate:"required,min=1,max=16,dive"`
+}
+
+// Host is one host of a running site: an agent and its target.
+type Host struct {
+	Service string
+	Name    string
+	Agent   *agent.Agent
+	Target  *standin.Target
+	// StopAgent begins a graceful stop of the agent.
+	StopAgent context.CancelFunc
+	// Stopped is closed when the agent has stopped.
+	Stopped chan struct{}
+
+	slots   int
+	drained atomic.Bool
+}
+
+// Node is one balancer of a running site.
+type Node struct {
+	Balancer *balancer.Balancer
+	// Stop begins a graceful stop.
+	Stop context.CancelFunc
+	// Stopped is closed when the balancer has stopped.
+	Stopped chan struct{}
+}
+
+// Cluster is a running site.
+type Cluster struct {
+	Site      Site
+	Store     *standin.Store
+	Platform  string
+	Addresses map[string]string
+	Roots     *x509.CertPool
+	CAPEM     []byte
+	Nodes     []*Node
+	// Hosts grows while faults are injected; hosts returns a safe copy.
+	Hosts   []*Host
+	Secrets []settings.Secret
+
+	// mu guards Hosts after Start.
+	mu sync.Mutex
+
+	log     *zap.Logger
+	dir     string
+	cert    string
+	key     string
+	gateway *httptest.Server
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      conc.WaitGroup
+}
+
+const (
+	trialSecret   = "706f70707977616c6c2d747269616c2d7365637265742d3030303030303030"
+	fastPeriod    = 200 * time.Millisecond
+	trialLeave    = time.Second
+	readyTimeout  = 30 * time.Second
+	readyPoll     = 20 * time.Millisecond
+	loopbackAny   = "127.0.0.1:0"
+	applyPause    = 10 * time.Millisecond
+	targetPeriod  = 500 * time.Millisecond
+	trialDrainMax = 30 * time.Second
+)
+
+// Start runs the site and waits until every service has all its slots.
+func Start(ctx context.Context, site Site, log *zap.Logger) (*Cluster, error) {
+	dir, err := os.MkdirTemp("", "poppywall-trial-")
+	if err != nil {
+		return nil, err
+	}
+	ca, err := standin.NewAuthority()
+	if err != nil {
+		return nil, err
+	}
+	c := &Cluster{
+		Site:      site,
+		Store:     standin.NewStore(time.Now),
+		Addresses: map[string]string{},
+		Roots:     ca.Pool(),
+		CAPEM:     ca.PEM,
+		Secrets:   []settings.Secret{{Number: 1, Hex: trialSecret}},
+		log:       log,
+		dir:       dir,
+	}
+	c.ctx, c.cancel = context.WithCancel(ctx)
+	c.gateway = httptest.NewServer(standin.Gateway(c.Store))
+	c.Platform = c.gateway.URL
+	if c.cert, c.key, err = ca.WritePair(dir, c.authorities()...); err != nil {
+		return nil, err
+	}
+	if err := c.start(); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// authorities lists all names that callers may use.
+func (c *Cluster) authorities() []string {
+	var names []string
+	for _, s := range c.Site.Services {
+		names = append(names, s.Name+".example")
+		for m := range s.Members {
+			names = append(names, m)
+		}
+	}
+	return names
+}
+
+func (c *Cluster) start() error {
+	if err := c.configure(); err != nil {
+		return err
+	}
+	for range c.Site.Balancers {
+		if err := c.AddBalancer(); err != nil {
+			return err
+		}
+	}
+	i := 0
+	for _, s := range c.Site.Services {
+		for range s.Hosts {
+			if err := c.AddHost(s, c.Site.Zones[i%len(c.Site.Zones)]); err != nil {
+				return err
+			}
+			i++
+		}
+	}
+	return c.waitReady()
+}
+
+// Applier returns a means to change the site's configuration.
+func (c *Cluster) Applier() *change.Applier {
+	return change.NewApplier(c.Store, "trial", time.Now, uuid.NewString, applyPause)
+}
+
+func (c *Cluster) configure() error {
+	var doc change.Document
+	for _, s := range c.Site.Services {
+		address, err := freeUDPAddress()
+		if err != nil {
+			return err
+		}
+		c.Addresses[s.Name] = address
+		svc := c.Service(s)
+		doc.Items = append(doc.Items, change.Item{Service: &svc})
+	}
+	res := c.Applier().Apply(c.ctx, doc)
+	if res.Outcome != change.Accepted {
+		return errors.Errorf("configuration %s: %s", res.Text, res.Reason)
+	}
+	return nil
+}
+
+// Service returns the configuration of a service of the site.
+func (c *Cluster) Service(s ServiceSpec) catalog.Service {
+	return catalog.Service{
+		Name:         s.Name,
+		Address:      c.Addresses[s.Name],
+		Selector:     catalog.Labels{LabelService: s.Name},
+		Members:      s.Members,
+		SlotRequests: s.SlotRequests,
+		SlotStreams:  s.SlotStreams,
+	}
+}
+
+// freeUDPAddress finds a free port for a service address.
+func freeUDPAddress() (string, error) {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = conn.Close() }()
+	return conn.LocalAddr().String(), nil
+}
+
+// AddBalancer starts one more balancer.
+func (c *Cluster) AddBalancer() error {
+	cfg := balancer.Defaults()
+	i := len(c.Nodes)
+	cfg.Name = fmt.Sprintf("balancer-%d", i)
+	cfg.Zone = c.Site.Zones[i%len(c.Site.Zones)]
+	cfg.Data, cfg.Control, cfg.Metrics = loopbackAny, loopbackAny, loopbackAny
+	cfg.Platform = c.Platform
+	cfg.Seeds = c.controlAddrs()
+	cfg.Secrets = c.Secrets
+	cfg.SprayMembers = c.Site.Balancers
+	cfg.GossipEvery = settings.Duration(fastPeriod)
+	cfg.PullEvery = settings.Duration(fastPeriod)
+	cfg.LeaveDelay = settings.Duration(trialLeave)
+	b, err := balancer.New(cfg, c.log.Named(cfg.Name))
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(c.ctx)
+	n := &Node{Balancer: b, Stop: stop, Stopped: make(chan struct{})}
+	c.Nodes = append(c.Nodes, n)
+	c.wg.Go(func() {
+		defer close(n.Stopped)
+		_ = b.Run(ctx)
+	})
+	return nil
+}
+
+func (c *Cluster) controlAddrs() []string {
+	var out []string
+	for _, n := range c.Nodes {
+		out = append(out, n.Balancer.ControlAddr().String())
+	}
+	return out
+}
+
+// AddHost starts one more host of a service.
+func (c *Cluster) AddHost(s ServiceSpec, zone string) error {
+	cfg := agent.Defaults()
+	cfg.Host = fmt.Sprintf("%s-host-%d", s.Name, len(c.Hosts))
+	cfg.Zone = zone
+	cfg.Data, cfg.Announce, cfg.Metrics = loopbackAny, loopbackAny, loopbackAny
+	cfg.Balancers = c.controlAddrs()
+	cfg.Secrets = c.Secrets
+	cfg.Certificates = []agent.Certificate{{Cert: c.cert, Key: c.key}}
+	cfg.Heartbeat = settings.Duration(fastPeriod)
+	cfg.DrainLimit = settings.Duration(trialDrainMax)
+	a, err := agent.New(cfg, c.log.Named(cfg.Host))
+	if err != nil {
+		return err
+	}
+	t, err := standin.NewTarget(standin.TargetOptions{
+		Name:      cfg.Host + "-target",
+		Slots:     s.Slots,
+		Labels:    catalog.Labels{LabelService: s.Name},
+		Agent:     a.AnnounceURL(),
+		Heartbeat: targetPeriod,
+		Work:      time.Duration(s.WorkMillis) * time.Millisecond,
+	})
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(c.ctx)
+	h := &Host{Service: s.Name, Name: cfg.Host, Agent: a, Target: t, StopAgent: stop, Stopped: make(chan struct{}), slots: s.Slots}
+	c.mu.Lock()
+	c.Hosts = append(c.Hosts, h)
+	c.mu.Unlock()
+	c.wg.Go(func() {
+		defer close(h.Stopped)
+		_ = a.Run(ctx)
+	})
+	c.wg.Go(func() { _ = t.Serve(c.ctx) })
+	return nil
+}
+
+func (c *Cluster) hosts() []*Host {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.Hosts)
+}
+
+// waitReady waits until every balancer is healthy and sees all slots.
+func (c *Cluster) waitReady() error {
+	deadline := time.Now().Add(readyTimeout)
+	for time.Now().Before(deadline) {
+		if c.ready() {
+			return nil
+		}
+		time.Sleep(readyPoll)
+	}
+	return errors.New("the site did not become ready")
+}
+
+func (c *Cluster) ready() bool {
+	for _, n := range c.Nodes {
+		if !healthy(n.Balancer.MetricsAddr()) {
+			return false
+		}
+		slots := n.Balancer.Slots()
+		for _, s := range c.Site.Services {
+			if slots[s.Name] < s.Hosts*s.Slots {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func healthy(address string) bool {
+	resp, err := http.Get("http://" + address + "/healthz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Close stops everything and removes the site's files.
+func (c *Cluster) Close() {
+	c.cancel()
+	c.wg.Wait()
+	c.gateway.Close()
+	_ = os.RemoveAll(c.dir)
+}
