--- /dev/null
+++ b/binaries/poppywall-measure/main.go
@@ -0,0 +1,40 @@
+// Command poppywall-measure runs the measurements that docs/DESIGN.md and
+// docs/CAPACITY.md quote.
+package main
+
+import (
+	"io"
+	"os"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/poppywall/poppywall/binaries/internal/process"
+	"github.com/poppywall/poppywall/measure"
+)
+
+func main() {
+	p := process.NewParser("poppywall-measure", "Measurements over the decisions and the costs of control.")
+	runs := map[*flaggy.Subcommand]func(io.Writer) error{}
+	add := func(name, description string, run func(io.Writer) error) {
+		sub := flaggy.NewSubcommand(name)
+		sub.Description = description
+		p.AttachSubcommand(sub, 1)
+		runs[sub] = run
+	}
+	add("choice", "Policies for the choice of host.", measure.PrintChoice)
+	add("overload", "Goodput under overload and retries.", measure.PrintOverload)
+	add("ejection", "Judges for the ejection of failing targets.", measure.PrintEjection)
+	if err := p.ParseArgs(os.Args[1:]); err != nil {
+		process.Fail(process.ExitUsage, err)
+	}
+	for sub, run := range runs {
+		if !sub.Used {
+			continue
+		}
+		if err := run(os.Stdout); err != nil {
+			process.Fail(process.ExitFailure, err)
+		}
+		return
+	}
+	p.ShowHelpAndExit("say what to measure")
+}
--- a/binaries/poppywallctl/main.go
+++ b/binaries/poppywallctl/main.go
@@ -43,7 +43,6 @@
 	platformTimeout = 5 * time.Second
 	callTimeout     = 3 * time.Second
 	idleConn        = time.Minute
-	applyPause      = 50 * time.Millisecond
 )
 
 // tool is one run of the command.
@@ -142,7 +141,7 @@
 		cfg:     cfg,
 		store:   store,
 		client:  control.NewClient(secrets, &control.Traffic{}, callTimeout, idleConn),
-		applier: change.NewApplier(store, author(cfg), time.Now, uuid.NewString, applyPause),
+		applier: change.NewApplier(store, change.Options{Author: author(cfg), Now: time.Now, NewID: uuid.NewString}),
 		wait:    f.wait,
 	}
 }
--- /dev/null
+++ b/catalog/catalog_test.go
@@ -0,0 +1,140 @@
+package catalog
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func record(key int, rev Revision) Record {
+	host := fmt.Sprint("h", key)
+	return Record{Key: TargetKey(host, ""), Revision: rev, Target: &Target{Host: host, Labels: Labels{"rev": fmt.Sprint(rev)}}}
+}
+
+// TestNodesNeverRevert lets nodes trade updates late, twice, in any order and
+// from nodes that are themselves behind; the store's history is the oracle.
+func TestNodesNeverRevert(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		truth := map[string]Revision{} // latest change of each key
+		written := map[Revision]string{}
+		store := NewState()
+		nodes := []*State{NewState(), NewState(), NewState()}
+		for _, n := range append(nodes, store) {
+			n.page = 3
+		}
+		var late []Update
+		rev := Revision(0)
+		pick := func(t *rapid.T) *State { return rapid.SampledFrom(nodes).Draw(t, "node") }
+		check := func(n *State, before Revision, held map[string]Record) {
+			require.GreaterOrEqual(t, n.InForce(), before)
+			for key, r := range held {
+				require.GreaterOrEqual(t, n.records[key].Revision, r.Revision)
+			}
+			for key, r := range truth {
+				if r <= n.InForce() {
+					require.GreaterOrEqual(t, n.records[key].Revision, r, "in force is claimed but %s is missing", key)
+				}
+			}
+		}
+		apply := func(n *State, u Update) {
+			before, held := n.InForce(), map[string]Record{}
+			for k, r := range n.records {
+				held[k] = r
+			}
+			_, err := n.Apply(u)
+			require.NoError(t, err)
+			check(n, before, held)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"change": func(t *rapid.T) {
+				from := rev
+				rev += Revision(rapid.IntRange(1, 3).Draw(t, "step"))
+				r := record(rapid.IntRange(0, 6).Draw(t, "key"), rev)
+				r.Deleted = rapid.Bool().Draw(t, "deleted")
+				truth[r.Key], written[rev] = rev, r.Key
+				_, err := store.Apply(Update{From: from, To: rev, Records: []Record{r}})
+				require.NoError(t, err)
+			},
+			"sync": func(t *rapid.T) {
+				from := rapid.SampledFrom(append(nodes, store)).Draw(t, "from")
+				to := pick(t)
+				if u := from.Since(to.Revision(), Everything); u != nil {
+					late = append(late, *u)
+					if rapid.Bool().Draw(t, "arrives") {
+						apply(to, *u)
+					}
+				}
+			},
+			"late": func(t *rapid.T) {
+				if len(late) > 0 {
+					apply(pick(t), rapid.SampledFrom(late).Draw(t, "update"))
+				}
+			},
+			"restart": func(t *rapid.T) {
+				i := rapid.IntRange(0, len(nodes)-1).Draw(t, "node")
+				nodes[i] = NewState()
+				nodes[i].page = 3
+			},
+		})
+		for _, n := range nodes {
+			for u := store.Since(n.Revision(), Everything); u != nil; u = store.Since(n.Revision(), Everything) {
+				apply(n, *u)
+			}
+			require.Equal(t, store.InForce(), n.InForce())
+			require.Equal(t, store.records, n.records)
+		}
+	})
+}
+
+func TestSelectors(t *testing.T) {
+	require.False(t, Labels{}.Matches(Labels{"a": "1"}), "an empty selector takes no traffic")
+	require.True(t, Labels{"a": "1"}.Matches(Labels{"a": "1", "b": "2"}))
+	require.False(t, Labels{"a": "1", "c": ""}.Matches(Labels{"a": "1"}))
+}
+
+func TestTargetOverlay(t *testing.T) {
+	s := NewState()
+	_, err := s.Apply(Update{To: 3, Records: []Record{
+		{Key: TargetKey("h", ""), Revision: 1, Target: &Target{Host: "h", Labels: Labels{"x": "host", "y": "host"}, Drain: true}},
+		{Key: TargetKey("h", "t"), Revision: 2, Target: &Target{Host: "h", Name: "t", Labels: Labels{"y": "target"}}},
+	}})
+	require.NoError(t, err)
+	got := s.Target("h", "t", Labels{"x": "own", "z": "own"})
+	require.Equal(t, Effective{Labels: Labels{"x": "host", "y": "target", "z": "own"}, Drain: true}, got)
+}
+
+func TestRecordsAreValidated(t *testing.T) {
+	for name, c := range map[string]struct{ key, value string }{
+		"json":     {ServiceKey("a"), `{`},
+		"neither":  {ServiceKey("a"), `{}`},
+		"key":      {ServiceKey("b"), `{"service":{"name":"a","address":"127.0.0.1:1","selector":{"x":"y"}}}`},
+		"selector": {ServiceKey("a"), `{"service":{"name":"a","address":"127.0.0.1:1","selector":{}}}`},
+		"address":  {ServiceKey("a"), `{"service":{"name":"a","address":"nowhere","selector":{"x":"y"}}}`},
+		"weight":   {ServiceKey("a"), `{"service":{"name":"a","address":"127.0.0.1:1","selector":{"x":"y"},"members":{"m":0}}}`},
+	} {
+		_, err := ParseRecord(c.key, 1, []byte(c.value))
+		require.Error(t, err, name)
+	}
+}
+
+func TestCatalogIsBounded(t *testing.T) {
+	s := NewState()
+	for i := range MaxRecords {
+		s.records[fmt.Sprint(i)] = Record{}
+	}
+	_, err := s.Apply(Update{To: 1, Records: []Record{record(1, 1)}})
+	require.ErrorIs(t, err, ErrFull)
+	require.Zero(t, s.Revision())
+}
+
+func TestSupersededChangesAreCompacted(t *testing.T) {
+	s := NewState()
+	for i := range 5 * MaxPage {
+		rev := Revision(i + 1)
+		_, err := s.Apply(Update{From: rev - 1, To: rev, Records: []Record{record(0, rev)}})
+		require.NoError(t, err)
+	}
+	require.LessOrEqual(t, len(s.order), MaxPage+3)
+}
--- a/catalog/state.go
+++ b/catalog/state.go
@@ -33,6 +33,8 @@
 	// order lists changes by revision; entries of superseded changes are
 	// removed when they outnumber the others.
 	order []change
+	// page bounds the records of one update.
+	page int
 }
 
 type change struct {
@@ -41,7 +43,7 @@
 }
 
 // NewState returns a view that knows nothing.
-func NewState() *State { return &State{records: map[string]Record{}} }
+func NewState() *State { return &State{records: map[string]Record{}, page: MaxPage} }
 
 // Revision returns how far this node has heard.
 func (s *State) Revision() Revision { return s.revision }
@@ -113,7 +115,7 @@
 		if r.Revision != c.revision || !keep(&r) {
 			continue
 		}
-		if len(u.Records) >= MaxPage && r.Revision != u.Records[len(u.Records)-1].Revision {
+		if len(u.Records) >= s.page && r.Revision != u.Records[len(u.Records)-1].Revision {
 			u.To, u.More = u.Records[len(u.Records)-1].Revision, true
 			return u
 		}
--- a/change/change.go
+++ b/change/change.go
@@ -139,19 +139,31 @@
 	return Result{ID: id, Outcome: o, Text: o.String(), Revision: rev, Reason: reason}
 }
 
+// Options are what an applier takes from its surroundings.
+type Options struct {
+	Author string
+	Now    func() time.Time
+	// NewID makes IDs that never repeat.
+	NewID func() string
+	// Sleep waits and tells whether to go on; nil waits for real.
+	Sleep func(context.Context, time.Duration) bool
+}
+
+// firstPause is the first wait between tries.
+const firstPause = 20 * time.Millisecond
+
 // Applier makes changes.
 type Applier struct {
-	store  platform.Store
-	author string
-	now    func() time.Time
-	newID  func() string
-	// pause is the first wait between tries.
-	pause time.Duration
+	store platform.Store
+	opts  Options
 }
 
-// NewApplier returns an applier; newID makes IDs that never repeat.
-func NewApplier(store platform.Store, author string, now func() time.Time, newID func() string, pause time.Duration) *Applier {
-	return &Applier{store: store, author: author, now: now, newID: newID, pause: pause}
+// NewApplier returns an applier that changes the given store.
+func NewApplier(store platform.Store, opts Options) *Applier {
+	if opts.Sleep == nil {
+		opts.Sleep = sleep
+	}
+	return &Applier{store: store, opts: opts}
 }
 
 // conflict is a failed precondition, final for this change.
@@ -162,23 +174,30 @@
 
 // Apply makes the change and tells its outcome.
 func (a *Applier) Apply(ctx context.Context, doc Document) Result {
-	return a.Edit(ctx, func(context.Context) (Document, error) { return doc, nil })
+	return a.run(ctx, func(context.Context) (Document, error) { return doc, nil }, false)
 }
 
 // Edit makes a change that depends on what is stored: build is called anew
 // when another operator was faster.
 func (a *Applier) Edit(ctx context.Context, build func(context.Context) (Document, error)) Result {
+	return a.run(ctx, build, true)
+}
+
+// run tries until the change is accepted or refused for good. A conflict with
+// the revision of an item is final when the operator stated it, and a reason to
+// build anew when build did.
+func (a *Applier) run(ctx context.Context, build func(context.Context) (Document, error), rebuild bool) Result {
 	var last Result
 	wait := backoff.NewExponentialBackOff()
-	wait.InitialInterval = a.pause
+	wait.InitialInterval = firstPause
 	for range attempts {
-		id := a.newID()
+		id := a.opts.NewID()
 		var again bool
-		last, again = a.try(ctx, id, build)
+		last, again = a.try(ctx, id, build, rebuild)
 		if !again {
 			return last
 		}
-		if !sleep(ctx, wait.NextBackOff()) {
+		if !a.opts.Sleep(ctx, wait.NextBackOff()) {
 			break
 		}
 	}
@@ -197,7 +216,7 @@
 
 // try runs one attempt under an ID of its own and tells whether another may
 // follow.
-func (a *Applier) try(ctx context.Context, id string, build func(context.Context) (Document, error)) (Result, bool) {
+func (a *Applier) try(ctx context.Context, id string, build func(context.Context) (Document, error), rebuild bool) (Result, bool) {
 	doc, err := build(ctx)
 	if err != nil {
 		return result(id, Rejected, 0, err.Error()), false
@@ -208,7 +227,8 @@
 	txn, err := a.transaction(ctx, id, doc)
 	if err != nil {
 		// Nothing was written yet, whatever failed.
-		return result(id, Rejected, 0, err.Error()), false
+		var c *conflict
+		return result(id, Rejected, 0, err.Error()), rebuild && errors.As(err, &c)
 	}
 	resp, err := a.store.Txn(ctx, txn)
 	switch {
@@ -227,13 +247,13 @@
 // it knows or ctx ends.
 func (a *Applier) Resolve(ctx context.Context, id string) Result {
 	wait := backoff.NewExponentialBackOff()
-	wait.InitialInterval = a.pause
+	wait.InitialInterval = firstPause
 	for {
 		res, err := a.resolveOnce(ctx, id)
 		if err == nil {
 			return res
 		}
-		if !sleep(ctx, wait.NextBackOff()) {
+		if !a.opts.Sleep(ctx, wait.NextBackOff()) {
 			return result(id, Unknown, 0, "the platform cannot be asked: "+err.Error())
 		}
 	}
@@ -241,7 +261,7 @@
 
 func (a *Applier) resolveOnce(ctx context.Context, id string) (Result, error) {
 	// The fence and the change exclude each other: both need the marker absent.
-	fence, err := json.Marshal(Marker{ID: id, Author: a.author, At: a.now(), Fenced: true})
+	fence, err := json.Marshal(Marker{ID: id, Author: a.opts.Author, At: a.opts.Now(), Fenced: true})
 	if err != nil {
 		return Result{}, err
 	}
@@ -284,7 +304,7 @@
 // transaction reads what the change depends on and builds the swap.
 func (a *Applier) transaction(ctx context.Context, id string, doc Document) (platform.Txn, error) {
 	b := &builder{ctx: ctx, store: a.store, id: id}
-	marker := Marker{ID: id, Author: a.author, At: a.now()}
+	marker := Marker{ID: id, Author: a.opts.Author, At: a.opts.Now()}
 	for i := range doc.Items {
 		key, err := b.item(&doc.Items[i])
 		if err != nil {
--- a/choose/choose.go
+++ b/choose/choose.go
@@ -11,7 +11,8 @@
 type Options struct {
 	// Choices is d, the number of hosts compared.
 	Choices int
-	// SlowStart is how long a new host's cost is held up.
+	// SlowStart is the time over which a new host's share of offers rises
+	// from nothing to all.
 	SlowStart time.Duration
 	// SkipRefused is how long a host that refused a flow gets none.
 	SkipRefused time.Duration
@@ -155,7 +156,7 @@
 	bestCost := math.Inf(1)
 	for range s.opts.Choices {
 		st := from[rnd.IntN(len(from))]
-		if !s.usable(now, st) {
+		if !s.usable(now, st) || rnd.Float64() < s.youth(now, st) {
 			continue
 		}
 		cost := s.cost(now, st, mean)
@@ -177,7 +178,10 @@
 	if len(s.scan) == 0 {
 		return s.hosts[rnd.IntN(len(s.hosts))]
 	}
-	return s.sample(now, rnd, s.scan)
+	if st := s.sample(now, rnd, s.scan); st != nil {
+		return st
+	}
+	return s.scan[rnd.IntN(len(s.scan))]
 }
 
 func (s *Set) usable(now time.Time, st *state) bool {
@@ -207,10 +211,6 @@
 		cost *= float64(st.reading.Busy) / BusyFull
 	}
 	cost = blend(cost, mean, s.doubt(now, st))
-	if age := now.Sub(st.joinedAt); age < s.opts.SlowStart {
-		young := 1 - float64(age)/float64(s.opts.SlowStart)
-		cost = max(cost, blend(cost, mean, young))
-	}
 	if st.Zone != s.zone {
 		cost *= s.opts.OtherZonePenalty
 	}
@@ -233,6 +233,13 @@
 
 func blend(own, mean, weight float64) float64 { return own*(1-weight) + mean*weight }
 
+// youth is the share, 0 to 1, of offers that a host passes up because it joined
+// a short time ago.
+func (s *Set) youth(now time.Time, st *state) float64 {
+	age := now.Sub(st.joinedAt)
+	return max(1-float64(age)/float64(s.opts.SlowStart), 0)
+}
+
 // meanSample is how many hosts estimate the mean cost.
 const meanSample = 4
 
--- a/choose/doc.go
+++ b/choose/doc.go
@@ -4,9 +4,10 @@
 // policy is power of d choices (Mitzenmacher, 2001) with d = 2 over the
 // eligible hosts of a service. The cost of a host is its last reading plus what this balancer
 // itself sent since that reading, per ready slot; the second term prevents
-// herding on a stale reading. A host that joins empty starts slowly: its cost
-// is held at least at the mean of the others and falls to its own over the
-// slow-start period.
+// herding on a stale reading. A host that joins empty starts slowly: at first
+// it passes up most offers, and the share it takes rises over the slow-start
+// period. (Holding its cost at the mean was tried and does not do it: of two
+// hosts the slightly cheaper one wins every time.)
 //
 // Everything is pure: time and randomness are arguments.
 //
--- a/standin/store.go
+++ b/standin/store.go
@@ -240,3 +240,10 @@
 	s.leases[s.next] = s.now().Add(ttl)
 	return s.next, nil
 }
+
+// Faults returns the faults in force.
+func (s *Store) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
--- a/trial/cluster.go
+++ b/trial/cluster.go
@@ -113,7 +113,6 @@
 	readyTimeout  = 30 * time.Second
 	readyPoll     = 20 * time.Millisecond
 	loopbackAny   = "127.0.0.1:0"
-	applyPause    = 10 * time.Millisecond
 	targetPeriod  = 500 * time.Millisecond
 	trialDrainMax = 30 * time.Second
 )
@@ -186,7 +185,7 @@
 
 // Applier returns a means to change the site's configuration.
 func (c *Cluster) Applier() *change.Applier {
-	return change.NewApplier(c.Store, "trial", time.Now, uuid.NewString, applyPause)
+	return change.NewApplier(c.Store, change.Options{Author: "trial", Now: time.Now, NewID: uuid.NewString})
 }
 
 func (c *Cluster) configure() error {
--- /dev/null
+++ b/verdict/verdict_test.go
@@ -0,0 +1,28 @@
+package verdict
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+)
+
+func TestVerdictNeverClaimsMoreThanIsKnown(t *testing.T) {
+	require.Equal(t, Unknown, Of(nil))
+	require.Equal(t, Unknown, Of(errors.New("plain")))
+	require.Equal(t, NotRun, Of(errors.Wrap(&Error{Verdict: NotRun}, "wrapped")))
+	for _, v := range []Verdict{Unknown, NotRun, Ran} {
+		require.Equal(t, v, Parse(v.String()))
+	}
+	require.Equal(t, Unknown, Parse("NOT-RUN?"))
+}
+
+func TestWriteToTellsWhenToComeBack(t *testing.T) {
+	w := httptest.NewRecorder()
+	(&Error{Verdict: NotRun, Status: 503, Reason: "overloaded", RetryAfter: 1200 * time.Millisecond}).WriteTo(w)
+	require.Equal(t, 503, w.Code)
+	require.Equal(t, "2", w.Header().Get(HeaderRetryAfter))
+	require.Equal(t, "not-run", w.Header().Get(HeaderVerdict))
+}
