Admission keeps its useful work under overload; ejection by the binomial test

The adaptive limit compared a recent mean latency with a long-running mean, and the long one followed the short one into overload, so the limit rose until the targets were thrashing. Ruled out: the fair queue (no reordering loss) and the queue length.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -167,10 +167,10 @@
 func (c *Controller) SetTarget(now time.Time, name string, spec TargetSpec) []Decision {
 	t, ok := c.targets[name]
 	if !ok {
-		t = &target{name: name, limit: newLimit(c.opts.Limit, spec.Requests)}
+		t = &target{name: name, limit: newLimit(c.opts.Limit)}
 		c.targets[name] = t
 	}
-	t.limit.setMax(spec.Requests)
+	t.limit.setBounds(spec.Slots, spec.Requests)
 	t.spec = spec
 	t.removed = false
 	return c.dispatchAll(now)
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -4,93 +4,129 @@
 
 // LimitOptions are the bounds of an adaptive limit.
 type LimitOptions struct {
-	// Min keeps a target from being starved for ever.
-	Min float64
 	// Backoff is the factor of a decrease.
 	Backoff float64
-	// DecreaseEvery is the least time between two decreases: the requests in
-	// progress at the first one must not count again.
-	DecreaseEvery time.Duration
-	// Tolerance is how many times its usual latency a target may take before
+	// Window is the least span, and WindowRequests the least number, of
+	// requests whose mean latency is judged.
+	Window         time.Duration
+	WindowRequests int
+	// Tolerance is how many times its base latency a target may take before
 	// it counts as overloaded.
 	Tolerance float64
-	// ShortGain and LongGain are the weights of a new latency in the recent
-	// and the usual mean.
-	ShortGain, LongGain float64
+	// BaseLife is how long a base latency is believed; then it is measured
+	// anew with the limit halved for a moment.
+	BaseLife time.Duration
 }
 
 // DefaultLimit returns the options in use.
 func DefaultLimit() LimitOptions {
 	return LimitOptions{
-		Min:           1,
-		Backoff:       0.8,
-		DecreaseEvery: 200 * time.Millisecond,
-		Tolerance:     2,
-		ShortGain:     0.1,
-		LongGain:      0.002,
+		Backoff:        0.8,
+		Window:         100 * time.Millisecond,
+		WindowRequests: 20,
+		Tolerance:      2,
+		BaseLife:       30 * time.Second,
 	}
 }
 
-// minUsual is the least usual latency compared with: below it jitter of the
+// minBase is the least base latency compared with: below it jitter of the
 // machine dominates.
-const minUsual = 5 * time.Millisecond
+const minBase = 5 * time.Millisecond
 
-// limit is one target's adaptive concurrency limit.
+// growth is the share by which a limit rises after a good window.
+const growth = 0.1
+
+// probe is the state of measuring the base latency anew.
+type probe uint8
+
+const (
+	notProbing probe = iota
+	// settling lets the requests from before the halving end.
+	settling
+	// measuring takes the next window's mean as the base.
+	measuring
+)
+
+// limit is one target's adaptive concurrency limit. It compares the mean
+// latency of a window with the lowest such mean, not single requests: a
+// service mixes quick and slow work. The limit never falls below the slots
+// that the target announced.
 type limit struct {
-	opts LimitOptions
-	max  float64
-	cur  float64
+	opts     LimitOptions
+	min, max float64
+	cur      float64
+
+	base   time.Duration
+	baseAt time.Time
+	probe  probe
+	// restore is the limit to go back to after a probe.
+	restore float64
 
+	sum         time.Duration
+	count       int
+	windowAt    time.Time
 	decreasedAt time.Time
-	// short and long are the recent and the usual mean latency. Means are
-	// compared, not single requests: a service mixes quick and slow work.
-	short, long time.Duration
 }
 
-func newLimit(opts LimitOptions, maximum int) limit {
-	return limit{opts: opts, max: float64(maximum), cur: float64(maximum)}
-}
+// newLimit starts at the slots: a base latency learnt under overload would
+// take overload for normal.
+func newLimit(opts LimitOptions) limit { return limit{opts: opts} }
 
 // allowed returns the number of requests that may be in progress.
 func (l *limit) allowed() int { return int(l.cur) }
 
-func (l *limit) setMax(maximum int) {
-	m := float64(maximum)
-	if l.cur >= l.max || l.cur > m {
-		l.cur = m
-	}
-	l.max = m
+func (l *limit) setBounds(minimum, maximum int) {
+	l.max = float64(maximum)
+	l.min = min(float64(minimum), l.max)
+	l.cur = min(max(l.cur, l.min), l.max)
 }
 
 // done learns from one finished request.
 func (l *limit) done(now time.Time, r Result, latency time.Duration) {
-	switch r.Outcome {
-	case Cancelled, Failed:
-		return
-	case Shed:
-		l.decrease(now)
+	if r.Outcome == Shed {
+		l.shed(now)
 		return
 	}
-	if r.Comparable && l.slow(latency) {
-		l.decrease(now)
+	if r.Outcome != Succeeded || !r.Comparable {
 		return
 	}
-	l.cur = min(l.cur+1/max(l.cur, 1), l.max)
-}
-
-func (l *limit) slow(latency time.Duration) bool {
-	if l.long == 0 {
-		l.short, l.long = latency, latency
+	if l.count == 0 {
+		l.windowAt = now
+	}
+	l.sum += latency
+	l.count++
+	if l.count >= l.opts.WindowRequests && now.Sub(l.windowAt) >= l.opts.Window {
+		l.judge(now, l.sum/time.Duration(l.count))
+		l.sum, l.count = 0, 0
 	}
-	l.short += time.Duration(l.opts.ShortGain * float64(latency-l.short))
-	l.long += time.Duration(l.opts.LongGain * float64(latency-l.long))
-	return float64(l.short) > l.opts.Tolerance*float64(max(l.long, minUsual))
 }
 
-func (l *limit) decrease(now time.Time) {
-	if now.Sub(l.decreasedAt) < l.opts.DecreaseEvery {
+// shed answers a refusal by the target; those of one window count once.
+func (l *limit) shed(now time.Time) {
+	if now.Sub(l.decreasedAt) < l.opts.Window {
 		return
 	}
 	l.decreasedAt = now
-	l.cur = max(l.cur*l.opts.Backoff, l.opts.Min)
+	l.decrease()
 }
+
+func (l *limit) judge(now time.Time, mean time.Duration) {
+	switch {
+	case l.probe == settling:
+		l.probe = measuring
+	case l.probe == measuring:
+		l.probe, l.cur = notProbing, l.restore
+		l.base, l.baseAt = mean, now
+	case l.base == 0 || mean < l.base:
+		l.base, l.baseAt = mean, now
+	case now.Sub(l.baseAt) > l.opts.BaseLife:
+		l.probe, l.restore = settling, l.cur
+		l.cur = max(l.cur/2, l.min)
+	case float64(mean) > l.opts.Tolerance*float64(max(l.base, minBase)):
+		l.decrease()
+	default:
+		l.cur = min(l.cur+max(1, l.cur*growth), l.max)
+	}
+}
+
+func (l *limit) decrease() { l.cur = max(l.cur*l.opts.Backoff, l.min) }
--- a/measure/ejection.go
+++ b/measure/ejection.go
@@ -58,7 +58,8 @@
 }{
 	{"threshold 50% of 5", outlier.Threshold{MinTrials: 5, Rate: 0.5}},
 	{"threshold 30% of 10", outlier.Threshold{MinTrials: 10, Rate: 0.3}},
-	{"binomial test", outlier.DefaultJudge()},
+	{"binomial, alpha 1e-3", outlier.Binomial{Alpha: 1e-3, Prior: outlier.Counts{Trials: 200, Failures: 4}, MinRate: 0.2}},
+	{"binomial (in use)", outlier.DefaultJudge()},
 }
 
 // Ejection runs a judge on a trace.
--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -45,8 +45,8 @@
 // target were like its peers.
 type Binomial struct {
 	Alpha float64
-	// Prior is added to the peers: what a healthy service shows, so that a
-	// target without peers can be judged too.
+	// Prior stands in for peers with few trials: what a healthy service shows,
+	// so that a target without peers can be judged too.
 	Prior Counts
 	// MinRate spares a target whose rate is low in itself, however
 	// significant the difference.
@@ -55,7 +55,7 @@
 
 // Eject implements Judge.
 func (b Binomial) Eject(own, peers Counts) bool {
-	rest := peers.Add(b.Prior)
+	rest := peers.Add(b.prior(peers))
 	if own.Failures == 0 || own.Rate() < b.MinRate || own.Rate() <= rest.Rate() {
 		return false
 	}
@@ -66,6 +66,13 @@
 	return 1-dist.CDF(own.Failures-1) < b.Alpha
 }
 
+// prior fades as peers speak for themselves: when all targets fail, none is an
+// outlier.
+func (b Binomial) prior(peers Counts) Counts {
+	weight := max(0, 1-peers.Trials/b.Prior.Trials)
+	return Counts{b.Prior.Trials * weight, b.Prior.Failures * weight}
+}
+
 // Options are the periods of a detector.
 type Options struct {
 	// Bucket is the width of one count; Buckets of them make the window.
@@ -88,7 +95,7 @@
 
 // DefaultJudge returns the judge in use (see docs/DESIGN.md for the figures).
 func DefaultJudge() Judge {
-	return Binomial{Alpha: 1e-3, Prior: Counts{Trials: 200, Failures: 4}, MinRate: 0.2}
+	return Binomial{Alpha: 1e-5, Prior: Counts{Trials: 200, Failures: 4}, MinRate: 0.2}
 }
 
 type window struct {
--- /dev/null
+++ b/outlier/outlier_test.go
@@ -0,0 +1,78 @@
+package outlier
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var t0 = time.Unix(1_700_000_000, 0)
+
+// TestWindowCountsWhatItShould compares the ring of buckets with a list.
+func TestWindowCountsWhatItShould(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := New(Defaults(), Threshold{MinTrials: 1e9})
+		type outcome struct {
+			bucket int64
+			failed bool
+		}
+		var all []outcome
+		now := t0
+		t.Repeat(map[string]func(*rapid.T){
+			"report": func(t *rapid.T) {
+				o := outcome{d.bucket(now), rapid.Bool().Draw(t, "failed")}
+				all = append(all, o)
+				d.Report(now, "a", o.failed)
+				var want Counts
+				for _, x := range all {
+					if o.bucket-x.bucket < int64(Defaults().Buckets) {
+						want.Trials++
+						if x.failed {
+							want.Failures++
+						}
+					}
+				}
+				require.Equal(t, want, d.targets["a"].sum())
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond)
+			},
+		})
+	})
+}
+
+func TestEjectionGrowsAndHeals(t *testing.T) {
+	d := New(Defaults(), DefaultJudge())
+	now := t0
+	fail := func() time.Duration {
+		start := now
+		for !d.Report(now, "a", true) {
+			now = now.Add(50 * time.Millisecond)
+			require.Less(t, now.Sub(start), 5*time.Second, "a dead target is ejected within seconds")
+		}
+		began := now
+		for d.Ejected(now, "a") {
+			now = now.Add(100 * time.Millisecond)
+		}
+		return now.Sub(began)
+	}
+	first, second := fail(), fail()
+	require.Equal(t, Defaults().BaseEjection, first)
+	require.Equal(t, 2*Defaults().BaseEjection, second)
+	for range 300 {
+		now = now.Add(100 * time.Millisecond)
+		d.Report(now, "a", false)
+	}
+	require.Equal(t, first, fail(), "a target that did well starts over")
+}
+
+func TestJudges(t *testing.T) {
+	b := DefaultJudge()
+	require.False(t, b.Eject(Counts{100, 0}, Counts{}))
+	require.True(t, b.Eject(Counts{20, 20}, Counts{}), "alone and dead")
+	require.False(t, b.Eject(Counts{100, 50}, Counts{400, 200}), "all fail alike")
+	require.True(t, b.Eject(Counts{100, 50}, Counts{400, 4}))
+	require.False(t, b.Eject(Counts{1000, 30}, Counts{4000, 4}), "significant but low")
+}
