--- a/agent/mux.go
+++ b/agent/mux.go
@@ -21,11 +21,19 @@
 // packetLen is the room for one datagram.
 const packetLen = 1536
 
+// packetSocket is what the mux needs of the host's data socket.
+type packetSocket interface {
+	Addr() netip.AddrPort
+	Read(*relay.Batch) ([]relay.Datagram, error)
+	WriteTo(buf []byte, to netip.AddrPort) error
+	Close() error
+}
+
 // mux shares the host's data socket between the services.
 //
 // Lock order: mu is a leaf lock.
 type mux struct {
-	socket  *relay.Socket
+	socket  packetSocket
 	tagger  *encap.Tagger
 	codec   *route.Codec
 	inc     route.Incarnation
@@ -48,7 +56,7 @@
 	room   [packetLen]byte
 }
 
-func newMux(socket *relay.Socket, tagger *encap.Tagger, codec *route.Codec, resets *resetter, met *metrics) *mux {
+func newMux(socket packetSocket, tagger *encap.Tagger, codec *route.Codec, resets *resetter, met *metrics) *mux {
 	m := &mux{
 		socket:  socket,
 		tagger:  tagger,
--- /dev/null
+++ b/agent/registry_test.go
@@ -0,0 +1,153 @@
+package agent
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/poppywall/poppywall/admission"
+	"github.com/poppywall/poppywall/catalog"
+	"github.com/poppywall/poppywall/route"
+)
+
+func announcement(i int, service string) Announcement {
+	return Announcement{Address: fmt.Sprintf("127.0.0.1:%d", 1000+i), Slots: 2, Labels: catalog.Labels{"service": service}}
+}
+
+// TestLeavingTargetsGetNothingNew announces, drains, relabels, silences and
+// reconfigures targets in any order. The oracle keeps what each target last
+// said and what operators configured; a request only ever runs at a target of
+// its own service that is not leaving. Points 2 and 6, enforced by the agent
+// whatever balancers believe.
+func TestLeavingTargetsGetNothingNew(t *testing.T) {
+	const ttl = 3 * time.Second
+	names := []string{"one", "two", "three"}
+	serviceNames := []string{"tables", "intake"}
+	rapid.Check(t, func(t *rapid.T) {
+		now, rev := t0, catalog.Revision(0)
+		reg, cat := newRegistry("h", ttl), catalog.NewState()
+		g := newGate(func() time.Time { return now }, rand.New(rand.NewPCG(1, 1)))
+		said := map[string]Announcement{}
+		heard := map[string]time.Time{}
+		labels := map[string]string{} // operators' own label, stronger than the target's
+		drained := map[string]bool{}
+		apply := func(r catalog.Record) {
+			from := rev
+			rev++
+			r.Revision = rev
+			_, err := cat.Apply(catalog.Update{From: from, To: rev, Records: []catalog.Record{r}})
+			require.NoError(t, err)
+		}
+		for i, s := range serviceNames {
+			apply(catalog.Record{Key: catalog.ServiceKey(s), Service: &catalog.Service{
+				Name: s, ID: route.ServiceID(i + 1), Address: fmt.Sprintf("127.0.0.1:%d", i+1), Selector: catalog.Labels{"service": s},
+			}})
+		}
+		replan := func() {
+			p := reg.plan(cat, false)
+			services := map[route.ServiceID][]string{1: nil, 2: nil}
+			for id, list := range p.services {
+				services[id] = list
+			}
+			g.setTargets(p.targets, services)
+		}
+		operator := func(name string) {
+			target := &catalog.Target{Host: "h", Name: name, Drain: drained[name]}
+			if l := labels[name]; l != "" {
+				target.Labels = catalog.Labels{"service": l}
+			}
+			apply(catalog.Record{Key: catalog.TargetKey("h", name), Target: target})
+		}
+		serves := func(name, service string) bool {
+			a, known := said[name]
+			label := a.Labels["service"]
+			if labels[name] != "" {
+				label = labels[name]
+			}
+			return known && !a.Draining && !drained[name] && label == service
+		}
+		draw := func(t *rapid.T) string { return rapid.SampledFrom(names).Draw(t, "target") }
+		t.Repeat(map[string]func(*rapid.T){
+			"announce": func(t *rapid.T) {
+				name := draw(t)
+				i := rapid.IntRange(0, 2).Draw(t, "address")
+				a := announcement(i, rapid.SampledFrom(serviceNames).Draw(t, "service"))
+				a.Draining = rapid.Bool().Draw(t, "draining")
+				_, err := reg.put(now, name, a)
+				taken := false
+				for other, o := range said {
+					taken = taken || (other != name && o.Address == a.Address)
+				}
+				require.Equal(t, taken, err != nil)
+				if err == nil {
+					said[name], heard[name] = a, now
+				}
+			},
+			"farewell": func(t *rapid.T) {
+				name := draw(t)
+				reg.remove(name)
+				delete(said, name)
+			},
+			"label": func(t *rapid.T) {
+				name := draw(t)
+				labels[name] = rapid.SampledFrom([]string{"", "tables", "intake"}).Draw(t, "label")
+				operator(name)
+			},
+			"drain": func(t *rapid.T) {
+				name := draw(t)
+				drained[name] = rapid.Bool().Draw(t, "drain")
+				operator(name)
+			},
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond)
+				reg.expire(now)
+				for name := range said {
+					if now.Sub(heard[name]) > ttl {
+						delete(said, name)
+					}
+				}
+			},
+			"request": func(t *rapid.T) {
+				replan()
+				id := rapid.IntRange(1, 2).Draw(t, "service")
+				class := admission.Class(rapid.IntRange(0, 1).Draw(t, "class"))
+				d, _ := g.offer(admission.Offer{Service: route.ServiceID(id), Class: class})
+				able := 0
+				for _, name := range names {
+					if serves(name, serviceNames[id-1]) {
+						able++
+					}
+				}
+				if d.Verb == admission.Run {
+					require.True(t, serves(d.Target, serviceNames[id-1]), "%s got a request", d.Target)
+					return
+				}
+				if d.Verb == admission.Refuse && d.Reason == admission.NoTarget {
+					require.Zero(t, able)
+				}
+			},
+		})
+	})
+}
+
+func TestAnnouncementsAreChecked(t *testing.T) {
+	reg := newRegistry("h", time.Second)
+	for name, spoil := range map[string]func(*Announcement){
+		"off loopback": func(a *Announcement) { a.Address = "10.0.0.1:1" },
+		"no slots":     func(a *Announcement) { a.Slots = 0 },
+		"address":      func(a *Announcement) { a.Address = "x" },
+	} {
+		a := announcement(1, "s")
+		spoil(&a)
+		_, err := reg.put(t0, "t", a)
+		require.Error(t, err, name)
+	}
+	for i := range maxTargets + 1 {
+		_, err := reg.put(t0, fmt.Sprint(i), announcement(i, "s"))
+		require.Equal(t, i >= maxTargets, err != nil)
+	}
+}
