--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -67,6 +67,9 @@
 	rnd      *rand.Rand
 	feeder   bool
 	repairAt time.Time
+	// complete tells that the configuration is known and every service has
+	// its socket.
+	complete bool
 }
 
 // New opens all sockets of a balancer; Run serves them.
@@ -204,6 +207,9 @@
 		b.view.dir.Tick(now)
 		b.audit(now)
 		b.applyDirectory(now)
+		if b.view.catalog.InForce() > 0 && !b.view.complete {
+			b.openServices()
+		}
 	})
 }
 
@@ -267,8 +273,9 @@
 	for _, sp := range specs {
 		b.table.SetHosts(now, sp.ID, b.candidates(sp.ID))
 	}
-	b.reconcileSockets(specs)
-	b.health.Set(!b.leaving.started())
+	// A balancer that misses a service's address must not be given its packets.
+	b.view.complete = b.reconcileSockets(specs)
+	b.health.Set(b.view.complete && !b.leaving.started())
 }
 
 func every(ctx context.Context, period time.Duration, f func()) error {
--- a/balancer/data.go
+++ b/balancer/data.go
@@ -42,12 +42,12 @@
 }
 
 // reconcileSockets opens the sockets of new services and closes those of
-// services that are gone.
-func (b *Balancer) reconcileSockets(specs []forward.Spec) {
+// services that are gone. It tells whether every service has its socket.
+func (b *Balancer) reconcileSockets(specs []forward.Spec) bool {
 	b.sockets.mu.Lock()
 	defer b.sockets.mu.Unlock()
 	if b.sockets.closed {
-		return
+		return false
 	}
 	wanted := make(map[netip.AddrPort]bool, len(specs))
 	for _, sp := range specs {
@@ -62,6 +62,7 @@
 			delete(b.sockets.open, a)
 		}
 	}
+	return len(b.sockets.open) == len(wanted)
 }
 
 // openSocket runs under sockets.mu.
--- a/choose/choose.go
+++ b/choose/choose.go
@@ -77,6 +77,8 @@
 	zone  string
 	hosts []*state
 	index map[netip.AddrPort]*state
+	// since is when the first hosts became known.
+	since time.Time
 	// scan is scratch space of Pick.
 	scan []*state
 }
@@ -89,11 +91,14 @@
 // Len returns the number of candidates.
 func (s *Set) Len() int { return len(s.hosts) }
 
-// Replace sets the candidates. A host that stays keeps what is known of it; on
-// the first call every host counts as long known, for a fresh balancer is no
-// cold start of the hosts.
+// Replace sets the candidates. A host that stays keeps what is known of it.
+// What a fresh balancer learns within the slow-start period of its first hosts
+// counts as long known: its own start is no cold start of the hosts.
 func (s *Set) Replace(now time.Time, hosts []Host) {
-	fresh := len(s.hosts) == 0
+	if s.since.IsZero() && len(hosts) > 0 {
+		s.since = now
+	}
+	fresh := now.Sub(s.since) < s.opts.SlowStart
 	next := make([]*state, 0, len(hosts))
 	index := make(map[netip.AddrPort]*state, len(hosts))
 	for _, h := range hosts {
--- a/measure/choice.go
+++ b/measure/choice.go
@@ -260,7 +260,8 @@
 	for _, c := range capacity {
 		o.add(c)
 	}
-	o.set.Replace(choiceStart, o.hosts)
+	// The hosts are long known when the run starts.
+	o.set.Replace(choiceStart.Add(-time.Minute), o.hosts)
 	return o
 }
 
--- a/relay/socket.go
+++ b/relay/socket.go
@@ -41,7 +41,7 @@
 
 // Listen opens a socket on the address.
 func Listen(address netip.AddrPort, spray Spray) (*Socket, error) {
-	lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error { return prepare(c, spray) }}
+	lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error { return share(c, spray) }}
 	pc, err := lc.ListenPacket(context.Background(), "udp4", address.String())
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
@@ -51,17 +51,27 @@
 	// not correctness.
 	_ = conn.SetReadBuffer(socketBuffer)
 	_ = conn.SetWriteBuffer(socketBuffer)
+	if err := attachSpray(conn, spray); err != nil {
+		_ = conn.Close()
+		return nil, errors.Wrapf(err, "spray on %s", address)
+	}
 	local := conn.LocalAddr().(*net.UDPAddr).AddrPort()
 	return &Socket{conn: conn, batch: ipv4.NewPacketConn(conn), addr: local}, nil
 }
 
-func prepare(c syscall.RawConn, spray Spray) error {
+// share lets several sockets bind the address.
+func share(c syscall.RawConn, spray Spray) error {
 	if spray.Members <= 0 {
 		return nil
 	}
+	return control(c, func(fd int) error {
+		return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+	})
+}
+
+func control(c syscall.RawConn, f func(fd int) error) error {
 	var opErr error
-	err := c.Control(func(fd uintptr) { opErr = attachSpray(int(fd), spray.Members) })
-	if err != nil {
+	if err := c.Control(func(fd uintptr) { opErr = f(int(fd)) }); err != nil {
 		return err
 	}
 	return opErr
@@ -69,14 +79,16 @@
 
 // attachSpray makes the kernel pick a random socket of the group for every
 // datagram: rand() modulo members. A number past the group, as after a death,
-// falls back to the kernel's own choice.
-func attachSpray(fd, members int) error {
-	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1); err != nil {
-		return err
+// falls back to the kernel's own choice. The socket must be bound already: one
+// that has a program before it is bound counts as a group of its own, and the
+// kernel refuses it the address.
+func attachSpray(conn *net.UDPConn, spray Spray) error {
+	if spray.Members <= 0 {
+		return nil
 	}
 	raw, err := bpf.Assemble([]bpf.Instruction{
 		bpf.LoadExtension{Num: bpf.ExtRand},
-		bpf.ALUOpConstant{Op: bpf.ALUOpMod, Val: uint32(members)},
+		bpf.ALUOpConstant{Op: bpf.ALUOpMod, Val: uint32(spray.Members)},
 		bpf.RetA{},
 	})
 	if err != nil {
@@ -86,8 +98,14 @@
 	for i, r := range raw {
 		filters[i] = unix.SockFilter{Code: r.Op, Jt: r.Jt, Jf: r.Jf, K: r.K}
 	}
+	c, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
 	prog := unix.SockFprog{Len: uint16(len(filters)), Filter: &filters[0]}
-	return unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_REUSEPORT_CBPF, &prog)
+	return control(c, func(fd int) error {
+		return unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_REUSEPORT_CBPF, &prog)
+	})
 }
 
 // Addr returns the bound address.
@@ -151,11 +169,14 @@
 	if err != nil {
 		return err
 	}
-	return raw.Read(func(fd uintptr) bool {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		n, err := unix.Poll(fds, 0)
-		return err != nil || n > 0
-	})
+	return raw.Read(pollIn)
+}
+
+// pollIn looks, without waiting, whether there is something to read.
+func pollIn(fd uintptr) bool {
+	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+	n, err := unix.Poll(fds, 0)
+	return err != nil || n > 0
 }
 
 // Read receives one batch, valid until the next Read into the same Batch.
