--- a/load/runner.go
+++ b/load/runner.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
+	"github.com/quic-go/quic-go/http3"
 	"github.com/sourcegraph/conc"
 
 	"github.com/poppywall/poppywall/verdict"
@@ -152,7 +153,7 @@
 	}
 	resp, err := c.Do(ctx, method, path, reader(body), header)
 	if err != nil {
-		a.err = err
+		a.err, a.verdict = rejected(err)
 		r.rec.request(a)
 		return
 	}
@@ -167,6 +168,16 @@
 	r.rec.request(a)
 }
 
+// rejected tells a request that the server says it did not look at (RFC 9114
+// section 8.1, H3_REQUEST_REJECTED) from a failure.
+func rejected(err error) (error, verdict.Verdict) {
+	var h3 *http3.Error
+	if errors.As(err, &h3) && h3.ErrorCode == http3.ErrCodeRequestRejected {
+		return nil, verdict.NotRun
+	}
+	return err, verdict.Unknown
+}
+
 func reader(body []byte) io.Reader {
 	if body == nil {
 		return nil
--- a/trial/cluster.go
+++ b/trial/cluster.go
@@ -352,3 +352,9 @@
 	c.gateway.Close()
 	_ = os.RemoveAll(c.dir)
 }
+
+// Drain changes the drain of a host as an operator does.
+func (c *Cluster) Drain(host string, drain bool) change.Result {
+	build := change.EditTarget(c.Store, host, "", func(t *catalog.Target) { t.Drain = drain })
+	return c.Applier().Edit(c.ctx, build)
+}
