A late page no longer claims changes in force

Updates now carry the sender's horizon, and a node calls nothing in force before it has reached the farthest horizon it heard of.

--- a/agent/announce.go
+++ b/agent/announce.go
@@ -314,7 +314,7 @@
 	if changed {
 		a.replan()
 	}
-	if u.More {
+	if u.More() {
 		a.kickNow()
 	}
 }
--- a/balancer/gossip.go
+++ b/balancer/gossip.go
@@ -127,7 +127,7 @@
 // pull fetches further pages while the peer has more.
 func (b *Balancer) pull(ctx context.Context, address string, reply control.ExchangeReply) error {
 	update := reply.Update
-	for update != nil && update.More {
+	for update != nil && update.More() {
 		var page control.SyncReply
 		err := b.client.Call(ctx, address, control.MethodSync, control.SyncRequest{Revision: b.heard()}, &page)
 		if err != nil {
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -87,6 +87,22 @@
 	})
 }
 
+// TestLatePageClaimsNothing: found by fuzzing with a fresh seed. A page leaves
+// out a record that changed again after it; an older update that only mends the
+// rest must not make the page's revision count as in force.
+func TestLatePageClaimsNothing(t *testing.T) {
+	n := NewState()
+	take := func(u Update) {
+		_, err := n.Apply(u)
+		require.NoError(t, err)
+	}
+	take(Update{From: 0, To: 4, Horizon: 5, Records: []Record{record(1, 2), record(2, 3), record(3, 4)}}) // h0 changed at 1 and 5
+	take(Update{From: 3, To: 4, Horizon: 4, Records: []Record{record(3, 4)}})
+	require.Zero(t, n.InForce())
+	take(Update{From: 4, To: 5, Horizon: 5, Records: []Record{record(0, 5)}})
+	require.Equal(t, Revision(5), n.InForce())
+}
+
 func TestSelectors(t *testing.T) {
 	require.False(t, Labels{}.Matches(Labels{"a": "1"}), "an empty selector takes no traffic")
 	require.True(t, Labels{"a": "1"}.Matches(Labels{"a": "1", "b": "2"}))
--- a/catalog/state.go
+++ b/catalog/state.go
@@ -18,17 +18,22 @@
 	From    Revision `json:"from"`
 	To      Revision `json:"to"`
 	Records []Record `json:"records,omitempty"`
-	// More tells that the sender holds changes after To. Until they arrive a
-	// record changed again may still show its former content, so the receiver
-	// does not call To in force.
-	More bool `json:"more,omitempty"`
+	// Horizon is how far the sender had heard. A record changed again between
+	// To and Horizon is not in the update, so that until Horizon is reached the
+	// receiver may lack a change before To, and calls nothing in force.
+	Horizon Revision `json:"horizon"`
 }
 
+// More tells that the sender holds changes after To.
+func (u *Update) More() bool { return u.To < u.Horizon }
+
 // State is one node's view of the configuration. It is not safe for concurrent
 // use; its owner holds a lock.
 type State struct {
 	revision Revision
 	inForce  Revision
+	// horizon is the farthest Horizon of the updates taken.
+	horizon Revision
 	records  map[string]Record
 	// order lists changes by revision; entries of superseded changes are
 	// removed when they outnumber the others.
@@ -71,8 +76,9 @@
 	}
 	before := s.inForce
 	s.revision = u.To
-	if !u.More {
-		s.inForce = u.To
+	s.horizon = max(s.horizon, u.Horizon, u.To)
+	if s.revision == s.horizon {
+		s.inForce = s.revision
 	}
 	s.compact()
 	return len(fresh) > 0 || s.inForce != before, nil
@@ -109,14 +115,14 @@
 	start, _ := slices.BinarySearchFunc(s.order, from+1, func(c change, r Revision) int {
 		return cmp.Compare(c.revision, r)
 	})
-	u := &Update{From: from, To: s.revision, More: s.inForce < s.revision}
+	u := &Update{From: from, To: s.revision, Horizon: s.horizon}
 	for _, c := range s.order[start:] {
 		r := s.records[c.key]
 		if r.Revision != c.revision || !keep(&r) {
 			continue
 		}
 		if len(u.Records) >= s.page && r.Revision != u.Records[len(u.Records)-1].Revision {
-			u.To, u.More = u.Records[len(u.Records)-1].Revision, true
+			u.To = u.Records[len(u.Records)-1].Revision
 			return u
 		}
 		u.Records = append(u.Records, r)
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -72,6 +72,7 @@
 		res.add(kv)
 		return nil
 	})
+	res.Update.Horizon = res.Update.To
 	return res, err
 }
 
