Directory's costs fit the fleet: registrars, audit and peers without sorting everything

Cause: at 1,700 balancers and 15,000 hosts a heartbeat sorted all balancers (3,475 us, 26 a second: 9% of a core), an audit did so for 17 hosts (23.9 ms, twice a second: 5%), choosing a peer walked all entries and a full rumour queue was copied at each exchange (1,213 us). Ruled out: the hash itself.

--- a/binaries/poppywall-measure/main.go
+++ b/binaries/poppywall-measure/main.go
@@ -24,6 +24,7 @@
 	add("choice", "Policies for the choice of host.", measure.PrintChoice)
 	add("overload", "Goodput under overload and retries.", measure.PrintOverload)
 	add("ejection", "Judges for the ejection of failing targets.", measure.PrintEjection)
+	add("capacity", "Costs of control over the size of the fleet.", measure.PrintCapacity)
 	if err := p.ParseArgs(os.Args[1:]); err != nil {
 		process.Fail(process.ExitUsage, err)
 	}
--- a/catalog/state.go
+++ b/catalog/state.go
@@ -34,7 +34,7 @@
 	inForce  Revision
 	// horizon is the farthest Horizon of the updates taken.
 	horizon Revision
-	records  map[string]Record
+	records map[string]Record
 	// order lists changes by revision; entries of superseded changes are
 	// removed when they outnumber the others.
 	order []change
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -77,7 +77,10 @@
 	// byService lists hosts that offer a service.
 	byService map[route.ServiceID]map[netip.AddrPort]uint16
 	dirty     map[route.ServiceID]struct{}
-	balancers int
+	// peers lists the keys of all other balancers; live caches the entries of
+	// the live ones and is replaced whole, never changed, while others read it.
+	peers []netip.AddrPort
+	live  []Entry
 	// registered counts the hosts that send their heartbeats here.
 	registered int
 	rejected   int
@@ -182,6 +185,9 @@
 		d.entries[key] = r
 		l := &d.leaves[leaf(key)]
 		l.keys = append(l.keys, key)
+		if e.Kind == KindBalancer && key != d.self {
+			d.peers = append(d.peers, key)
+		}
 	}
 	d.unindex(r)
 	r.Entry, r.changedAt, r.spread = e, now, 0
@@ -201,8 +207,8 @@
 		return
 	}
 	d.leaves[leaf(r.Key())].sum ^= r.hash()
-	if r.Kind == KindBalancer && r.Status == Alive {
-		d.balancers--
+	if r.Kind == KindBalancer {
+		d.live = nil
 	}
 	for _, o := range r.Offers {
 		delete(d.byService[o.Service], r.Key())
@@ -212,8 +218,8 @@
 
 func (d *Directory) indexRecord(r *record) {
 	d.leaves[leaf(r.Key())].sum ^= r.hash()
-	if r.Kind == KindBalancer && r.Status == Alive {
-		d.balancers++
+	if r.Kind == KindBalancer {
+		d.live = nil
 	}
 	if r.Kind != KindHost || !r.Usable() {
 		return
@@ -263,15 +269,20 @@
 	return out
 }
 
-// Balancers returns the entries of live balancers, the owner included.
+// Balancers returns the entries of live balancers in address order, the owner
+// included. Callers must not change the slice.
 func (d *Directory) Balancers() []Entry {
-	out := make([]Entry, 0, d.balancers)
-	for _, r := range d.entries {
-		if r.Kind == KindBalancer && r.Status == Alive {
+	if d.live != nil {
+		return d.live
+	}
+	out := make([]Entry, 0, len(d.peers)+1)
+	for _, key := range append([]netip.AddrPort{d.self}, d.peers...) {
+		if r := d.entries[key]; r.Status == Alive {
 			out = append(out, r.Entry)
 		}
 	}
 	slices.SortFunc(out, func(a, b Entry) int { return a.Data.Compare(b.Data) })
+	d.live = out
 	return out
 }
 
@@ -296,52 +307,40 @@
 	if rnd.IntN(goneOdds) == 0 {
 		worst = Gone
 	}
-	var picked Entry
-	seen := 0
-	for _, r := range d.entries {
-		if r.Kind != KindBalancer || r.Key() == d.self || r.Status > worst {
-			continue
-		}
-		seen++
-		// Reservoir sampling: each candidate is kept with probability 1/seen.
-		if rnd.IntN(seen) == 0 {
-			picked = r.Entry
+	if len(d.peers) == 0 {
+		return Entry{}, false
+	}
+	// The first fit from a random place on; a run of misfits favours the one
+	// after it a little, which does no harm.
+	start := rnd.IntN(len(d.peers))
+	for i := range d.peers {
+		r := d.entries[d.peers[(start+i)%len(d.peers)]]
+		if r.Status <= worst {
+			return r.Entry, true
 		}
 	}
-	return picked, seen > 0
+	return Entry{}, false
 }
 
 // Rumours returns changes to pass on in one message and counts them as passed.
 func (d *Directory) Rumours() []Entry {
-	limit := d.opts.RumourFactor * bits.Len(uint(max(d.balancers, 1)))
-	var out []Entry
-	keep := d.hot[:0]
-	for i, key := range d.hot {
-		if len(out) >= d.opts.MaxRumours {
-			keep = append(keep, d.hot[i:]...)
-			break
-		}
+	limit := d.opts.RumourFactor * bits.Len(uint(len(d.Balancers())))
+	n := min(d.opts.MaxRumours, len(d.hot))
+	out := make([]Entry, 0, n)
+	var again []netip.AddrPort
+	for _, key := range d.hot[:n] {
 		r, ok := d.entries[key]
 		if !ok {
 			continue
 		}
 		out = append(out, r.Entry)
 		r.spread++
-		if r.spread < limit {
-			keep = append(keep, key)
-			continue
+		r.hot = r.spread < limit
+		if r.hot {
+			again = append(again, key)
 		}
-		r.hot = false
 	}
-	d.hot = rotate(keep, len(out))
+	// To the end of the queue, so that a long one is served in turn.
+	d.hot = append(d.hot[n:], again...)
 	return out
 }
-
-// rotate moves the first n keys to the end, so that a full queue is served in
-// turn.
-func rotate(keys []netip.AddrPort, n int) []netip.AddrPort {
-	if n >= len(keys) {
-		return keys
-	}
-	return append(slices.Clone(keys[n:]), keys[:n]...)
-}
--- a/directory/registrar.go
+++ b/directory/registrar.go
@@ -4,8 +4,6 @@
 	"net/netip"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // HeartbeatReply tells an owner what it must know to be believed.
@@ -165,58 +163,6 @@
 	d.unindex(r)
 	l := &d.leaves[leaf(key)]
 	l.keys = slices.DeleteFunc(l.keys, func(k netip.AddrPort) bool { return k == key })
+	d.peers = slices.DeleteFunc(d.peers, func(k netip.AddrPort) bool { return k == key })
 	delete(d.entries, key)
 }
-
-// Rank orders candidates by rendezvous hash for an item, best first, and
-// returns at most k. Each candidate's place depends only on the pair, so that a
-// death moves only the items of the dead one.
-func Rank(item string, candidates []Entry, k int) []Entry {
-	type scored struct {
-		score uint64
-		entry Entry
-	}
-	all := make([]scored, 0, len(candidates))
-	for _, c := range candidates {
-		all = append(all, scored{xxhash.Sum64String(item + "|" + c.Data.String()), c})
-	}
-	slices.SortFunc(all, func(a, b scored) int {
-		switch {
-		case a.score > b.score:
-			return -1
-		case a.score < b.score:
-			return 1
-		default:
-			return a.entry.Data.Compare(b.entry.Data)
-		}
-	})
-	out := make([]Entry, 0, k)
-	for _, s := range all[:min(k, len(all))] {
-		out = append(out, s.entry)
-	}
-	return out
-}
-
-// Registrars returns the balancers that a host announces itself to: most in
-// its own zone, the last one beyond, so that a zone cut off from the others
-// still hears of its hosts and the others hear of the zone.
-func Registrars(host string, zone string, balancers []Entry, k int) []Entry {
-	near, far := splitZone(zone, balancers)
-	wantFar := 1
-	if k < 2 || len(far) == 0 {
-		wantFar = 0
-	}
-	out := Rank(host, near, k-wantFar)
-	return append(out, Rank(host, far, k-len(out))...)
-}
-
-func splitZone(zone string, all []Entry) (near, far []Entry) {
-	for _, e := range all {
-		if e.Zone == zone {
-			near = append(near, e)
-			continue
-		}
-		far = append(far, e)
-	}
-	return near, far
-}
--- /dev/null
+++ b/measure/costs.go
@@ -0,0 +1,186 @@
+package measure
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/netip"
+	"runtime"
+	"testing"
+	"text/tabwriter"
+
+	"github.com/poppywall/poppywall/catalog"
+	"github.com/poppywall/poppywall/control"
+	"github.com/poppywall/poppywall/directory"
+	"github.com/poppywall/poppywall/route"
+)
+
+// The letter's sizes.
+const (
+	letterBalancers = 1700
+	letterHosts     = 15000
+	letterServices  = 890
+	letterZones     = 5
+)
+
+func dataAddr(kind directory.Kind, i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(kind), byte(i >> 8), byte(i)}), 4000)
+}
+
+func zoneOf(i int) string { return fmt.Sprintf("zone-%d", i%letterZones) }
+
+func balancerEntry(i int) directory.Entry {
+	return directory.Entry{
+		Kind: directory.KindBalancer, Name: fmt.Sprintf("balancer-%04d", i), Zone: zoneOf(i),
+		Data: dataAddr(directory.KindBalancer, i), Control: dataAddr(directory.KindBalancer, i),
+		Incarnation: 1, Sequence: 1, Status: directory.Alive,
+	}
+}
+
+func hostEntry(i int, seq uint32) directory.Entry {
+	return directory.Entry{
+		Kind: directory.KindHost, Name: fmt.Sprintf("host-%05d", i), Zone: zoneOf(i),
+		Data: dataAddr(directory.KindHost, i), Control: dataAddr(directory.KindHost, i),
+		Incarnation: 1, Sequence: seq, Status: directory.Alive,
+		Offers: []directory.Offer{{Service: route.ServiceID(i % letterServices), Slots: 5}},
+	}
+}
+
+func filledDirectory(balancers, hosts int) *directory.Directory {
+	d := directory.New(directory.Defaults(), balancerEntry(0), choiceStart)
+	for i := range balancers {
+		d.Merge(choiceStart, []directory.Entry{balancerEntry(i)})
+	}
+	for i := range hosts {
+		d.Merge(choiceStart, []directory.Entry{hostEntry(i, 1)})
+	}
+	for len(d.Rumours()) > 0 {
+		continue
+	}
+	d.Dirty()
+	return d
+}
+
+func filledCatalog(services, targets int) *catalog.State {
+	s := catalog.NewState()
+	u := catalog.Update{}
+	add := func(r catalog.Record) {
+		u.To++
+		r.Revision = u.To
+		u.Records = append(u.Records, r)
+	}
+	for i := range services {
+		name := fmt.Sprintf("service-%04d", i)
+		add(catalog.Record{Key: catalog.ServiceKey(name), Change: "0b0e7a3c-0000-4000-8000-000000000000", Service: &catalog.Service{
+			Name: name, ID: route.ServiceID(i + 1), Address: dataAddr(3, i).String(), Selector: catalog.Labels{"service": name},
+			Members: map[string]int{name + ".example": 1},
+		}})
+	}
+	for i := range targets {
+		host := fmt.Sprintf("host-%05d", i)
+		add(catalog.Record{Key: catalog.TargetKey(host, ""), Change: "0b0e7a3c-0000-4000-8000-000000000000", Target: &catalog.Target{
+			Host: host, Labels: catalog.Labels{"service": fmt.Sprintf("service-%04d", i%letterServices)},
+		}})
+	}
+	u.Horizon = u.To
+	// A fresh state takes any update.
+	_, _ = s.Apply(u)
+	return s
+}
+
+// heapOf returns the bytes of heap that make leaves behind.
+func heapOf[T any](build func() T) int64 {
+	before := heapInUse()
+	kept := build()
+	after := heapInUse()
+	runtime.KeepAlive(kept)
+	return after - before
+}
+
+func heapInUse() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// PrintMemory shows the heap of directory and catalog over their size.
+func PrintMemory(w io.Writer) error {
+	tw := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(tw, "STATE\tENTRIES\tHEAP KB\tBYTES PER ENTRY")
+	for _, n := range []int{100, 1000, 5000, letterHosts} {
+		balancers := n * letterBalancers / letterHosts
+		total := balancers + n
+		bytes := heapOf(func() *directory.Directory { return filledDirectory(balancers, n) })
+		fmt.Fprintf(tw, "directory\t%d\t%d\t%d\n", total, bytes/1024, bytes/int64(total))
+	}
+	for _, n := range []int{1000, 5000, letterHosts} {
+		services := n * letterServices / letterHosts
+		bytes := heapOf(func() *catalog.State { return filledCatalog(services, n) })
+		fmt.Fprintf(tw, "catalog\t%d\t%d\t%d\n", services+n, bytes/1024, bytes/int64(services+n))
+	}
+	return tw.Flush()
+}
+
+// PrintOperations shows the processor time of what a balancer does for
+// control, over the size of the fleet.
+func PrintOperations(w io.Writer) error {
+	tw := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(tw, "OPERATION\tBALANCERS\tHOSTS\tMICROSECONDS\tBYTES ALLOCATED")
+	for _, size := range []struct{ balancers, hosts int }{{17, 150}, {170, 1500}, {letterBalancers, letterHosts}} {
+		for _, op := range operations(size.balancers, size.hosts) {
+			r := testing.Benchmark(op.run)
+			micros := float64(r.T.Nanoseconds()) / float64(r.N) / 1000
+			fmt.Fprintf(tw, "%s\t%d\t%d\t%.1f\t%d\n", op.name, size.balancers, size.hosts, micros, r.AllocedBytesPerOp())
+		}
+	}
+	return tw.Flush()
+}
+
+type operation struct {
+	name string
+	run  func(*testing.B)
+}
+
+func operations(balancers, hosts int) []operation {
+	d := filledDirectory(balancers, hosts)
+	rnd := rand.New(rand.NewPCG(1, 1))
+	now := choiceStart
+	seq := uint32(1)
+	zone := zoneOf(1)
+	loop := func(f func(i int)) func(*testing.B) {
+		return func(b *testing.B) {
+			b.ReportAllocs()
+			for i := range b.N {
+				f(i)
+			}
+		}
+	}
+	return []operation{
+		{"merge one change", loop(func(i int) {
+			seq++
+			d.Merge(now, []directory.Entry{hostEntry(i%hosts, seq)})
+		})},
+		{"heartbeat", loop(func(i int) {
+			d.Heartbeat(now, dataAddr(directory.KindHost, i%hosts), 1, seq)
+		})},
+		{"registrars of a host", loop(func(i int) {
+			directory.Registrars(dataAddr(directory.KindHost, i%hosts).String(), zone, d.Balancers(), control.RegistrarsPerHost)
+		})},
+		{"peer, rumours and root of an exchange", loop(func(int) {
+			d.Peer(rnd)
+			d.Rumours()
+			d.Root()
+		})},
+		{"tick", loop(func(int) { d.Tick(now) })},
+		{"audit of one tick", loop(func(int) {
+			list := d.Balancers()
+			d.Audit(now, 1+d.Len()/1000, func(e *directory.Entry) bool {
+				r := directory.Registrars(e.Data.String(), e.Zone, list, control.RegistrarsPerHost)
+				return len(r) > 0 && r[0].Data == d.Self().Data
+			})
+		})},
+		{"hosts of a service", loop(func(i int) { d.Hosts(route.ServiceID(i % letterServices)) })},
+	}
+}
