Gossip: feedback ends rumours, entries travel compactly, owners state their heartbeat period (in work)

Each change was passed on 3 log2 n times whether known or not, an entry took 230 bytes as JSON, and registrars that asked for different heartbeat periods suspected hosts that followed another one.

--- a/agent/announce.go
+++ b/agent/announce.go
@@ -121,14 +121,29 @@
 type announcer struct {
 	registrars []directory.Entry
 	// told is the sequence that each registrar has acknowledged.
-	told    map[netip.AddrPort]uint32
+	told map[netip.AddrPort]uint32
+	// asked is the period that each registrar asked for; period, the longest
+	// of them, is what all are told.
+	asked   map[netip.AddrPort]time.Duration
 	period  time.Duration
 	failing int
 }
 
+// settlePeriod follows the registrar that asks for the longest period.
+func (an *announcer) settlePeriod(least time.Duration) {
+	an.period = least
+	for _, r := range an.registrars {
+		an.period = max(an.period, an.asked[r.Data])
+	}
+}
+
 // announceLoop sends heartbeats each period, and at once on a change.
 func (a *Agent) announceLoop(ctx context.Context) error {
-	an := &announcer{told: map[netip.AddrPort]uint32{}, period: a.cfg.Heartbeat.D()}
+	an := &announcer{
+		told:   map[netip.AddrPort]uint32{},
+		asked:  map[netip.AddrPort]time.Duration{},
+		period: a.cfg.Heartbeat.D(),
+	}
 	for ctx.Err() == nil {
 		a.announceRound(ctx, an)
 		a.waitForChange(ctx, jitter(an.period))
@@ -236,6 +251,8 @@
 		Zone:        a.cfg.Zone,
 		Revision:    a.state.catalog.Revision(),
 		Registrars:  control.RegistrarHash(an.registrars),
+
+		PeriodMillis: an.period.Milliseconds(),
 	}
 	if an.told[peer.Data] != e.Sequence {
 		req.Entry = &e
@@ -255,7 +272,8 @@
 		a.refute(r.reply)
 	}
 	if r.reply.PeriodMillis > 0 {
-		an.period = max(a.cfg.Heartbeat.D(), time.Duration(r.reply.PeriodMillis)*time.Millisecond)
+		an.asked[r.peer.Data] = time.Duration(r.reply.PeriodMillis) * time.Millisecond
+		an.settlePeriod(a.cfg.Heartbeat.D())
 	}
 	if len(r.reply.Registrars) > 0 {
 		a.changeRegistrars(ctx, an, r.reply.Registrars)
@@ -297,6 +315,7 @@
 		req := a.heartbeat(an, e)
 		req.Final = true
 		delete(an.told, e.Data)
+		delete(an.asked, e.Data)
 		var reply control.HeartbeatReply
 		_ = a.client.Call(ctx, e.Control.String(), control.MethodHeartbeat, req, &reply)
 	}
--- a/balancer/api.go
+++ b/balancer/api.go
@@ -25,11 +25,6 @@
 
 // handleHeartbeat serves as a registrar for an agent.
 func (b *Balancer) handleHeartbeat(_ context.Context, req control.HeartbeatRequest) (control.HeartbeatReply, error) {
-	if req.Entry != nil {
-		if err := req.Entry.Validate(); err != nil {
-			return control.HeartbeatReply{}, err
-		}
-	}
 	now := time.Now()
 	b.view.mu.Lock()
 	defer b.view.mu.Unlock()
@@ -38,8 +33,13 @@
 		b.applyDirectory(now)
 	}
 	reply := control.HeartbeatReply{
-		HeartbeatReply: b.view.dir.Heartbeat(now, req.Data, req.Incarnation, req.Sequence),
-		Update:         b.view.catalog.Since(req.Revision, func(r *catalog.Record) bool { return r.ForHost(req.Host) }),
+		HeartbeatReply: b.view.dir.Heartbeat(now, directory.Heartbeat{
+			Key:         req.Data,
+			Incarnation: req.Incarnation,
+			Sequence:    req.Sequence,
+			Period:      time.Duration(req.PeriodMillis) * time.Millisecond,
+		}),
+		Update: b.view.catalog.Since(req.Revision, func(r *catalog.Record) bool { return r.ForHost(req.Host) }),
 	}
 	if req.Final {
 		b.view.dir.Release(req.Data)
@@ -53,15 +53,16 @@
 }
 
 func (b *Balancer) handleExchange(_ context.Context, req control.ExchangeRequest) (control.ExchangeReply, error) {
-	b.take(req.Rumours, nil)
+	news, _ := b.take(req.Rumours, nil)
 	b.view.mu.Lock()
 	defer b.view.mu.Unlock()
 	// The own entry goes along: the requester may have come by a bare address.
-	rumours := append(b.view.dir.Rumours(), b.view.dir.Self())
+	rumours := append(b.view.dir.Rumours(req.Rumours), b.view.dir.Self())
 	return control.ExchangeReply{
 		Rumours:  rumours,
 		Root:     b.view.dir.Root(),
 		Revision: b.view.catalog.Revision(),
+		News:     news,
 		Update:   b.view.catalog.Since(req.Revision, catalog.Everything),
 	}, nil
 }
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -145,6 +145,11 @@
 // MetricsAddr returns the bound address of /metrics and /healthz.
 func (b *Balancer) MetricsAddr() string { return b.http.Addr() }
 
+// ControlTraffic returns the bytes of control calls sent and received.
+func (b *Balancer) ControlTraffic() (sent, received int64) {
+	return b.traffic.Sent.Load(), b.traffic.Received.Load()
+}
+
 // Revision returns the revision in force here.
 func (b *Balancer) Revision() catalog.Revision {
 	b.view.mu.Lock()
--- a/balancer/gossip.go
+++ b/balancer/gossip.go
@@ -74,7 +74,8 @@
 	if err := b.client.Call(ctx, address, control.MethodExchange, req, &reply); err != nil {
 		return err
 	}
-	root := b.take(reply.Rumours, reply.Update)
+	b.feedback(req.Rumours, reply.News)
+	_, root := b.take(reply.Rumours, reply.Update)
 	if err := b.pull(ctx, address, reply); err != nil {
 		return err
 	}
@@ -88,29 +89,24 @@
 	return nil
 }
 
-// take merges what a peer sent and returns the directory's root after it.
-func (b *Balancer) take(entries []directory.Entry, update *catalog.Update) uint64 {
-	entries = valid(entries)
+func (b *Balancer) feedback(passed []directory.Entry, news []int) {
+	b.view.mu.Lock()
+	defer b.view.mu.Unlock()
+	b.view.dir.Feedback(passed, news)
+}
+
+// take merges what a peer sent. It returns which entries were news, by index,
+// and the directory's root afterwards. Entries are valid: decoding checks them.
+func (b *Balancer) take(entries []directory.Entry, update *catalog.Update) (news []int, root uint64) {
 	now := time.Now()
 	b.view.mu.Lock()
 	defer b.view.mu.Unlock()
-	b.view.dir.Merge(now, entries)
+	news = b.view.dir.Merge(now, entries)
 	b.applyDirectory(now)
 	if update != nil {
 		b.applyCatalog(*update)
 	}
-	return b.view.dir.Root()
-}
-
-// valid drops malformed entries; a peer of another version may send some.
-func valid(entries []directory.Entry) []directory.Entry {
-	out := entries[:0]
-	for _, e := range entries {
-		if e.Validate() == nil {
-			out = append(out, e)
-		}
-	}
-	return out
+	return news, b.view.dir.Root()
 }
 
 func (b *Balancer) repairDue() bool {
@@ -124,6 +120,19 @@
 	return true
 }
 
+// manyNews is how many entries a repair must bring for the next one to follow
+// at once: after a mass event rumours are too slow.
+const manyNews = 64
+
+func (b *Balancer) hurry(news int) {
+	if news < manyNews {
+		return
+	}
+	b.view.mu.Lock()
+	defer b.view.mu.Unlock()
+	b.view.repairAt = time.Time{}
+}
+
 // pull fetches further pages while the peer has more.
 func (b *Balancer) pull(ctx context.Context, address string, reply control.ExchangeReply) error {
 	update := reply.Update
@@ -171,7 +180,7 @@
 }
 
 // repair compares digests with a peer and trades the entries that differ. It
-// returns how many entries came.
+// returns how many entries were news.
 func (b *Balancer) repair(ctx context.Context, address string) (int, error) {
 	b.metrics.repairs.Inc()
 	b.view.mu.Lock()
@@ -193,6 +202,7 @@
 	if err := b.client.Call(ctx, address, control.MethodEntries, trade, &theirs); err != nil {
 		return 0, err
 	}
-	b.take(theirs.Entries, nil)
-	return len(theirs.Entries), nil
+	news, _ := b.take(theirs.Entries, nil)
+	b.hurry(len(news))
+	return len(news), nil
 }
--- a/balancer/leave.go
+++ b/balancer/leave.go
@@ -96,7 +96,7 @@
 	b.view.mu.Lock()
 	defer b.view.mu.Unlock()
 	return control.ExchangeRequest{
-		Rumours:  b.view.dir.Rumours(),
+		Rumours:  b.view.dir.Rumours(nil),
 		Root:     b.view.dir.Root(),
 		Revision: b.view.catalog.Revision(),
 	}
--- /dev/null
+++ b/control/control_test.go
@@ -0,0 +1,115 @@
+package control
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/poppywall/poppywall/route"
+)
+
+var (
+	oldSecret = route.Secret{Number: 1, Bytes: []byte("first secret of the tests")}
+	newSecret = route.Secret{Number: 2, Bytes: []byte("second secret of the tests")}
+	foreign   = route.Secret{Number: 1, Bytes: []byte("a secret of another cluster")}
+)
+
+type echo struct{ Text string }
+
+func startServer(t *testing.T, secrets ...route.Secret) string {
+	t.Helper()
+	s, err := Listen("127.0.0.1:0", secrets, &Traffic{}, zap.NewNop())
+	require.NoError(t, err)
+	s.Register("echo", Handle(func(_ context.Context, e echo) (echo, error) { return e, nil }))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = s.Serve(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return s.Addr().String()
+}
+
+func call(t *testing.T, address string, secrets ...route.Secret) (string, error) {
+	t.Helper()
+	c := NewClient(secrets, &Traffic{}, 10*time.Second, time.Minute)
+	defer c.Close()
+	var out echo
+	err := c.Call(t.Context(), address, "echo", echo{"hello"}, &out)
+	return out.Text, err
+}
+
+func TestCallsNeedTheSecret(t *testing.T) {
+	address := startServer(t, oldSecret, newSecret)
+	for _, secrets := range [][]route.Secret{{oldSecret}, {newSecret, oldSecret}, {oldSecret, newSecret}} {
+		got, err := call(t, address, secrets...)
+		require.NoError(t, err)
+		require.Equal(t, "hello", got)
+	}
+	_, err := call(t, address, foreign)
+	require.Error(t, err)
+}
+
+func TestUnknownMethodIsAnswered(t *testing.T) {
+	address := startServer(t, oldSecret)
+	c := NewClient([]route.Secret{oldSecret}, &Traffic{}, 10*time.Second, time.Minute)
+	defer c.Close()
+	require.Error(t, c.Call(t.Context(), address, "nothing", echo{}, nil))
+	require.Error(t, c.Call(t.Context(), address, "echo", "not an object", nil))
+	var out echo
+	require.NoError(t, c.Call(t.Context(), address, "echo", echo{"still here"}, &out))
+}
+
+// pair returns both ends of a stream.
+func pair(t *testing.T) (client, server *stream) {
+	t.Helper()
+	a, b := net.Pipe()
+	done := make(chan error, 1)
+	go func() {
+		var err error
+		server, err = newStream(bufferedConn{b}, []route.Secret{oldSecret}, false, &Traffic{})
+		done <- err
+	}()
+	client, err := newStream(bufferedConn{a}, []route.Secret{oldSecret}, true, &Traffic{})
+	require.NoError(t, err)
+	require.NoError(t, <-done)
+	return client, server
+}
+
+// bufferedConn lets both ends write before they read, as TCP does.
+type bufferedConn struct{ net.Conn }
+
+func (c bufferedConn) Write(b []byte) (int, error) {
+	own := append([]byte(nil), b...)
+	go func() { _, _ = c.Conn.Write(own) }()
+	return len(b), nil
+}
+
+func TestReplayedAndForgedFramesAreRefused(t *testing.T) {
+	client, server := pair(t)
+	body := []byte(`{"Text":"x"}`)
+	frame := make([]byte, frameHeaderLen)
+	binary.BigEndian.PutUint32(frame, uint32(len(body)))
+	copy(frame[4:], tag(client.sendKey, 0, body))
+	frame = append(frame, body...)
+	var got echo
+	_, err := client.conn.Write(frame)
+	require.NoError(t, err)
+	require.NoError(t, server.ReadObject(&got))
+	_, err = client.conn.Write(frame)
+	require.NoError(t, err)
+	require.ErrorIs(t, server.ReadObject(&got), ErrFrameTag, "a replayed frame")
+}
+
+func TestFramesAreBounded(t *testing.T) {
+	client, server := pair(t)
+	require.ErrorIs(t, client.WriteObject(make([]byte, MaxFrame)), ErrFrameTooLarge)
+	frame := make([]byte, frameHeaderLen)
+	binary.BigEndian.PutUint32(frame, MaxFrame+1)
+	_, err := client.conn.Write(frame)
+	require.NoError(t, err)
+	require.ErrorIs(t, server.ReadObject(&echo{}), ErrFrameTooLarge)
+}
--- a/control/messages.go
+++ b/control/messages.go
@@ -45,6 +45,8 @@
 	// has.
 	Host     string           `json:"h"`
 	Revision catalog.Revision `json:"r"`
+	// PeriodMillis is when the agent means to come again.
+	PeriodMillis int64 `json:"p"`
 	// Zone is the agent's availability zone.
 	Zone string `json:"z"`
 	// Registrars is a hash of the registrar list that the agent knows.
@@ -73,6 +75,8 @@
 	Rumours  []directory.Entry `json:"e,omitempty"`
 	Root     uint64            `json:"x"`
 	Revision catalog.Revision  `json:"r"`
+	// News lists the requester's rumours that were news here, by index.
+	News []int `json:"n,omitempty"`
 	// Update brings the requester up to date.
 	Update *catalog.Update `json:"u,omitempty"`
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -26,9 +26,11 @@
 	ForgetAfter time.Duration
 	// MaxEntries bounds the table, tombstones included.
 	MaxEntries int
-	// RumourFactor times log2 of the balancers is how often a change is
-	// passed on.
+	// RumourFactor times log2 of the balancers is how often a change is passed
+	// on at the most; after MaxUseless receivers that knew it already it is
+	// passed on no more (Demers et al., PODC 1987).
 	RumourFactor int
+	MaxUseless   int
 	// MaxRumours bounds the entries in one message.
 	MaxRumours int
 }
@@ -43,7 +45,8 @@
 		GoneAfter:           6 * time.Second,
 		ForgetAfter:         time.Hour,
 		MaxEntries:          40000,
-		RumourFactor:        3,
+		RumourFactor:        2,
+		MaxUseless:          2,
 		MaxRumours:          32,
 	}
 }
@@ -54,11 +57,13 @@
 	changedAt time.Time
 	// heardAt is when this balancer, as a registrar, last heard the owner.
 	heardAt time.Time
-	// spread counts how often this change was passed on.
-	spread int
-	hot    bool
+	// spread counts how often this change was passed on, useless how often the
+	// receiver knew it already. hot tells that it is still passed on, queued
+	// that its key is in the queue.
+	spread, useless int
+	hot, queued     bool
 	// registered tells that the owner sends its heartbeats here, period how
-	// far apart it was told to.
+	// far apart.
 	registered bool
 	period     time.Duration
 	// orphanSince is when an audit first found no registrar.
@@ -124,13 +129,13 @@
 // Self returns the owner's own entry.
 func (d *Directory) Self() Entry { return d.entries[d.self].Entry }
 
-// Merge takes entries heard from others and returns how many were news. A
-// claim against the owner itself is refuted at once.
-func (d *Directory) Merge(now time.Time, entries []Entry) int {
-	news := 0
+// Merge takes entries heard from others and returns which were news, by index.
+// A claim against the owner itself is refuted at once.
+func (d *Directory) Merge(now time.Time, entries []Entry) []int {
+	var news []int
 	for i := range entries {
 		if d.merge(now, entries[i]) {
-			news++
+			news = append(news, i)
 		}
 	}
 	return news
@@ -190,13 +195,14 @@
 		}
 	}
 	d.unindex(r)
-	r.Entry, r.changedAt, r.spread = e, now, 0
+	r.Entry, r.changedAt = e, now
+	r.spread, r.useless, r.hot = 0, 0, true
 	if r.heardAt.IsZero() || e.Status == Alive {
 		r.heardAt = now
 	}
 	d.indexRecord(r)
-	if !r.hot {
-		r.hot = true
+	if !r.queued {
+		r.queued = true
 		d.hot = append(d.hot, key)
 	}
 }
@@ -323,24 +329,51 @@
 }
 
 // Rumours returns changes to pass on in one message and counts them as passed.
-func (d *Directory) Rumours() []Entry {
+// Those that the receiver just sent are left out.
+func (d *Directory) Rumours(received []Entry) []Entry {
 	limit := d.opts.RumourFactor * bits.Len(uint(len(d.Balancers())))
-	n := min(d.opts.MaxRumours, len(d.hot))
-	out := make([]Entry, 0, n)
+	known := make(map[netip.AddrPort]struct{}, len(received))
+	for i := range received {
+		known[received[i].Key()] = struct{}{}
+	}
+	var out []Entry
 	var again []netip.AddrPort
-	for _, key := range d.hot[:n] {
+	taken := 0
+	for _, key := range d.hot {
+		if len(out) == d.opts.MaxRumours {
+			break
+		}
+		taken++
 		r, ok := d.entries[key]
 		if !ok {
 			continue
 		}
-		out = append(out, r.Entry)
-		r.spread++
-		r.hot = r.spread < limit
+		if _, skip := known[key]; r.hot && !skip {
+			out = append(out, r.Entry)
+			r.spread++
+			r.hot = r.spread < limit
+		}
+		r.queued = r.hot
 		if r.hot {
 			again = append(again, key)
 		}
 	}
 	// To the end of the queue, so that a long one is served in turn.
-	d.hot = append(d.hot[n:], again...)
+	d.hot = append(d.hot[taken:], again...)
 	return out
 }
+
+// Feedback tells which of the passed entries were news to the receiver, by
+// index. A change that enough receivers knew already is passed on no more.
+func (d *Directory) Feedback(passed []Entry, news []int) {
+	for i := range passed {
+		r, ok := d.entries[passed[i].Key()]
+		if !ok || r.Sequence != passed[i].Sequence || slices.Contains(news, i) {
+			continue
+		}
+		r.useless++
+		if r.useless >= d.opts.MaxUseless {
+			r.hot = false
+		}
+	}
+}
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -56,7 +56,7 @@
 		require.Equal(t, a.All(), b.All())
 		require.Equal(t, a.Root(), b.Root())
 		require.Equal(t, a.Hosts(1), b.Hosts(1))
-		require.Zero(t, b.Merge(t0, updates), "a second time is no news")
+		require.Empty(t, b.Merge(t0, updates), "a second time is no news")
 	})
 }
 
@@ -106,8 +106,9 @@
 }
 
 func (f *fleet) exchange(a, b *Directory) {
-	b.Merge(f.now, append(a.Rumours(), a.Self()))
-	a.Merge(f.now, append(b.Rumours(), b.Self()))
+	passed := a.Rumours(nil)
+	a.Feedback(passed, b.Merge(f.now, passed))
+	a.Merge(f.now, append(b.Rumours(passed), b.Self()))
 	if a.Root() == b.Root() {
 		return
 	}
@@ -128,7 +129,7 @@
 			continue
 		}
 		told = Registrars(e.Data.String(), e.Zone, d.Balancers(), 3)
-		r := d.Heartbeat(f.now, e.Data, e.Incarnation, e.Sequence)
+		r := d.Heartbeat(f.now, e.sign())
 		if r.Incarnation > e.Incarnation {
 			e.Incarnation, e.Sequence = r.Incarnation+1, 0
 		}
@@ -137,12 +138,16 @@
 		}
 		if r.NeedEntry || r.Sequence > 0 {
 			d.Merge(f.now, []Entry{*e})
-			d.Heartbeat(f.now, e.Data, e.Incarnation, e.Sequence)
+			d.Heartbeat(f.now, e.sign())
 		}
 	}
 	f.registrars[i] = told
 }
 
+func (e *Entry) sign() Heartbeat {
+	return Heartbeat{Key: e.Data, Incarnation: e.Incarnation, Sequence: e.Sequence, Period: time.Second}
+}
+
 func (f *fleet) isRegistrar(d *Directory, e *Entry) bool {
 	for _, r := range Registrars(e.Data.String(), e.Zone, d.Balancers(), 3) {
 		if r.Data == d.Self().Data {
@@ -260,6 +265,54 @@
 	require.True(t, f.settled())
 }
 
+// TestOwnersPeriodCounts: a registrar that would allow more frequent heartbeats
+// must not suspect an owner that keeps the longer period of another one.
+func TestOwnersPeriodCounts(t *testing.T) {
+	d := New(Defaults(), balancer(0), t0)
+	e := host(1, 1, 5)
+	d.Merge(t0, []Entry{e})
+	sign := e.sign()
+	sign.Period = Defaults().MaxPeriod
+	now := t0
+	for range 5 {
+		require.Equal(t, Defaults().MinPeriod.Milliseconds(), d.Heartbeat(now, sign).PeriodMillis)
+		now = now.Add(sign.Period)
+		d.Tick(now)
+		got, _ := d.Get(e.Data)
+		require.Equal(t, Alive, got.Status)
+	}
+	d.Tick(now.Add(Defaults().MissedHeartbeats * sign.Period))
+	got, _ := d.Get(e.Data)
+	require.Equal(t, Suspect, got.Status)
+}
+
+func TestEntryWireForm(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := drawEntry(t)
+		e.Offers = append(e.Offers, Offer{Service: 7, Slots: rapid.Uint16().Draw(t, "slots")})
+		text, err := e.MarshalText()
+		require.NoError(t, err)
+		var back Entry
+		require.NoError(t, back.UnmarshalText(text))
+		require.Equal(t, e, back)
+		cut := text[:rapid.IntRange(0, len(text)-1).Draw(t, "cut")]
+		require.Error(t, back.UnmarshalText(cut))
+	})
+}
+
+func FuzzEntryDecode(f *testing.F) {
+	text, err := host(1, 1, 5).MarshalText()
+	require.NoError(f, err)
+	f.Add(text)
+	f.Add([]byte("?"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var e Entry
+		if e.UnmarshalText(b) == nil {
+			require.NoError(t, e.Validate())
+		}
+	})
+}
+
 func TestTableIsBounded(t *testing.T) {
 	opts := Defaults()
 	opts.MaxEntries = 10
--- a/directory/entry.go
+++ b/directory/entry.go
@@ -47,24 +47,24 @@
 
 // Offer says that a host serves a service.
 type Offer struct {
-	Service route.ServiceID `json:"s"`
+	Service route.ServiceID
 	// Slots is the number of ready slots; zero takes no new flows.
-	Slots uint16 `json:"n"`
+	Slots uint16
 }
 
 // Entry describes one host or balancer.
 type Entry struct {
-	Kind Kind   `json:"k"`
-	Name string `json:"name"`
-	Zone string `json:"zone"`
+	Kind Kind
+	Name string
+	Zone string
 	// Data is where datagrams for this process go.
-	Data netip.AddrPort `json:"d"`
+	Data netip.AddrPort
 	// Control is where control calls to this process go.
-	Control     netip.AddrPort `json:"c"`
-	Incarnation Incarnation    `json:"i"`
-	Sequence    uint32         `json:"q"`
-	Status      Status         `json:"st"`
-	Offers      []Offer        `json:"o,omitempty"`
+	Control     netip.AddrPort
+	Incarnation Incarnation
+	Sequence    uint32
+	Status      Status
+	Offers      []Offer
 }
 
 // Key identifies an entry: the address that no two live processes share.
--- a/directory/registrar.go
+++ b/directory/registrar.go
@@ -18,27 +18,37 @@
 	PeriodMillis int64
 }
 
+// Heartbeat is an owner's sign of life.
+type Heartbeat struct {
+	Key         netip.AddrPort
+	Incarnation Incarnation
+	Sequence    uint32
+	// Period is when the owner means to come again. Its registrars ask for
+	// different periods; the owner follows the longest and says so to all.
+	Period time.Duration
+}
+
 // Heartbeat takes a sign of life of a host that uses this balancer as a
 // registrar.
-func (d *Directory) Heartbeat(now time.Time, key netip.AddrPort, inc Incarnation, seq uint32) HeartbeatReply {
-	r, ok := d.entries[key]
+func (d *Directory) Heartbeat(now time.Time, h Heartbeat) HeartbeatReply {
+	r, ok := d.entries[h.Key]
 	if !ok {
 		return HeartbeatReply{NeedEntry: true}
 	}
-	mine := Entry{Incarnation: inc, Sequence: seq, Status: Alive}
+	mine := Entry{Incarnation: h.Incarnation, Sequence: h.Sequence, Status: Alive}
 	switch {
 	case mine.Newer(&r.Entry):
 		return HeartbeatReply{NeedEntry: true}
 	case r.Entry.Newer(&mine):
 		return HeartbeatReply{Incarnation: r.Incarnation, Sequence: r.Sequence}
 	}
-	d.register(now, r)
+	d.register(now, r, h.Period)
 	return HeartbeatReply{PeriodMillis: d.period().Milliseconds()}
 }
 
-func (d *Directory) register(now time.Time, r *record) {
+func (d *Directory) register(now time.Time, r *record, period time.Duration) {
 	r.heardAt = now
-	r.period = d.period()
+	r.period = min(max(period, d.opts.MinPeriod), d.opts.MaxPeriod)
 	if !r.registered {
 		r.registered = true
 		d.registered++
@@ -81,7 +91,7 @@
 func (d *Directory) tickOne(now time.Time, r *record) bool {
 	switch r.Status {
 	case Alive:
-		if !r.registered || now.Sub(r.heardAt) < d.opts.MissedHeartbeats*max(r.period, d.opts.MinPeriod) {
+		if !r.registered || now.Sub(r.heardAt) < d.opts.MissedHeartbeats*r.period {
 			return false
 		}
 		d.unregister(r)
--- a/load/recorder.go
+++ b/load/recorder.go
@@ -62,10 +62,11 @@
 	Served    map[string]int64   `json:"served"`
 	Jain      float64            `json:"jain"`
 	Latencies map[string]Latency `json:"latencies"`
-	// ByTarget is the spread of requests served over targets.
-	ByTarget Spread   `json:"by_target"`
-	Errors   []string `json:"errors,omitempty"`
-	Samples  []Sample `json:"samples,omitempty"`
+	// ByTarget is the spread of requests served over the targets of a service;
+	// targets that came, left or failed count too.
+	ByTarget map[string]Spread `json:"by_target"`
+	Errors   []string          `json:"errors,omitempty"`
+	Samples  []Sample          `json:"samples,omitempty"`
 }
 
 // maxErrors bounds the error texts kept as examples.
@@ -76,24 +77,24 @@
 	mu        sync.Mutex
 	sum       Summary
 	histogram map[string]*hdrhistogram.Histogram
-	byTarget  map[string]int64
+	byTarget  map[string]map[string]float64
 }
 
 func newRecorder() *recorder {
 	return &recorder{
 		sum:       Summary{Served: map[string]int64{}, Latencies: map[string]Latency{}},
 		histogram: map[string]*hdrhistogram.Histogram{},
-		byTarget:  map[string]int64{},
+		byTarget:  map[string]map[string]float64{},
 	}
 }
 
 // answer is one finished request.
 type answer struct {
-	class, member, target string
-	status                int
-	verdict               verdict.Verdict
-	took                  time.Duration
-	err                   error
+	class, service, member, target string
+	status                         int
+	verdict                        verdict.Verdict
+	took                           time.Duration
+	err                            error
 }
 
 func (r *recorder) request(a answer) {
@@ -115,7 +116,10 @@
 	}
 	if a.status == 200 {
 		r.sum.Served[a.member]++
-		r.byTarget[a.target]++
+		if r.byTarget[a.service] == nil {
+			r.byTarget[a.service] = map[string]float64{}
+		}
+		r.byTarget[a.service][a.target]++
 		r.observe(a.class, a.took)
 	}
 }
@@ -167,11 +171,10 @@
 	for class, h := range r.histogram {
 		r.sum.Latencies[class] = latencyOf(h)
 	}
-	counts := map[string]float64{}
-	for t, n := range r.byTarget {
-		counts[t] = float64(n)
+	r.sum.ByTarget = map[string]Spread{}
+	for service, counts := range r.byTarget {
+		r.sum.ByTarget[service] = SpreadOf(counts)
 	}
-	r.sum.ByTarget = SpreadOf(counts)
 	r.sum.Jain = jain(r.sum.Served, offered)
 	r.sum.Imbalance = imbalance(r.sum.Samples, warmup)
 	return r.sum
--- a/load/runner.go
+++ b/load/runner.go
@@ -145,7 +145,7 @@
 
 // request sends one short request and checks its answer.
 func (r *runner) request(ctx context.Context, f Flow, c *Caller, intended time.Time) {
-	a := answer{class: string(f.Kind), member: memberOf(f)}
+	a := answer{class: string(f.Kind), service: f.Service, member: memberOf(f)}
 	method, path, body := shape(f)
 	header := http.Header{headerRequestID: {uuid.NewString()}}
 	if f.TimeoutMillis > 0 {
--- a/measure/costs.go
+++ b/measure/costs.go
@@ -54,7 +54,7 @@
 	for i := range hosts {
 		d.Merge(choiceStart, []directory.Entry{hostEntry(i, 1)})
 	}
-	for len(d.Rumours()) > 0 {
+	for len(d.Rumours(nil)) > 0 {
 		continue
 	}
 	d.Dirty()
@@ -163,14 +163,14 @@
 			d.Merge(now, []directory.Entry{hostEntry(i%hosts, seq)})
 		})},
 		{"heartbeat", loop(func(i int) {
-			d.Heartbeat(now, dataAddr(directory.KindHost, i%hosts), 1, seq)
+			d.Heartbeat(now, directory.Heartbeat{Key: dataAddr(directory.KindHost, i%hosts), Incarnation: 1, Sequence: seq})
 		})},
 		{"registrars of a host", loop(func(i int) {
 			directory.Registrars(dataAddr(directory.KindHost, i%hosts).String(), zone, d.Balancers(), control.RegistrarsPerHost)
 		})},
 		{"peer, rumours and root of an exchange", loop(func(int) {
 			d.Peer(rnd)
-			d.Rumours()
+			d.Rumours(nil)
 			d.Root()
 		})},
 		{"tick", loop(func(int) { d.Tick(now) })},
--- a/trial/cluster.go
+++ b/trial/cluster.go
@@ -98,6 +98,7 @@
 
 	log     *zap.Logger
 	dir     string
+	period  settings.Duration
 	cert    string
 	key     string
 	gateway *httptest.Server
@@ -119,6 +120,35 @@
 
 // Start runs the site and waits until every service has all its slots.
 func Start(ctx context.Context, site Site, log *zap.Logger) (*Cluster, error) {
+	c, err := newCluster(ctx, site, log, settings.Duration(fastPeriod))
+	if err != nil {
+		return nil, err
+	}
+	if err := c.start(); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// StartBare runs only the platform stand-in and the balancers, at the given
+// period of exchanges and pulls: the bed of measurements with fake hosts.
+func StartBare(ctx context.Context, site Site, log *zap.Logger, period settings.Duration) (*Cluster, error) {
+	c, err := newCluster(ctx, site, log, period)
+	if err != nil {
+		return nil, err
+	}
+	for range site.Balancers {
+		if err := c.AddBalancer(); err != nil {
+			c.Close()
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+// newCluster makes a site in which nothing runs but the platform stand-in.
+func newCluster(ctx context.Context, site Site, log *zap.Logger, period settings.Duration) (*Cluster, error) {
 	dir, err := os.MkdirTemp("", "poppywall-trial-")
 	if err != nil {
 		return nil, err
@@ -136,23 +166,18 @@
 		Secrets:   []settings.Secret{{Number: 1, Hex: trialSecret}},
 		log:       log,
 		dir:       dir,
+		period:    period,
 	}
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	c.gateway = httptest.NewServer(standin.Gateway(c.Store))
 	c.Platform = c.gateway.URL
-	if c.cert, c.key, err = ca.WritePair(dir, c.authorities()...); err != nil {
-		return nil, err
-	}
-	if err := c.start(); err != nil {
-		c.Close()
-		return nil, err
-	}
-	return c, nil
+	c.cert, c.key, err = ca.WritePair(dir, c.authorities()...)
+	return c, err
 }
 
 // authorities lists all names that callers may use.
 func (c *Cluster) authorities() []string {
-	var names []string
+	names := []string{"poppywall.example"}
 	for _, s := range c.Site.Services {
 		names = append(names, s.Name+".example")
 		for m := range s.Members {
@@ -239,8 +264,8 @@
 	cfg.Seeds = c.controlAddrs()
 	cfg.Secrets = c.Secrets
 	cfg.SprayMembers = c.Site.Balancers
-	cfg.GossipEvery = settings.Duration(fastPeriod)
-	cfg.PullEvery = settings.Duration(fastPeriod)
+	cfg.GossipEvery = c.period
+	cfg.PullEvery = c.period
 	cfg.LeaveDelay = settings.Duration(trialLeave)
 	b, err := balancer.New(cfg, c.log.Named(cfg.Name))
 	if err != nil {
