Files split by job, workers of a process in one module, repairs follow at once after mass events

Cause of the traffic at 10 balancers: hosts that learnt of a longer period skipped the heartbeat that would have said so, and the registrars suspected them; each suspicion and refutation spread.

A cold start of 30 balancers with 270 hosts took 28.8 s: rumours cannot carry it, and repairs looked at a quarter of the branches every 5 s. Now a repair in which every compared branch differs is followed by the next exchange's. Not measured yet after.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -8,13 +8,11 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"github.com/poppywall/poppywall/catalog"
@@ -26,6 +24,7 @@
 	"github.com/poppywall/poppywall/route"
 	"github.com/poppywall/poppywall/settings"
 	"github.com/poppywall/poppywall/telemetry"
+	"github.com/poppywall/poppywall/worker"
 )
 
 const (
@@ -65,7 +64,7 @@
 	// replanMu serialises replan.
 	replanMu sync.Mutex
 	state    state
-	workers  conc.WaitGroup
+	workers  *worker.Group
 	serving  context.Context
 }
 
@@ -92,6 +91,7 @@
 	a := &Agent{
 		cfg:      cfg,
 		log:      log,
+		workers:  worker.NewGroup(log),
 		health:   &telemetry.Health{},
 		gate:     newGate(time.Now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		handover: newHandover(),
@@ -181,20 +181,12 @@
 		zap.Stringer("data", a.mux.socket.Addr()),
 		zap.String("announce", a.AnnounceURL()),
 		zap.String("metrics", a.http.Addr()))
-	a.workers.Go(a.mux.serve)
-	a.goWorker(ctx, "http", a.http.Serve)
-	a.goWorker(ctx, "announce-api", a.serveAnnounce)
-	a.goWorker(ctx, "announce", a.announceLoop)
-	a.goWorker(ctx, "gate", a.gateLoop)
-	a.goWorker(ctx, "sweep", a.sweepLoop)
-}
-
-func (a *Agent) goWorker(ctx context.Context, name string, run func(context.Context) error) {
-	a.workers.Go(func() {
-		if err := run(ctx); err != nil && ctx.Err() == nil {
-			a.log.Error("worker stopped", zap.String("worker", name), zap.Error(err))
-		}
-	})
+	a.workers.Run(a.mux.serve)
+	a.workers.Go(ctx, "http", a.http.Serve)
+	a.workers.Go(ctx, "announce-api", a.serveAnnounce)
+	a.workers.Go(ctx, "announce", a.announceLoop)
+	a.workers.Go(ctx, "gate", a.gateLoop)
+	a.workers.Go(ctx, "sweep", a.sweepLoop)
 }
 
 func (a *Agent) serveAnnounce(ctx context.Context) error {
@@ -208,7 +200,7 @@
 }
 
 func (a *Agent) gateLoop(ctx context.Context) error {
-	return every(ctx, gatePeriod, func() {
+	return worker.Every(ctx, gatePeriod, func() {
 		if a.gate.tick() {
 			a.replan()
 		}
@@ -216,7 +208,7 @@
 }
 
 func (a *Agent) sweepLoop(ctx context.Context) error {
-	return every(ctx, sweepEvery, func() {
+	return worker.Every(ctx, sweepEvery, func() {
 		now := time.Now()
 		a.mux.sweep(now)
 		a.state.mu.Lock()
@@ -228,19 +220,6 @@
 	})
 }
 
-func every(ctx context.Context, period time.Duration, f func()) error {
-	tick := time.NewTicker(period)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-			f()
-		}
-	}
-}
-
 func (a *Agent) kickNow() {
 	select {
 	case a.kick <- struct{}{}:
@@ -248,114 +227,6 @@
 	}
 }
 
-// replan brings targets, endpoints and the host's entry in line with what
-// targets announced and operators configured.
-func (a *Agent) replan() {
-	a.replanMu.Lock()
-	defer a.replanMu.Unlock()
-	a.state.mu.Lock()
-	p := a.state.registry.plan(a.state.catalog, a.state.leaving)
-	a.state.plan = p
-	former := slices.Collect(maps.Keys(a.state.endpoints))
-	a.state.mu.Unlock()
-
-	// A service that lost its last target keeps an empty list: nothing new.
-	services := maps.Clone(p.services)
-	for _, id := range former {
-		if _, ok := services[id]; !ok {
-			services[id] = nil
-		}
-	}
-	a.gate.setTargets(p.targets, services)
-	a.updateEndpoints(p)
-	a.updateEntry(p)
-}
-
-func (a *Agent) updateEntry(p plan) {
-	list := offers(p, a.gate.slots)
-	a.state.mu.Lock()
-	defer a.state.mu.Unlock()
-	if slices.Equal(list, a.state.entry.Offers) {
-		return
-	}
-	a.state.entry.Offers = list
-	a.state.entry.Sequence++
-	a.kickNow()
-}
-
-// updateEndpoints opens, drains, resumes and closes endpoints; it runs under
-// replanMu.
-func (a *Agent) updateEndpoints(p plan) {
-	a.state.mu.Lock()
-	endpoints := maps.Clone(a.state.endpoints)
-	a.state.mu.Unlock()
-	for id, svc := range p.specs {
-		e, ok := endpoints[id]
-		if !ok {
-			e = a.openEndpoint(svc)
-			if e == nil {
-				continue
-			}
-			endpoints[id] = e
-		}
-		e.service.Store(svc)
-	}
-	for id, e := range endpoints {
-		if n, _ := a.gate.slots(id); n > 0 {
-			e.resume()
-			continue
-		}
-		e.drain()
-		if _, planned := p.specs[id]; !planned {
-			a.retire(id, e)
-			delete(endpoints, id)
-		}
-	}
-	a.setEndpoints(endpoints)
-}
-
-func (a *Agent) openEndpoint(svc *catalog.Service) *endpoint {
-	conf := a.certs.tlsConfig(svc.Name)
-	if conf == nil {
-		a.log.Error("no certificate for service", zap.String(telemetry.FieldService, svc.Name))
-		return nil
-	}
-	e, err := newEndpoint(a.mux, svc, conf, a.cfg.MaxConnections, a.log)
-	if err != nil {
-		a.log.Error("endpoint not opened", zap.String(telemetry.FieldService, svc.Name), zap.Error(err))
-		return nil
-	}
-	e.conn.reading = func() (int, int, int) {
-		slots, busy := a.gate.slots(svc.ID)
-		return int(e.open.Load()), busy, slots
-	}
-	e.handler = &proxy{id: svc.ID, service: e.service.Load, gate: a.gate, handover: a.handover, metrics: a.metrics}
-	a.workers.Go(func() { e.acceptLoop(a.serving) })
-	return e
-}
-
-// retire closes an endpoint whose service no target here serves any more, once
-// its connections ended.
-func (a *Agent) retire(id route.ServiceID, e *endpoint) {
-	a.workers.Go(func() {
-		ctx, cancel := context.WithTimeout(a.serving, a.cfg.DrainLimit.D())
-		defer cancel()
-		e.closeWhenIdle(ctx)
-		a.log.Info("endpoint closed", zap.Uint16(telemetry.FieldService, uint16(id)))
-	})
-}
-
-func (a *Agent) setEndpoints(endpoints map[route.ServiceID]*endpoint) {
-	conns := make(map[route.ServiceID]*serviceConn, len(endpoints))
-	for id, e := range endpoints {
-		conns[id] = e.conn
-	}
-	a.state.mu.Lock()
-	a.state.endpoints = endpoints
-	a.state.mu.Unlock()
-	a.mux.setConns(conns)
-}
-
 // leave drains the whole host and waits for open work.
 func (a *Agent) leave(ctx context.Context) {
 	a.log.Info("agent leaving", zap.Duration("limit", a.cfg.DrainLimit.D()))
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -2,15 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
-	"net"
-	"net/http"
 	"net/netip"
 	"slices"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/sourcegraph/conc/pool"
 	"go.uber.org/zap"
 
@@ -20,6 +16,7 @@
 	"github.com/poppywall/poppywall/feed"
 	"github.com/poppywall/poppywall/platform"
 	"github.com/poppywall/poppywall/telemetry"
+	"github.com/poppywall/poppywall/worker"
 )
 
 const (
@@ -31,92 +28,6 @@
 	seedsTried = 2
 )
 
-// announceAPI is the loopback endpoint of targets.
-func (a *Agent) announceAPI() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("PUT /v1/targets/{name}", a.putTarget)
-	mux.HandleFunc("DELETE /v1/targets/{name}", a.deleteTarget)
-	mux.HandleFunc("GET /v1/targets", a.listTargets)
-	return mux
-}
-
-func (a *Agent) putTarget(w http.ResponseWriter, r *http.Request) {
-	name := r.PathValue("name")
-	if len(name) > directory.MaxNameLen {
-		http.Error(w, "target name is too long", http.StatusBadRequest)
-		return
-	}
-	var ann Announcement
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&ann); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	a.state.mu.Lock()
-	changed, err := a.state.registry.put(time.Now(), name, ann)
-	a.state.mu.Unlock()
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	if changed {
-		a.replan()
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(announceReply{TTLMillis: a.cfg.TargetTTL.D().Milliseconds()})
-}
-
-// announceReply tells a target how often it must announce itself.
-type announceReply struct {
-	TTLMillis int64 `json:"ttlMillis"`
-}
-
-func (a *Agent) deleteTarget(w http.ResponseWriter, r *http.Request) {
-	a.state.mu.Lock()
-	known := a.state.registry.remove(r.PathValue("name"))
-	a.state.mu.Unlock()
-	if known {
-		a.replan()
-	}
-	w.WriteHeader(http.StatusNoContent)
-}
-
-// targetStatus is one target in the list for operators and targets.
-type targetStatus struct {
-	Name     string         `json:"name"`
-	Labels   catalog.Labels `json:"labels"`
-	Draining bool           `json:"draining"`
-	Ready    bool           `json:"ready"`
-	Requests int            `json:"requests"`
-	Streams  int            `json:"streams"`
-}
-
-func (a *Agent) listTargets(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(a.targetStatus())
-}
-
-func (a *Agent) targetStatus() []targetStatus {
-	a.state.mu.Lock()
-	defer a.state.mu.Unlock()
-	out := []targetStatus{}
-	for name, t := range a.state.registry.targets {
-		eff := a.state.catalog.Target(a.cfg.Host, name, t.Labels)
-		st := targetStatus{Name: name, Labels: eff.Labels, Draining: eff.Drain || t.Draining}
-		st.Ready = a.state.plan.targets[name].spec.Ready
-		st.Requests, st.Streams = a.gate.inProgress(name)
-		out = append(out, st)
-	}
-	slices.SortFunc(out, func(x, y targetStatus) int {
-		if x.Name < y.Name {
-			return -1
-		}
-		return 1
-	})
-	return out
-}
-
 // announcer keeps the host's entry known at its registrars.
 type announcer struct {
 	registrars []directory.Entry
@@ -145,15 +56,15 @@
 		period: a.cfg.Heartbeat.D(),
 	}
 	for ctx.Err() == nil {
+		// A longer period counts from the round after the one that states it:
+		// registrars expect the host within what it said last.
+		stated := an.period
 		a.announceRound(ctx, an)
-		a.waitForChange(ctx, jitter(an.period))
+		a.waitForChange(ctx, worker.Jitter(stated))
 	}
 	return nil
 }
 
-// jitter spreads the hosts' heartbeats over the period.
-func jitter(d time.Duration) time.Duration { return d*9/10 + rand.N(d/5+1) }
-
 func (a *Agent) waitForChange(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -337,11 +248,3 @@
 		a.kickNow()
 	}
 }
-
-func (a *Agent) listenAnnounce() (net.Listener, error) {
-	ap, err := netip.ParseAddrPort(a.cfg.Announce)
-	if err != nil || !ap.Addr().IsLoopback() {
-		return nil, errors.New("field \"announce\": must be a loopback address")
-	}
-	return net.Listen("tcp4", a.cfg.Announce)
-}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"github.com/poppywall/poppywall/catalog"
@@ -22,6 +21,7 @@
 	"github.com/poppywall/poppywall/route"
 	"github.com/poppywall/poppywall/settings"
 	"github.com/poppywall/poppywall/telemetry"
+	"github.com/poppywall/poppywall/worker"
 )
 
 const (
@@ -56,7 +56,7 @@
 	view view
 
 	leaving leaveState
-	workers conc.WaitGroup
+	workers *worker.Group
 }
 
 // view is what the balancer knows; mu guards all of it.
@@ -87,13 +87,14 @@
 		return nil, err
 	}
 	b := &Balancer{
-		cfg:    cfg,
-		log:    log,
-		health: &telemetry.Health{},
-		table:  forward.NewTable(codec, tagger, choose.Defaults(), cfg.Zone),
-		tagger: tagger,
-		store:  platform.NewClient(cfg.Platform, platformTimeout),
-		pool:   sync.Pool{New: func() any { return relay.NewBatch() }},
+		cfg:     cfg,
+		log:     log,
+		workers: worker.NewGroup(log),
+		health:  &telemetry.Health{},
+		table:   forward.NewTable(codec, tagger, choose.Defaults(), cfg.Zone),
+		tagger:  tagger,
+		store:   platform.NewClient(cfg.Platform, platformTimeout),
+		pool:    sync.Pool{New: func() any { return relay.NewBatch() }},
 	}
 	b.sockets.open = map[netip.AddrPort]*relay.Socket{}
 	b.client = control.NewClient(secrets, &b.traffic, callTimeout, idleConn)
@@ -177,22 +178,14 @@
 		zap.Stringer("data", b.internal.Addr()),
 		zap.Stringer("control", b.ControlAddr()),
 		zap.String("metrics", b.http.Addr()))
-	b.goWorker(ctx, "http", b.http.Serve)
-	b.goWorker(ctx, "control", b.server.Serve)
+	b.workers.Go(ctx, "http", b.http.Serve)
+	b.workers.Go(ctx, "control", b.server.Serve)
 	for range internalReaders {
-		b.workers.Go(b.serveInternal)
+		b.workers.Run(b.serveInternal)
 	}
-	b.goWorker(ctx, "gossip", b.gossipLoop)
-	b.goWorker(ctx, "feed", b.feedLoop)
-	b.goWorker(ctx, "tick", b.tickLoop)
-}
-
-func (b *Balancer) goWorker(ctx context.Context, name string, run func(context.Context) error) {
-	b.workers.Go(func() {
-		if err := run(ctx); err != nil && ctx.Err() == nil {
-			b.log.Error("worker stopped", zap.String("worker", name), zap.Error(err))
-		}
-	})
+	b.workers.Go(ctx, "gossip", b.gossipLoop)
+	b.workers.Go(ctx, "feed", b.feedLoop)
+	b.workers.Go(ctx, "tick", b.tickLoop)
 }
 
 func (b *Balancer) close() {
@@ -205,7 +198,7 @@
 
 // tickLoop runs the directory's clock and passes its changes to the table.
 func (b *Balancer) tickLoop(ctx context.Context) error {
-	return every(ctx, tickEvery, func() {
+	return worker.Every(ctx, tickEvery, func() {
 		now := time.Now()
 		b.view.mu.Lock()
 		defer b.view.mu.Unlock()
@@ -282,16 +275,3 @@
 	b.view.complete = b.reconcileSockets(specs)
 	b.health.Set(b.view.complete && !b.leaving.started())
 }
-
-func every(ctx context.Context, period time.Duration, f func()) error {
-	tick := time.NewTicker(period)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-			f()
-		}
-	}
-}
--- a/balancer/data.go
+++ b/balancer/data.go
@@ -74,7 +74,7 @@
 		return
 	}
 	b.sockets.open[a] = sock
-	b.workers.Go(func() { b.serveService(a, sock) })
+	b.workers.Run(func() { b.serveService(a, sock) })
 }
 
 // serveService forwards callers' datagrams of one service until its socket
--- a/balancer/feedloop.go
+++ b/balancer/feedloop.go
@@ -10,6 +10,7 @@
 
 	"github.com/poppywall/poppywall/feed"
 	"github.com/poppywall/poppywall/platform"
+	"github.com/poppywall/poppywall/worker"
 )
 
 const (
@@ -25,7 +26,7 @@
 func (b *Balancer) feedLoop(ctx context.Context) error {
 	b.joinByPlatform(ctx)
 	next := time.Now()
-	return every(ctx, b.cfg.PullEvery.D(), func() {
+	return worker.Every(ctx, b.cfg.PullEvery.D(), func() {
 		if !b.decideFeeder() {
 			return
 		}
--- a/balancer/gossip.go
+++ b/balancer/gossip.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/poppywall/poppywall/catalog"
 	"github.com/poppywall/poppywall/control"
 	"github.com/poppywall/poppywall/directory"
+	"github.com/poppywall/poppywall/worker"
 )
 
 const (
@@ -28,22 +28,11 @@
 	b.join(ctx)
 	for ctx.Err() == nil {
 		b.exchangeOnce(ctx)
-		sleep(ctx, jitter(b.cfg.GossipEvery.D()))
+		worker.Sleep(ctx, worker.Jitter(b.cfg.GossipEvery.D()))
 	}
 	return nil
 }
 
-func jitter(d time.Duration) time.Duration {
-	return d*3/4 + rand.N(d/2+1)
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // join learns the directory and configuration from the first seed that
 // answers; without one this balancer is the first.
 func (b *Balancer) join(ctx context.Context) {
@@ -120,14 +109,13 @@
 	return true
 }
 
-// manyNews is how many entries a repair must bring for the next one to follow
-// at once: after a mass event rumours are too slow.
+// manyNews is how many entries a repair must bring, or all compared branches
+// must differ, for the next one to follow at once: after a mass event rumours
+// are too slow.
 const manyNews = 64
 
-func (b *Balancer) hurry(news int) {
-	if news < manyNews {
-		return
-	}
+// hurry makes the next exchange compare digests again.
+func (b *Balancer) hurry() {
 	b.view.mu.Lock()
 	defer b.view.mu.Unlock()
 	b.view.repairAt = time.Time{}
@@ -203,6 +191,8 @@
 		return 0, err
 	}
 	news, _ := b.take(theirs.Entries, nil)
-	b.hurry(len(news))
+	if len(news) >= manyNews || len(diff.Of) == repairBranches {
+		b.hurry()
+	}
 	return len(news), nil
 }
--- a/measure/fleet.go
+++ b/measure/fleet.go
@@ -165,11 +165,11 @@
 // runHost announces a host as agent.announceLoop does.
 func (f *fleet) runHost(h *fakeHost) {
 	for f.ctx.Err() == nil && !h.dead.Load() {
-		again := false
+		again, stated := false, h.period
 		for _, peer := range slices.Clone(h.registrars) {
 			again = f.heartbeat(h, peer) || again
 		}
-		wait := h.period
+		wait := stated
 		if again {
 			wait = 0
 		}
@@ -205,7 +205,7 @@
 		again = true
 	}
 	if len(reply.Registrars) > 0 {
-		h.registrars = reply.Registrars
+		f.changeRegistrars(h, reply.Registrars)
 		again = true
 	}
 	if reply.PeriodMillis > 0 {
@@ -215,6 +215,21 @@
 	return again
 }
 
+// changeRegistrars says farewell to those that are left.
+func (f *fleet) changeRegistrars(h *fakeHost, list []directory.Entry) {
+	for _, old := range h.registrars {
+		if slices.ContainsFunc(list, func(e directory.Entry) bool { return e.Control == old.Control }) {
+			continue
+		}
+		var reply control.HeartbeatReply
+		_ = f.client.Call(f.ctx, old.Control.String(), control.MethodHeartbeat, control.HeartbeatRequest{
+			Data: h.entry.Data, Incarnation: h.entry.Incarnation, Sequence: h.entry.Sequence,
+			Host: h.entry.Name, Zone: h.entry.Zone, Revision: f.revision, Final: true,
+		}, &reply)
+	}
+	h.registrars = list
+}
+
 func longest(asked map[netip.AddrPort]time.Duration, registrars []directory.Entry) time.Duration {
 	period := time.Second
 	for _, r := range registrars {
