A service that loses its last target at a host keeps its open flows

Cause, found by reading the agent as a newcomer: when no target of a host matched a service any more, its endpoint was taken from the multiplexer at once, and the multiplexer answers datagrams for a service it does not know with a stateless reset. Ruled out: balancers (they forward by route). Now a retired endpoint stays known until its connections end or the drain limit passes, and is resumed when the service comes back.

Green after: none broken, and new work is back after the second change.

--- a/agent/endpoint.go
+++ b/agent/endpoint.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 	"go.uber.org/zap"
@@ -65,6 +66,8 @@
 	server  *http3.Server
 	serving bool
 	conns   map[*quic.Conn]struct{}
+	// stopRetiring is set while no target here serves the service.
+	stopRetiring context.CancelFunc
 }
 
 func newEndpoint(m *mux, s *catalog.Service, tlsConf *tls.Config, maxConns int, log *zap.Logger) (*endpoint, error) {
@@ -183,18 +186,48 @@
 	_ = conn.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeRequestRejected), "not serving")
 }
 
-// closeWhenIdle waits for the last connection, at most until ctx ends, and
-// closes the endpoint.
-func (e *endpoint) closeWhenIdle(ctx context.Context) {
+// beginRetiring starts the wait for the last connection, at most for limit; it
+// tells whether none was running.
+func (e *endpoint) beginRetiring(parent context.Context, limit time.Duration) (context.Context, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.stopRetiring != nil {
+		return nil, false
+	}
+	ctx, cancel := context.WithTimeout(parent, limit)
+	e.stopRetiring = cancel
+	return ctx, true
+}
+
+// keep ends a wait that was started: the service is served here again.
+func (e *endpoint) keep() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.stopRetiring != nil {
+		e.stopRetiring()
+		e.stopRetiring = nil
+	}
+}
+
+func (e *endpoint) isRetiring() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stopRetiring != nil
+}
+
+// waitIdle waits for the last connection. It is false when the wait was ended
+// by keep, true when it is over or the limit has passed.
+func (e *endpoint) waitIdle(ctx context.Context) bool {
 	tick := time.NewTicker(drainPoll)
 	defer tick.Stop()
-	for e.open.Load() > 0 && ctx.Err() == nil {
+	for e.open.Load() > 0 {
 		select {
 		case <-ctx.Done():
+			return !errors.Is(ctx.Err(), context.Canceled)
 		case <-tick.C:
 		}
 	}
-	e.close()
+	return true
 }
 
 // close ends what is still open and tells the callers.
--- a/agent/replan.go
+++ b/agent/replan.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"context"
 	"maps"
 	"slices"
 
@@ -63,6 +62,7 @@
 			endpoints[id] = e
 		}
 		e.service.Store(svc)
+		e.keep()
 	}
 	for id, e := range endpoints {
 		if n, _ := a.gate.slots(id); n > 0 {
@@ -72,7 +72,6 @@
 		e.drain()
 		if _, planned := p.specs[id]; !planned {
 			a.retire(id, e)
-			delete(endpoints, id)
 		}
 	}
 	a.setEndpoints(endpoints)
@@ -99,16 +98,38 @@
 }
 
 // retire closes an endpoint whose service no target here serves any more, once
-// its connections ended.
+// its connections ended. Until then the endpoint stays known, for its open
+// flows run on, and the service may come back.
 func (a *Agent) retire(id route.ServiceID, e *endpoint) {
+	ctx, started := e.beginRetiring(a.serving, a.cfg.DrainLimit.D())
+	if !started {
+		return
+	}
 	a.workers.Run(func() {
-		ctx, cancel := context.WithTimeout(a.serving, a.cfg.DrainLimit.D())
-		defer cancel()
-		e.closeWhenIdle(ctx)
-		a.log.Info("endpoint closed", zap.Uint16(telemetry.FieldService, uint16(id)))
+		if !e.waitIdle(ctx) {
+			return
+		}
+		a.remove(id, e)
 	})
 }
 
+// remove forgets and closes an endpoint, unless its service came back.
+func (a *Agent) remove(id route.ServiceID, e *endpoint) {
+	a.replanMu.Lock()
+	defer a.replanMu.Unlock()
+	if !e.isRetiring() {
+		return
+	}
+	a.state.mu.Lock()
+	endpoints := maps.Clone(a.state.endpoints)
+	a.state.mu.Unlock()
+	delete(endpoints, id)
+	a.setEndpoints(endpoints)
+	e.keep()
+	e.close()
+	a.log.Info("endpoint closed", zap.Uint16(telemetry.FieldService, uint16(id)))
+}
+
 func (a *Agent) setEndpoints(endpoints map[route.ServiceID]*endpoint) {
 	conns := make(map[route.ServiceID]*serviceConn, len(endpoints))
 	for id, e := range endpoints {
--- a/balancer/gossip.go
+++ b/balancer/gossip.go
@@ -7,7 +7,9 @@
 	"github.com/poppywall/poppywall/catalog"
 	"github.com/poppywall/poppywall/control"
 	"github.com/poppywall/poppywall/directory"
+	"github.com/poppywall/poppywall/telemetry"
 	"github.com/poppywall/poppywall/worker"
+	"go.uber.org/zap"
 )
 
 const (
@@ -56,6 +58,38 @@
 	return nil
 }
 
+// exchangeOnce trades changes with one random balancer.
+func (b *Balancer) exchangeOnce(ctx context.Context) {
+	b.view.mu.Lock()
+	peer, ok := b.view.dir.Peer(b.view.rnd)
+	b.view.mu.Unlock()
+	if !ok {
+		return
+	}
+	if err := b.exchange(ctx, peer.Control.String()); err != nil {
+		b.metrics.exchangeErrors.Inc()
+		b.log.Debug("exchange failed", zap.String(telemetry.FieldPeer, peer.Name), zap.Error(err))
+		b.suspect(peer)
+	}
+}
+
+func (b *Balancer) suspect(peer directory.Entry) {
+	b.view.mu.Lock()
+	defer b.view.mu.Unlock()
+	b.view.dir.SuspectPeer(time.Now(), peer.Key())
+}
+
+// exchangeRequest builds the next gossip message.
+func (b *Balancer) exchangeRequest() control.ExchangeRequest {
+	b.view.mu.Lock()
+	defer b.view.mu.Unlock()
+	return control.ExchangeRequest{
+		Rumours:  b.view.dir.Rumours(nil),
+		Root:     b.view.dir.Root(),
+		Revision: b.view.catalog.Revision(),
+	}
+}
+
 // exchange runs one gossip round with the balancer at the address.
 func (b *Balancer) exchange(ctx context.Context, address string) error {
 	req := b.exchangeRequest()
--- a/balancer/leave.go
+++ b/balancer/leave.go
@@ -9,9 +9,7 @@
 
 	"go.uber.org/zap"
 
-	"github.com/poppywall/poppywall/control"
 	"github.com/poppywall/poppywall/directory"
-	"github.com/poppywall/poppywall/telemetry"
 )
 
 const (
@@ -69,35 +67,3 @@
 	}
 	time.Sleep(b.cfg.LeaveDelay.D())
 }
-
-// exchangeOnce trades changes with one random balancer.
-func (b *Balancer) exchangeOnce(ctx context.Context) {
-	b.view.mu.Lock()
-	peer, ok := b.view.dir.Peer(b.view.rnd)
-	b.view.mu.Unlock()
-	if !ok {
-		return
-	}
-	if err := b.exchange(ctx, peer.Control.String()); err != nil {
-		b.metrics.exchangeErrors.Inc()
-		b.log.Debug("exchange failed", zap.String(telemetry.FieldPeer, peer.Name), zap.Error(err))
-		b.suspect(peer)
-	}
-}
-
-func (b *Balancer) suspect(peer directory.Entry) {
-	b.view.mu.Lock()
-	defer b.view.mu.Unlock()
-	b.view.dir.SuspectPeer(time.Now(), peer.Key())
-}
-
-// exchangeRequest builds the next gossip message.
-func (b *Balancer) exchangeRequest() control.ExchangeRequest {
-	b.view.mu.Lock()
-	defer b.view.mu.Unlock()
-	return control.ExchangeRequest{
-		Rumours:  b.view.dir.Rumours(nil),
-		Root:     b.view.dir.Root(),
-		Revision: b.view.catalog.Revision(),
-	}
-}
--- a/trial/cluster.go
+++ b/trial/cluster.go
@@ -372,3 +372,9 @@
 	build := change.EditTarget(c.Store, host, "", func(t *catalog.Target) { t.Drain = drain })
 	return c.Applier().Edit(c.ctx, build)
 }
+
+// Label sets a label of a host as an operator does.
+func (c *Cluster) Label(host, key, value string) change.Result {
+	build := change.EditTarget(c.Store, host, "", func(t *catalog.Target) { t.Labels = catalog.Labels{key: value} })
+	return c.Applier().Edit(c.ctx, build)
+}
--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -213,3 +213,44 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// TestSelectorChangeKeepsOpenStreams relabels every host out of its service
+// while streams are open, and back: streams run on, new work stops and comes
+// back. Found by reading: the agent dropped a service that lost its last target
+// at once and reset its open flows. Point 1.
+func TestSelectorChangeKeepsOpenStreams(t *testing.T) {
+	c := startCluster(t, Site{Zones: []string{"a"}, Balancers: 2, Services: []ServiceSpec{{Name: "tables", Hosts: 2, Slots: 5}}})
+	relabel := func(value string) {
+		t.Helper()
+		for _, h := range c.Hosts {
+			res := c.Label(h.Name, LabelService, value)
+			require.Equal(t, "accepted", res.Text, res.Reason)
+		}
+	}
+	slots := func(want int) {
+		t.Helper()
+		for deadline := time.Now().Add(patience); c.Nodes[0].Balancer.Slots()["tables"] != want; time.Sleep(10 * time.Millisecond) {
+			require.True(t, time.Now().Before(deadline))
+		}
+	}
+	done := make(chan load.Summary, 1)
+	go func() {
+		summary, err := load.Run(t.Context(), load.Plan{Seconds: 8, Flows: []load.Flow{
+			{Service: "tables", Kind: load.Board, PerSecond: 0.001, Burst: 20, MeanSeconds: 1e6},
+		}}, c)
+		if err == nil {
+			done <- summary
+		}
+	}()
+	for open := 0.0; open < 20; time.Sleep(10 * time.Millisecond) {
+		open = float64(c.Hosts[0].Target.Streams() + c.Hosts[1].Target.Streams())
+	}
+	relabel("elsewhere")
+	slots(0)
+	time.Sleep(time.Second)
+	relabel("tables")
+	slots(10)
+	summary := <-done
+	require.Equal(t, int64(20), summary.Streams)
+	require.Zero(t, summary.BrokenFlows, summary.Errors)
+}
