Mass events spread in larger messages

Cause: a cold start of 30 balancers with 270 hosts took 29 to 40 s because a message carried 32 changes at the most. The quiet figure of that run (9968 B/s) still held the tail of the start, so the measurement now waits 20 s before it.

--- a/binaries/poppywall-measure/main.go
+++ b/binaries/poppywall-measure/main.go
@@ -15,21 +15,27 @@
 func main() {
 	p := process.NewParser("poppywall-measure", "Measurements over the decisions and the costs of control.")
 	runs := map[*flaggy.Subcommand]func(io.Writer) error{}
-	add := func(name, description string, run func(io.Writer) error) {
+	add := func(name, description string, run func(io.Writer) error) *flaggy.Subcommand {
 		sub := flaggy.NewSubcommand(name)
 		sub.Description = description
 		p.AttachSubcommand(sub, 1)
 		runs[sub] = run
+		return sub
 	}
+	only := 0
 	add("choice", "Policies for the choice of host.", measure.PrintChoice)
 	add("overload", "Goodput under overload and retries.", measure.PrintOverload)
 	add("ejection", "Judges for the ejection of failing targets.", measure.PrintEjection)
 	add("relay", "Datagrams a second through a balancer against a bare relay.", measure.PrintRelay)
-	add("fleet", "Cost of control and time to agree of real balancers (part of capacity).", measure.PrintFleet)
+	fleet := add("fleet", "Cost of control and time to agree of real balancers (part of capacity).", measure.PrintFleet)
 	add("capacity", "Costs of control over the size of the fleet.", measure.PrintCapacity)
+	fleet.Int(&only, "n", "balancers", "Only this number of balancers.")
 	if err := p.ParseArgs(os.Args[1:]); err != nil {
 		process.Fail(process.ExitUsage, err)
 	}
+	if only > 0 {
+		measure.FleetSizes = []int{only}
+	}
 	for sub, run := range runs {
 		if !sub.Used {
 			continue
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -45,7 +45,7 @@
 		MaxEntries:          40000,
 		RumourFactor:        2,
 		MaxUseless:          2,
-		MaxRumours:          32,
+		MaxRumours:          128,
 	}
 }
 
--- a/measure/fleet.go
+++ b/measure/fleet.go
@@ -47,7 +47,7 @@
 
 const (
 	// fleetSettle lets the changes of the cold start die down.
-	fleetSettle  = 6 * time.Second
+	fleetSettle  = 20 * time.Second
 	fleetQuiet   = 8 * time.Second
 	fleetBusy    = 8 * time.Second
 	fleetTimeout = 120 * time.Second
@@ -319,14 +319,14 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// fleetSizes are the balancers of the runs.
-var fleetSizes = []int{3, 10, 30, 100}
+// FleetSizes are the balancers of the runs.
+var FleetSizes = []int{3, 10, 30, 100}
 
 // PrintFleet shows the cost of control and the time to agree over the fleet.
 func PrintFleet(w io.Writer) error {
 	tw := tabwriter.NewWriter(w, 11, 4, 2, ' ', 0)
 	fmt.Fprintf(tw, "BALANCERS\tHOSTS\tCOLD START\tQUIET B/S\tBUSY B/S (%d+%d CHANGES/S)\tCPU SHARE\tPLATFORM CALLS/S\tCHANGE IN FORCE\tDEATH KNOWN\n", hostChanges, configChanges)
-	for _, n := range fleetSizes {
+	for _, n := range FleetSizes {
 		r, err := Fleet(context.Background(), n)
 		if err != nil {
 			return errors.Wrapf(err, "%d balancers", n)
