--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 export CGO_ENABLED = 1
 
-.PHONY: trial test fuzz build lint capacity ejection choice overload fleet relay bench experiments modules mutants
+.PHONY: trial test fuzz build lint capacity ejection choice overload costs fleet relay bench experiments modules mutants
 
 trial: build
 	bin/poppywall-trial
@@ -42,7 +42,7 @@
 	go test ./agent -run '^$$' -fuzz FuzzHandle -fuzztime 20s
 
 # The measurements that docs/ quotes.
-choice ejection overload capacity fleet relay: build
+choice ejection overload capacity costs fleet relay: build
 	bin/poppywall-measure $@
 
 bench:
--- a/binaries/poppywall-measure/main.go
+++ b/binaries/poppywall-measure/main.go
@@ -26,6 +26,7 @@
 	add("choice", "Policies for the choice of host.", measure.PrintChoice)
 	add("overload", "Goodput under overload and retries.", measure.PrintOverload)
 	add("ejection", "Judges for the ejection of failing targets.", measure.PrintEjection)
+	add("costs", "Memory and processor time of a balancer's state (part of capacity).", measure.PrintCosts)
 	add("relay", "Datagrams a second through a balancer against a bare relay.", measure.PrintRelay)
 	fleet := add("fleet", "Cost of control and time to agree of real balancers (part of capacity).", measure.PrintFleet)
 	add("capacity", "Costs of control over the size of the fleet.", measure.PrintCapacity)
--- a/load/runner.go
+++ b/load/runner.go
@@ -153,7 +153,7 @@
 	}
 	resp, err := c.Do(ctx, method, path, reader(body), header)
 	if err != nil {
-		a.err, a.verdict = rejected(err)
+		a.verdict, a.err = rejected(err)
 		r.rec.request(a)
 		return
 	}
@@ -170,12 +170,12 @@
 
 // rejected tells a request that the server says it did not look at (RFC 9114
 // section 8.1, H3_REQUEST_REJECTED) from a failure.
-func rejected(err error) (error, verdict.Verdict) {
+func rejected(err error) (verdict.Verdict, error) {
 	var h3 *http3.Error
 	if errors.As(err, &h3) && h3.ErrorCode == http3.ErrCodeRequestRejected {
-		return nil, verdict.NotRun
+		return verdict.NotRun, nil
 	}
-	return err, verdict.Unknown
+	return verdict.Unknown, err
 }
 
 func reader(body []byte) io.Reader {
--- a/measure/capacity.go
+++ b/measure/capacity.go
@@ -4,7 +4,15 @@
 
 // PrintCapacity prints every table that docs/CAPACITY.md uses.
 func PrintCapacity(w io.Writer) error {
-	for _, table := range []func(io.Writer) error{PrintMemory, PrintOperations, PrintFleet} {
+	return printAll(w, PrintCosts, PrintRelay, PrintFleet)
+}
+
+// PrintCosts prints the memory and the processor time of a balancer's state
+// over the size of the fleet.
+func PrintCosts(w io.Writer) error { return printAll(w, PrintMemory, PrintOperations) }
+
+func printAll(w io.Writer, tables ...func(io.Writer) error) error {
+	for _, table := range tables {
 		if err := table(w); err != nil {
 			return err
 		}
