Frozen targets, slow platform, bounded control connections tested; kill and freeze in the timetable

A target that freezes behind a live agent: new work leaves it and comes back (same test as the failing one). The platform 700 ms late on every call: a label change is accepted and in force, streams run on. A server that has all its connections turns the next one away.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -63,6 +63,29 @@
 	require.NoError(t, c.Call(t.Context(), address, "echo", echo{"still here"}, &out))
 }
 
+// TestConnectionsAreBounded holds the only place of a server: a second caller is
+// turned away at once, and served when the place is free again.
+func TestConnectionsAreBounded(t *testing.T) {
+	s, err := Listen("127.0.0.1:0", []route.Secret{oldSecret}, &Traffic{}, zap.NewNop())
+	require.NoError(t, err)
+	s.slots = make(chan struct{}, 1)
+	s.Register("echo", Handle(func(_ context.Context, e echo) (echo, error) { return e, nil }))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = s.Serve(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	first := NewClient([]route.Secret{oldSecret}, &Traffic{}, 10*time.Second, time.Minute)
+	var out echo
+	require.NoError(t, first.Call(t.Context(), s.Addr().String(), "echo", echo{"a"}, &out))
+	_, err = call(t, s.Addr().String(), oldSecret)
+	require.Error(t, err)
+	first.Close()
+	require.Eventually(t, func() bool {
+		_, err := call(t, s.Addr().String(), oldSecret)
+		return err == nil
+	}, 30*time.Second, 10*time.Millisecond)
+}
+
 // pair returns both ends of a stream.
 func pair(t *testing.T) (client, server *stream) {
 	t.Helper()
--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -59,6 +59,13 @@
 		require.Equal(t, 3, code, "rejected, for nothing was written")
 		setFaults(t, s, `{}`)
 	})
+	t.Run("the platform is slow", func(t *testing.T) {
+		setFaults(t, s, `{"delayMillis":700}`)
+		out, code := s.run("label", "host-1", "--set", "tried=slow", "--wait", patience.String())
+		require.Zero(t, code, out)
+		followAll(20)
+		setFaults(t, s, `{}`)
+	})
 	t.Run("a host drains", func(t *testing.T) {
 		out, code := s.run("drain", "host-0", "--wait", patience.String())
 		require.Zero(t, code, out)
--- a/load/experiment.go
+++ b/load/experiment.go
@@ -49,6 +49,9 @@
 	StopBalancer FaultKind = "stop-balancer"
 	AddBalancer  FaultKind = "add-balancer"
 	AddHost      FaultKind = "add-host"
+	KillTarget   FaultKind = "kill-target"
+	FreezeTarget FaultKind = "freeze-target"
+	ThawTarget   FaultKind = "thaw-target"
 	FailTarget   FaultKind = "fail-target"
 	HealTarget   FaultKind = "heal-target"
 	PlatformDown FaultKind = "platform-down"
@@ -58,7 +61,7 @@
 // Fault is one line of the timetable.
 type Fault struct {
 	AtSeconds float64   `json:"atSeconds" validate:"gte=0"`
-	Kind      FaultKind `json:"kind" validate:"oneof=drain-target stop-agent stop-balancer add-balancer add-host fail-target heal-target platform-down platform-up"`
+	Kind      FaultKind `json:"kind" validate:"oneof=drain-target stop-agent stop-balancer add-balancer add-host kill-target freeze-target thaw-target fail-target heal-target platform-down platform-up"`
 	// Index tells which balancer, host or target.
 	Index int `json:"index,omitempty" validate:"gte=0"`
 	// Service names the service of an added host.
--- a/standin/target.go
+++ b/standin/target.go
@@ -53,6 +53,8 @@
 	FailAll atomic.Bool
 	// DieMidAnswer cuts the connection in the middle of an answer.
 	DieMidAnswer atomic.Bool
+	// Frozen holds every request and announcement back until it is lifted.
+	Frozen atomic.Bool
 	// Silent stops announcements without a farewell.
 	Silent atomic.Bool
 }
@@ -131,7 +133,7 @@
 	tick := time.NewTicker(t.opts.Heartbeat)
 	defer tick.Stop()
 	for {
-		if !t.Silent.Load() {
+		if !t.Silent.Load() && !t.Frozen.Load() {
 			_ = t.announce(ctx)
 		}
 		select {
@@ -175,6 +177,7 @@
 			t.runs[id]++
 			t.mu.Unlock()
 		}
+		t.waitThawed(r.Context())
 		if t.FailAll.Load() {
 			http.Error(w, "broken", http.StatusInternalServerError)
 			return
@@ -183,6 +186,12 @@
 	})
 }
 
+func (t *Target) waitThawed(ctx context.Context) {
+	for t.Frozen.Load() && ctx.Err() == nil {
+		time.Sleep(idlePoll)
+	}
+}
+
 // board streams server-sent events: one every interval until the count or the
 // caller ends it.
 func (t *Target) board(w http.ResponseWriter, r *http.Request) {
--- a/trial/cluster.go
+++ b/trial/cluster.go
@@ -68,6 +68,8 @@
 
 	slots   int
 	drained atomic.Bool
+	// killTarget ends the target at once, with all its connections.
+	killTarget context.CancelFunc
 }
 
 // Node is one balancer of a running site.
@@ -306,6 +308,8 @@
 	}
 	ctx, stop := context.WithCancel(c.ctx)
 	h := &Host{Service: s.Name, Name: cfg.Host, Agent: a, Target: t, StopAgent: stop, Stopped: make(chan struct{}), slots: s.Slots}
+	targetCtx, kill := context.WithCancel(c.ctx)
+	h.killTarget = kill
 	c.mu.Lock()
 	c.Hosts = append(c.Hosts, h)
 	c.mu.Unlock()
@@ -313,7 +317,7 @@
 		defer close(h.Stopped)
 		_ = a.Run(ctx)
 	})
-	c.wg.Go(func() { _ = t.Serve(c.ctx) })
+	c.wg.Go(func() { _ = t.Serve(targetCtx) })
 	return nil
 }
 
--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -139,40 +139,46 @@
 	require.Error(t, err, "a cut answer ended cleanly")
 }
 
-// TestFailingTargetLosesNewFlows: health is fine, every request fails; its host
-// takes no new flows until it does well again. Point 10.
-func TestFailingTargetLosesNewFlows(t *testing.T) {
-	c := startCluster(t, Site{Zones: []string{"a"}, Balancers: 2, Services: []ServiceSpec{{Name: "tables", Hosts: 2, Slots: 5}}})
-	bad := c.Hosts[0].Target
-	bad.FailAll.Store(true)
-	ask := func() int {
-		caller, err := c.NewCaller("tables", "")
-		require.NoError(t, err)
-		defer caller.Close()
-		resp, err := caller.Do(t.Context(), http.MethodPost, "/move", strings.NewReader("x"), nil)
-		require.NoError(t, err)
-		_ = resp.Body.Close()
-		return resp.StatusCode
-	}
-	inARow := func(status, n int, what string) {
-		t.Helper()
-		deadline := time.Now().Add(patience)
-		for run := 0; run < n; {
-			require.True(t, time.Now().Before(deadline), what)
-			run++
-			if ask() != status {
-				run = 0
+// TestSpoiltTargetsLoseNewWork spoils one of two targets: every request fails
+// behind good health, or the process is frozen. New work leaves it, and comes
+// back when it does well again. Point 10.
+func TestSpoiltTargetsLoseNewWork(t *testing.T) {
+	for name, spoil := range map[string]func(*standin.Target, bool){
+		"failing": func(target *standin.Target, on bool) { target.FailAll.Store(on) },
+		"frozen":  func(target *standin.Target, on bool) { target.Frozen.Store(on) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := startCluster(t, Site{Zones: []string{"a"}, Balancers: 2, Services: []ServiceSpec{{Name: "tables", Hosts: 2, Slots: 5}}})
+			bad := c.Hosts[0].Target
+			spoil(bad, true)
+			inARow := 0
+			for deadline := time.Now().Add(patience); inARow < 20; inARow++ {
+				require.True(t, time.Now().Before(deadline), "the spoilt target keeps getting work")
+				if c.move(t) != http.StatusOK {
+					inARow = -1
+				}
 			}
-		}
-	}
-	inARow(http.StatusOK, 20, "the failing target keeps getting flows")
-	bad.FailAll.Store(false)
-	before := bad.Requests()
-	for deadline := time.Now().Add(patience); bad.Requests() < before+5; ask() {
-		require.True(t, time.Now().Before(deadline), "the healed target gets no work again")
+			spoil(bad, false)
+			before := bad.Requests()
+			for deadline := time.Now().Add(patience); bad.Requests() < before+5; c.move(t) {
+				require.True(t, time.Now().Before(deadline), "the healed target gets no work again")
+			}
+		})
 	}
 }
 
+// move makes one move on a flow of its own and returns the status.
+func (c *Cluster) move(t *testing.T) int {
+	t.Helper()
+	caller, err := c.NewCaller("tables", "")
+	require.NoError(t, err)
+	defer caller.Close()
+	resp, err := caller.Do(t.Context(), http.MethodPost, "/move", strings.NewReader("x"), http.Header{"Poppywall-Timeout-Ms": {"1000"}})
+	require.NoError(t, err)
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
 // TestAcceptedChangeIsInForceEverywhere makes changes while answers are lost,
 // reads are stale and a balancer joins during an outage. Point 8, end to end.
 func TestAcceptedChangeIsInForceEverywhere(t *testing.T) {
--- a/trial/workload.go
+++ b/trial/workload.go
@@ -119,6 +119,13 @@
 	case load.StopAgent:
 		h.drained.Store(true)
 		h.StopAgent()
+	case load.KillTarget:
+		h.drained.Store(true)
+		h.killTarget()
+	case load.FreezeTarget:
+		h.Target.Frozen.Store(true)
+	case load.ThawTarget:
+		h.Target.Frozen.Store(false)
 	case load.FailTarget:
 		h.Target.FailAll.Store(true)
 	case load.HealTarget:
