--- a/trial/fabric_test.go
+++ b/trial/fabric_test.go
@@ -34,7 +34,10 @@
 	return f
 }
 
+// close first lets the callers' farewells through: without them the agents
+// would wait for the flows' idle timeout.
 func (f *badFabric) close() {
+	time.Sleep(10 * maxDelay)
 	_ = f.front.Close()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -45,13 +48,16 @@
 
 func (f *badFabric) address() string { return f.front.LocalAddr().String() }
 
+// maxDelay bounds how late a datagram arrives.
+const maxDelay = 15 * time.Millisecond
+
 // pass sends a datagram once or twice, each a little later.
 func (f *badFabric) pass(b []byte, send func([]byte)) {
 	f.mu.Lock()
 	copies := 1 + f.rnd.IntN(5)/4
 	var delays []time.Duration
 	for range copies {
-		delays = append(delays, time.Duration(f.rnd.IntN(15))*time.Millisecond)
+		delays = append(delays, time.Duration(f.rnd.Int64N(int64(maxDelay))))
 	}
 	f.mu.Unlock()
 	own := append([]byte(nil), b...)
