--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,7 @@
 	go test ./relay/encap -run '^$$' -fuzz FuzzParsePacket -fuzztime 20s
 	go test ./forward -run '^$$' -fuzz FuzzFromCaller -fuzztime 20s
 	go test ./agent -run '^$$' -fuzz FuzzHandle -fuzztime 20s
+	go test ./directory -run '^$$' -fuzz FuzzEntryDecode -fuzztime 20s
 
 # The measurements that docs/ quotes.
 choice ejection overload capacity costs fleet relay: build
