The store interface is a module of its own, its etcd-protocol client a package beside it

The platform package is to hold the adapter for the users' platform and nothing else, so the narrow store interface moves to store and its present client to store/gateway. Names only; no behaviour changed.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -18,11 +18,12 @@
 	"github.com/poppywall/poppywall/catalog"
 	"github.com/poppywall/poppywall/control"
 	"github.com/poppywall/poppywall/directory"
-	"github.com/poppywall/poppywall/platform"
 	"github.com/poppywall/poppywall/relay"
 	"github.com/poppywall/poppywall/relay/encap"
 	"github.com/poppywall/poppywall/route"
 	"github.com/poppywall/poppywall/settings"
+	"github.com/poppywall/poppywall/store"
+	"github.com/poppywall/poppywall/store/gateway"
 	"github.com/poppywall/poppywall/telemetry"
 	"github.com/poppywall/poppywall/worker"
 )
@@ -54,7 +55,7 @@
 	handover *handover
 	certs    *certificates
 	client   *control.Client
-	store    platform.Store
+	store    store.Store
 	traffic  control.Traffic
 	http     *telemetry.Endpoint
 	announce net.Listener
@@ -101,7 +102,7 @@
 		return nil, err
 	}
 	if cfg.Platform != "" {
-		a.store = platform.NewClient(cfg.Platform, platformTimeout)
+		a.store = gateway.NewClient(cfg.Platform, platformTimeout)
 	}
 	a.client = control.NewClient(secrets, &a.traffic, callTimeout, idleConn)
 	if err := a.listen(secrets); err != nil {
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -14,7 +14,7 @@
 	"github.com/poppywall/poppywall/control"
 	"github.com/poppywall/poppywall/directory"
 	"github.com/poppywall/poppywall/feed"
-	"github.com/poppywall/poppywall/platform"
+	"github.com/poppywall/poppywall/store"
 	"github.com/poppywall/poppywall/telemetry"
 	"github.com/poppywall/poppywall/worker"
 )
@@ -126,8 +126,8 @@
 
 func (a *Agent) platformSeeds(ctx context.Context) []string {
 	var seeds []string
-	req := platform.RangeRequest{Key: feed.SeedPrefix, End: platform.PrefixEnd(feed.SeedPrefix)}
-	_, err := platform.ReadAll(ctx, a.store, req, func(kv platform.KV) error {
+	req := store.RangeRequest{Key: feed.SeedPrefix, End: store.PrefixEnd(feed.SeedPrefix)}
+	_, err := store.ReadAll(ctx, a.store, req, func(kv store.KV) error {
 		seeds = append(seeds, string(kv.Value))
 		return nil
 	})
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -15,11 +15,12 @@
 	"github.com/poppywall/poppywall/control"
 	"github.com/poppywall/poppywall/directory"
 	"github.com/poppywall/poppywall/forward"
-	"github.com/poppywall/poppywall/platform"
 	"github.com/poppywall/poppywall/relay"
 	"github.com/poppywall/poppywall/relay/encap"
 	"github.com/poppywall/poppywall/route"
 	"github.com/poppywall/poppywall/settings"
+	"github.com/poppywall/poppywall/store"
+	"github.com/poppywall/poppywall/store/gateway"
 	"github.com/poppywall/poppywall/telemetry"
 	"github.com/poppywall/poppywall/worker"
 )
@@ -47,7 +48,7 @@
 	sockets  socketSet
 	pool     sync.Pool
 
-	store   platform.Store
+	store   store.Store
 	client  *control.Client
 	server  *control.Server
 	traffic control.Traffic
@@ -93,7 +94,7 @@
 		health:  &telemetry.Health{},
 		table:   forward.NewTable(codec, tagger, choose.Defaults(), cfg.Zone),
 		tagger:  tagger,
-		store:   platform.NewClient(cfg.Platform, platformTimeout),
+		store:   gateway.NewClient(cfg.Platform, platformTimeout),
 		pool:    sync.Pool{New: func() any { return relay.NewBatch() }},
 	}
 	b.sockets.open = map[netip.AddrPort]*relay.Socket{}
--- a/balancer/feedloop.go
+++ b/balancer/feedloop.go
@@ -9,7 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/poppywall/poppywall/feed"
-	"github.com/poppywall/poppywall/platform"
+	"github.com/poppywall/poppywall/store"
 	"github.com/poppywall/poppywall/worker"
 )
 
@@ -82,9 +82,9 @@
 // readSeeds returns the other feeders' addresses in random order.
 func (b *Balancer) readSeeds(ctx context.Context) ([]string, error) {
 	var seeds []string
-	req := platform.RangeRequest{Key: feed.SeedPrefix, End: platform.PrefixEnd(feed.SeedPrefix)}
+	req := store.RangeRequest{Key: feed.SeedPrefix, End: store.PrefixEnd(feed.SeedPrefix)}
 	own := b.ControlAddr().String()
-	_, err := platform.ReadAll(ctx, b.store, req, func(kv platform.KV) error {
+	_, err := store.ReadAll(ctx, b.store, req, func(kv store.KV) error {
 		if string(kv.Value) != own {
 			seeds = append(seeds, string(kv.Value))
 		}
@@ -116,8 +116,8 @@
 	}
 	slot := strconv.FormatUint(uint64(b.seedSlot()), 10)
 	key := feed.SeedPrefix + b.cfg.Zone + "/" + slot
-	put := platform.Put{Key: key, Value: []byte(b.ControlAddr().String()), Lease: lease}
-	_, err = b.store.Txn(ctx, platform.Txn{Puts: []platform.Put{put}})
+	put := store.Put{Key: key, Value: []byte(b.ControlAddr().String()), Lease: lease}
+	_, err = b.store.Txn(ctx, store.Txn{Puts: []store.Put{put}})
 	return err
 }
 
--- a/binaries/poppywallctl/main.go
+++ b/binaries/poppywallctl/main.go
@@ -16,8 +16,9 @@
 	"github.com/poppywall/poppywall/binaries/internal/process"
 	"github.com/poppywall/poppywall/change"
 	"github.com/poppywall/poppywall/control"
-	"github.com/poppywall/poppywall/platform"
 	"github.com/poppywall/poppywall/settings"
+	"github.com/poppywall/poppywall/store"
+	"github.com/poppywall/poppywall/store/gateway"
 )
 
 // Exit codes of changes.
@@ -48,7 +49,7 @@
 // tool is one run of the command.
 type tool struct {
 	cfg     ctlSettings
-	store   platform.Store
+	store   store.Store
 	client  *control.Client
 	applier *change.Applier
 	wait    time.Duration
@@ -136,7 +137,7 @@
 	if err != nil {
 		process.Fail(process.ExitUsage, err)
 	}
-	store := platform.NewClient(cfg.Platform, platformTimeout)
+	store := gateway.NewClient(cfg.Platform, platformTimeout)
 	return &tool{
 		cfg:     cfg,
 		store:   store,
--- a/change/builder.go
+++ b/change/builder.go
@@ -7,60 +7,60 @@
 
 	"github.com/poppywall/poppywall/catalog"
 	"github.com/poppywall/poppywall/feed"
-	"github.com/poppywall/poppywall/platform"
 	"github.com/poppywall/poppywall/route"
+	"github.com/poppywall/poppywall/store"
 )
 
 // transaction reads what the change depends on and builds the swap.
-func (a *Applier) transaction(ctx context.Context, id string, doc Document) (platform.Txn, error) {
+func (a *Applier) transaction(ctx context.Context, id string, doc Document) (store.Txn, error) {
 	b := &builder{ctx: ctx, store: a.store, id: id}
 	marker := Marker{ID: id, Author: a.opts.Author, At: a.opts.Now()}
 	for i := range doc.Items {
 		key, err := b.item(&doc.Items[i])
 		if err != nil {
-			return platform.Txn{}, err
+			return store.Txn{}, err
 		}
 		marker.Keys = append(marker.Keys, key)
 	}
 	if err := b.finish(); err != nil {
-		return platform.Txn{}, err
+		return store.Txn{}, err
 	}
 	value, err := json.Marshal(marker)
 	if err != nil {
-		return platform.Txn{}, err
+		return store.Txn{}, err
 	}
 	lease, err := a.store.Grant(ctx, markerTTL)
 	if err != nil {
-		return platform.Txn{}, err
+		return store.Txn{}, err
 	}
 	key := feed.ChangePrefix + id
-	b.txn.Compares = append(b.txn.Compares, platform.Compare{Key: key, Field: platform.CreateRevision})
-	b.txn.Puts = append(b.txn.Puts, platform.Put{Key: key, Value: value, Lease: lease})
+	b.txn.Compares = append(b.txn.Compares, store.Compare{Key: key, Field: store.CreateRevision})
+	b.txn.Puts = append(b.txn.Puts, store.Put{Key: key, Value: value, Lease: lease})
 	return b.txn, nil
 }
 
 // builder collects the compares and puts of one transaction.
 type builder struct {
 	ctx   context.Context
-	store platform.Store
+	store store.Store
 	id    string
-	txn   platform.Txn
+	txn   store.Txn
 	// counter is the service ID counter once it was read; next is its value.
-	counter *platform.KV
+	counter *store.KV
 	next    int
 }
 
-func (b *builder) read(key string) (platform.KV, bool, error) {
-	resp, err := b.store.Range(b.ctx, platform.RangeRequest{Key: key})
+func (b *builder) read(key string) (store.KV, bool, error) {
+	resp, err := b.store.Range(b.ctx, store.RangeRequest{Key: key})
 	if err != nil || len(resp.KVs) == 0 {
-		return platform.KV{}, false, err
+		return store.KV{}, false, err
 	}
 	return resp.KVs[0], true, nil
 }
 
 func (b *builder) swap(key string, modRevision int64, value []byte) {
-	b.txn.Compares = append(b.txn.Compares, platform.Compare{Key: key, Field: platform.ModRevision, Equal: modRevision})
-	b.txn.Puts = append(b.txn.Puts, platform.Put{Key: key, Value: value})
+	b.txn.Compares = append(b.txn.Compares, store.Compare{Key: key, Field: store.ModRevision, Equal: modRevision})
+	b.txn.Puts = append(b.txn.Puts, store.Put{Key: key, Value: value})
 }
 
 func (b *builder) item(it *Item) (string, error) {
--- a/change/change.go
+++ b/change/change.go
@@ -10,8 +10,8 @@
 
 	"github.com/poppywall/poppywall/catalog"
 	"github.com/poppywall/poppywall/feed"
-	"github.com/poppywall/poppywall/platform"
 	"github.com/poppywall/poppywall/settings"
+	"github.com/poppywall/poppywall/store"
 	"github.com/poppywall/poppywall/verdict"
 )
 
@@ -152,16 +152,16 @@
 
 // Applier makes changes.
 type Applier struct {
-	store platform.Store
+	store store.Store
 	opts  Options
 }
 
 // NewApplier returns an applier that changes the given store.
-func NewApplier(store platform.Store, opts Options) *Applier {
+func NewApplier(kv store.Store, opts Options) *Applier {
 	if opts.Sleep == nil {
 		opts.Sleep = sleep
 	}
-	return &Applier{store: store, opts: opts}
+	return &Applier{store: kv, opts: opts}
 }
 
 // conflict is a failed precondition, final for this change.
@@ -268,9 +268,9 @@
 		return Result{}, err
 	}
 	key := feed.ChangePrefix + id
-	resp, err := a.store.Txn(ctx, platform.Txn{
-		Compares: []platform.Compare{{Key: key, Field: platform.CreateRevision}},
-		Puts:     []platform.Put{{Key: key, Value: fence, Lease: lease}},
+	resp, err := a.store.Txn(ctx, store.Txn{
+		Compares: []store.Compare{{Key: key, Field: store.CreateRevision}},
+		Puts:     []store.Put{{Key: key, Value: fence, Lease: lease}},
 	})
 	if err != nil {
 		return Result{}, err
@@ -282,7 +282,7 @@
 }
 
 func (a *Applier) readMarker(ctx context.Context, id string) (Result, error) {
-	resp, err := a.store.Range(ctx, platform.RangeRequest{Key: feed.ChangePrefix + id})
+	resp, err := a.store.Range(ctx, store.RangeRequest{Key: feed.ChangePrefix + id})
 	if err != nil {
 		return Result{}, err
 	}
--- a/change/change_test.go
+++ b/change/change_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/poppywall/poppywall/catalog"
 	"github.com/poppywall/poppywall/feed"
-	"github.com/poppywall/poppywall/platform"
 	"github.com/poppywall/poppywall/standin"
+	"github.com/poppywall/poppywall/store"
 )
 
 var t0 = time.Unix(1_700_000_000, 0)
@@ -23,7 +23,7 @@
 	before func()
 }
 
-func (r *racing) Txn(ctx context.Context, txn platform.Txn) (platform.TxnResponse, error) {
+func (r *racing) Txn(ctx context.Context, txn store.Txn) (store.TxnResponse, error) {
 	if f := r.before; f != nil {
 		r.before = nil
 		f()
@@ -48,7 +48,7 @@
 	return w
 }
 
-func (w *world) applier(s platform.Store) *Applier {
+func (w *world) applier(s store.Store) *Applier {
 	tries := 0
 	return NewApplier(s, Options{
 		Author: "tester",
@@ -64,7 +64,7 @@
 	})
 }
 
-func (w *world) apply(s platform.Store, doc Document) Result {
+func (w *world) apply(s store.Store, doc Document) Result {
 	res := w.applier(s).Apply(context.Background(), doc)
 	w.outcomes[res.ID] = res
 	return res
@@ -103,7 +103,7 @@
 				accepted[key] = res
 			}
 		}
-		change := func(t *rapid.T, s platform.Store, label string) {
+		change := func(t *rapid.T, s store.Store, label string) {
 			host := rapid.IntRange(0, 2).Draw(t, label)
 			res := w.apply(s, Document{Items: []Item{targetItem(host, rapid.Bool().Draw(t, "drain"))}})
 			note(catalog.TargetKey(fmt.Sprint("h", host), ""), res)
@@ -169,7 +169,7 @@
 // downAfterTxn is a platform that goes down as it loses the answer.
 type downAfterTxn struct{ *racing }
 
-func (d *downAfterTxn) Txn(ctx context.Context, txn platform.Txn) (platform.TxnResponse, error) {
+func (d *downAfterTxn) Txn(ctx context.Context, txn store.Txn) (store.TxnResponse, error) {
 	resp, err := d.racing.Txn(ctx, txn)
 	d.SetFaults(standin.Faults{Down: true})
 	return resp, err
@@ -229,7 +229,7 @@
 
 func TestEditKeepsBothOperatorsLabels(t *testing.T) {
 	w := newWorld()
-	set := func(s platform.Store, key string) Result {
+	set := func(s store.Store, key string) Result {
 		return w.applier(s).Edit(context.Background(), EditTarget(s, "h", "t", func(target *catalog.Target) {
 			labels := catalog.Labels{key: "1"}
 			for k, v := range target.Labels {
@@ -264,7 +264,7 @@
 // TestOneBadRecordDoesNotHoldUpTheOthers feeds a record that no tool wrote.
 func TestOneBadRecordDoesNotHoldUpTheOthers(t *testing.T) {
 	w := newWorld()
-	_, err := w.store.Txn(context.Background(), platform.Txn{Puts: []platform.Put{
+	_, err := w.store.Txn(context.Background(), store.Txn{Puts: []store.Put{
 		{Key: feed.CatalogPrefix + "services/x", Value: []byte("{")},
 	}})
 	require.NoError(t, err)
--- a/change/history.go
+++ b/change/history.go
@@ -8,7 +8,7 @@
 
 	"github.com/poppywall/poppywall/catalog"
 	"github.com/poppywall/poppywall/feed"
-	"github.com/poppywall/poppywall/platform"
+	"github.com/poppywall/poppywall/store"
 )
 
 // Entry is one line of history.
@@ -18,12 +18,12 @@
 }
 
 // History returns the changes of the last day, oldest first.
-func History(ctx context.Context, store platform.Store) ([]Entry, error) {
+func History(ctx context.Context, kv store.Store) ([]Entry, error) {
 	var out []Entry
-	req := platform.RangeRequest{Key: feed.ChangePrefix, End: platform.PrefixEnd(feed.ChangePrefix)}
-	_, err := platform.ReadAll(ctx, store, req, func(kv platform.KV) error {
-		e := Entry{Revision: catalog.Revision(kv.ModRevision)}
-		if err := json.Unmarshal(kv.Value, &e.Marker); err != nil {
+	req := store.RangeRequest{Key: feed.ChangePrefix, End: store.PrefixEnd(feed.ChangePrefix)}
+	_, err := store.ReadAll(ctx, kv, req, func(pair store.KV) error {
+		e := Entry{Revision: catalog.Revision(pair.ModRevision)}
+		if err := json.Unmarshal(pair.Value, &e.Marker); err != nil {
 			return err
 		}
 		out = append(out, e)
@@ -34,8 +34,8 @@
 }
 
 // Current returns the stored configuration.
-func Current(ctx context.Context, store platform.Store) (*catalog.State, error) {
-	res, err := feed.Pull(ctx, store, 0)
+func Current(ctx context.Context, kv store.Store) (*catalog.State, error) {
+	res, err := feed.Pull(ctx, kv, 0)
 	if err != nil {
 		return nil, err
 	}
@@ -46,10 +46,10 @@
 
 // EditTarget returns a builder for Edit that changes one target's record; a
 // missing record starts empty.
-func EditTarget(store platform.Store, host, name string, edit func(*catalog.Target)) func(context.Context) (Document, error) {
+func EditTarget(kv store.Store, host, name string, edit func(*catalog.Target)) func(context.Context) (Document, error) {
 	return func(ctx context.Context) (Document, error) {
 		key := catalog.TargetKey(host, name)
-		resp, err := store.Range(ctx, platform.RangeRequest{Key: feed.CatalogPrefix + key})
+		resp, err := kv.Range(ctx, store.RangeRequest{Key: feed.CatalogPrefix + key})
 		if err != nil {
 			return Document{}, err
 		}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -13,7 +13,7 @@
 
 	"github.com/poppywall/poppywall/catalog"
 	"github.com/poppywall/poppywall/directory"
-	"github.com/poppywall/poppywall/platform"
+	"github.com/poppywall/poppywall/store"
 )
 
 // Keys of the project at the platform.
@@ -61,22 +61,22 @@
 // Pull reads every change after the given revision. Deletions are records too
 // (tombstones), so one range with a least revision sees everything, and a
 // stale copy of the store at worst shows nothing new.
-func Pull(ctx context.Context, store platform.Store, from catalog.Revision) (Result, error) {
+func Pull(ctx context.Context, kv store.Store, from catalog.Revision) (Result, error) {
 	res := Result{Update: catalog.Update{From: from, To: from}}
-	req := platform.RangeRequest{
+	req := store.RangeRequest{
 		Key:            CatalogPrefix,
-		End:            platform.PrefixEnd(CatalogPrefix),
+		End:            store.PrefixEnd(CatalogPrefix),
 		MinModRevision: int64(from) + 1,
 	}
-	_, err := platform.ReadAll(ctx, store, req, func(kv platform.KV) error {
-		res.add(kv)
+	_, err := store.ReadAll(ctx, kv, req, func(pair store.KV) error {
+		res.add(pair)
 		return nil
 	})
 	res.Update.Horizon = res.Update.To
 	return res, err
 }
 
-func (r *Result) add(kv platform.KV) {
+func (r *Result) add(kv store.KV) {
 	rev := catalog.Revision(kv.ModRevision)
 	r.Update.To = max(r.Update.To, rev)
 	rec, err := catalog.ParseRecord(strings.TrimPrefix(kv.Key, CatalogPrefix), rev, kv.Value)
--- a/standin/gateway.go
+++ b/standin/gateway.go
@@ -6,7 +6,8 @@
 	"net/http"
 	"time"
 
-	"github.com/poppywall/poppywall/platform"
+	"github.com/poppywall/poppywall/store"
+	"github.com/poppywall/poppywall/store/gateway"
 )
 
 // PathFaults takes a Faults document by POST.
@@ -18,9 +19,9 @@
 // Gateway serves a Store over the platform's HTTP protocol.
 func Gateway(s *Store) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+platform.PathRange, serve(s, rangeCall))
-	mux.HandleFunc("POST "+platform.PathTxn, serve(s, txnCall))
-	mux.HandleFunc("POST "+platform.PathGrant, serve(s, grantCall))
+	mux.HandleFunc("POST "+gateway.PathRange, serve(s, rangeCall))
+	mux.HandleFunc("POST "+gateway.PathTxn, serve(s, txnCall))
+	mux.HandleFunc("POST "+gateway.PathGrant, serve(s, grantCall))
 	mux.HandleFunc("POST "+PathFaults, func(w http.ResponseWriter, r *http.Request) {
 		var f Faults
 		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
@@ -50,17 +51,17 @@
 	}
 }
 
-func rangeCall(ctx context.Context, s *Store, in platform.WireRange) (platform.WireRangeResponse, error) {
-	resp, err := s.Range(ctx, platform.RangeRequest{
+func rangeCall(ctx context.Context, s *Store, in gateway.WireRange) (gateway.WireRangeResponse, error) {
+	resp, err := s.Range(ctx, store.RangeRequest{
 		Key:            string(in.Key),
 		End:            string(in.RangeEnd),
 		Limit:          in.Limit,
 		Revision:       in.Revision,
 		MinModRevision: in.MinModRevision,
 	})
-	out := platform.WireRangeResponse{Header: platform.WireHeader{Revision: resp.Revision}, More: resp.More}
+	out := gateway.WireRangeResponse{Header: gateway.WireHeader{Revision: resp.Revision}, More: resp.More}
 	for _, kv := range resp.KVs {
-		out.KVs = append(out.KVs, platform.WireKV{
+		out.KVs = append(out.KVs, gateway.WireKV{
 			Key:            []byte(kv.Key),
 			Value:          kv.Value,
 			CreateRevision: kv.CreateRevision,
@@ -70,32 +71,32 @@
 	return out, err
 }
 
-func txnCall(ctx context.Context, s *Store, in platform.WireTxn) (platform.WireTxnResponse, error) {
-	var txn platform.Txn
+func txnCall(ctx context.Context, s *Store, in gateway.WireTxn) (gateway.WireTxnResponse, error) {
+	var txn store.Txn
 	for _, c := range in.Compare {
-		cmp := platform.Compare{Key: string(c.Key), Field: platform.ModRevision, Equal: c.ModRevision}
-		if c.Target == platform.WireCreate {
-			cmp.Field, cmp.Equal = platform.CreateRevision, c.CreateRevision
+		cmp := store.Compare{Key: string(c.Key), Field: store.ModRevision, Equal: c.ModRevision}
+		if c.Target == gateway.WireCreate {
+			cmp.Field, cmp.Equal = store.CreateRevision, c.CreateRevision
 		}
 		txn.Compares = append(txn.Compares, cmp)
 	}
 	for _, op := range in.Success {
 		if op.Put != nil {
-			txn.Puts = append(txn.Puts, platform.Put{
+			txn.Puts = append(txn.Puts, store.Put{
 				Key:   string(op.Put.Key),
 				Value: op.Put.Value,
-				Lease: platform.LeaseID(op.Put.Lease),
+				Lease: store.LeaseID(op.Put.Lease),
 			})
 		}
 	}
 	resp, err := s.Txn(ctx, txn)
-	return platform.WireTxnResponse{
-		Header:    platform.WireHeader{Revision: resp.Revision},
+	return gateway.WireTxnResponse{
+		Header:    gateway.WireHeader{Revision: resp.Revision},
 		Succeeded: resp.Succeeded,
 	}, err
 }
 
-func grantCall(ctx context.Context, s *Store, in platform.WireGrant) (platform.WireGrantResponse, error) {
+func grantCall(ctx context.Context, s *Store, in gateway.WireGrant) (gateway.WireGrantResponse, error) {
 	id, err := s.Grant(ctx, time.Duration(in.TTL)*time.Second)
-	return platform.WireGrantResponse{ID: int64(id), TTL: in.TTL}, err
+	return gateway.WireGrantResponse{ID: int64(id), TTL: in.TTL}, err
 }
--- a/standin/store.go
+++ b/standin/store.go
@@ -9,7 +9,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/poppywall/poppywall/platform"
+	"github.com/poppywall/poppywall/store"
 	"github.com/poppywall/poppywall/verdict"
 )
 
@@ -34,20 +34,20 @@
 	value    []byte
 	create   int64
 	deleted  bool
-	lease    platform.LeaseID
+	lease    store.LeaseID
 }
 
 // Store is an in-memory key-value service with the platform's semantics:
 // revisions, transactions, leases, reads at past revisions. It implements
-// platform.Store and is safe for concurrent use.
+// store.Store and is safe for concurrent use.
 type Store struct {
 	// mu guards all fields.
 	mu       sync.Mutex
 	now      func() time.Time
 	revision int64
 	history  map[string][]version
-	leases   map[platform.LeaseID]time.Time
-	next     platform.LeaseID
+	leases   map[store.LeaseID]time.Time
+	next     store.LeaseID
 	faults   Faults
 	calls    int
 }
@@ -60,7 +60,7 @@
 		now:      now,
 		revision: 1,
 		history:  map[string][]version{},
-		leases:   map[platform.LeaseID]time.Time{},
+		leases:   map[store.LeaseID]time.Time{},
 	}
 }
 
@@ -114,7 +114,7 @@
 	}
 }
 
-func (s *Store) deleteLeased(id platform.LeaseID) {
+func (s *Store) deleteLeased(id store.LeaseID) {
 	for key, vs := range s.history {
 		last := vs[len(vs)-1]
 		if last.lease == id && !last.deleted {
@@ -135,18 +135,18 @@
 	return version{}, false
 }
 
-// Range implements platform.Store.
-func (s *Store) Range(_ context.Context, req platform.RangeRequest) (platform.RangeResponse, error) {
+// Range implements store.Store.
+func (s *Store) Range(_ context.Context, req store.RangeRequest) (store.RangeResponse, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.begin(); err != nil {
-		return platform.RangeResponse{}, err
+		return store.RangeResponse{}, err
 	}
 	rev := req.Revision
 	if rev == 0 {
 		rev = max(s.revision-s.faults.StaleBy, 1)
 	}
-	resp := platform.RangeResponse{Revision: max(s.revision-s.faults.StaleBy, 1)}
+	resp := store.RangeResponse{Revision: max(s.revision-s.faults.StaleBy, 1)}
 	for _, key := range s.keysIn(req.Key, req.End) {
 		v, ok := s.at(key, rev)
 		if !ok || v.revision < req.MinModRevision {
@@ -156,7 +156,7 @@
 			resp.More = true
 			break
 		}
-		resp.KVs = append(resp.KVs, platform.KV{Key: key, Value: v.value, CreateRevision: v.create, ModRevision: v.revision})
+		resp.KVs = append(resp.KVs, store.KV{Key: key, Value: v.value, CreateRevision: v.create, ModRevision: v.revision})
 	}
 	return resp, nil
 }
@@ -172,38 +172,38 @@
 	return keys
 }
 
-// Txn implements platform.Store.
-func (s *Store) Txn(_ context.Context, txn platform.Txn) (platform.TxnResponse, error) {
+// Txn implements store.Store.
+func (s *Store) Txn(_ context.Context, txn store.Txn) (store.TxnResponse, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.begin(); err != nil {
-		return platform.TxnResponse{}, err
+		return store.TxnResponse{}, err
 	}
 	lost := &verdict.Error{Verdict: verdict.Unknown, Reason: "platform-answer-lost", Err: errInjected}
 	if s.faults.LoseRequests > 0 {
 		s.faults.LoseRequests--
-		return platform.TxnResponse{}, lost
+		return store.TxnResponse{}, lost
 	}
-	resp := platform.TxnResponse{Succeeded: s.holds(txn.Compares)}
+	resp := store.TxnResponse{Succeeded: s.holds(txn.Compares)}
 	if resp.Succeeded {
 		s.put(txn.Puts)
 	}
 	resp.Revision = s.revision
 	if s.faults.LoseAnswers > 0 {
 		s.faults.LoseAnswers--
-		return platform.TxnResponse{}, lost
+		return store.TxnResponse{}, lost
 	}
 	return resp, nil
 }
 
-func (s *Store) holds(compares []platform.Compare) bool {
+func (s *Store) holds(compares []store.Compare) bool {
 	for _, c := range compares {
 		v, ok := s.at(c.Key, s.revision)
 		got := int64(0)
-		if ok && c.Field == platform.ModRevision {
+		if ok && c.Field == store.ModRevision {
 			got = v.revision
 		}
-		if ok && c.Field == platform.CreateRevision {
+		if ok && c.Field == store.CreateRevision {
 			got = v.create
 		}
 		if got != c.Equal {
@@ -214,7 +214,7 @@
 }
 
 // put writes all pairs at one new revision.
-func (s *Store) put(puts []platform.Put) {
+func (s *Store) put(puts []store.Put) {
 	if len(puts) == 0 {
 		return
 	}
@@ -229,8 +229,8 @@
 	}
 }
 
-// Grant implements platform.Store.
-func (s *Store) Grant(_ context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// Grant implements store.Store.
+func (s *Store) Grant(_ context.Context, ttl time.Duration) (store.LeaseID, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.begin(); err != nil {
--- a/platform/http.go
+++ b/store/gateway/http.go
@@ -1,4 +1,6 @@
-package platform
+// Package gateway is the client of a key-value service that speaks the etcd
+// version 3 JSON-over-HTTP protocol. Nothing else in the project knows it.
+package gateway
 
 import (
 	"bytes"
@@ -12,6 +14,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/poppywall/poppywall/store"
 	"github.com/poppywall/poppywall/verdict"
 )
 
@@ -31,7 +34,7 @@
 }
 
 // Range implements Store.
-func (c *Client) Range(ctx context.Context, req RangeRequest) (RangeResponse, error) {
+func (c *Client) Range(ctx context.Context, req store.RangeRequest) (store.RangeResponse, error) {
 	in := WireRange{
 		Key:            []byte(req.Key),
 		RangeEnd:       []byte(req.End),
@@ -41,17 +44,19 @@
 	}
 	var out WireRangeResponse
 	if err := c.call(ctx, PathRange, in, &out); err != nil {
-		return RangeResponse{}, err
+		return store.RangeResponse{}, err
 	}
-	resp := RangeResponse{Revision: out.Header.Revision, More: out.More}
+	resp := store.RangeResponse{Revision: out.Header.Revision, More: out.More}
 	for _, kv := range out.KVs {
-		resp.KVs = append(resp.KVs, KV{string(kv.Key), kv.Value, kv.CreateRevision, kv.ModRevision})
+		resp.KVs = append(resp.KVs, store.KV{
+			Key: string(kv.Key), Value: kv.Value, CreateRevision: kv.CreateRevision, ModRevision: kv.ModRevision,
+		})
 	}
 	return resp, nil
 }
 
 // Txn implements Store.
-func (c *Client) Txn(ctx context.Context, txn Txn) (TxnResponse, error) {
+func (c *Client) Txn(ctx context.Context, txn store.Txn) (store.TxnResponse, error) {
 	var in WireTxn
 	for _, cmp := range txn.Compares {
 		in.Compare = append(in.Compare, wireCompare(cmp))
@@ -61,21 +66,21 @@
 	}
 	var out WireTxnResponse
 	if err := c.call(ctx, PathTxn, in, &out); err != nil {
-		return TxnResponse{}, err
+		return store.TxnResponse{}, err
 	}
-	return TxnResponse{Succeeded: out.Succeeded, Revision: out.Header.Revision}, nil
+	return store.TxnResponse{Succeeded: out.Succeeded, Revision: out.Header.Revision}, nil
 }
 
 // Grant implements Store.
-func (c *Client) Grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
 	var out WireGrantResponse
 	err := c.call(ctx, PathGrant, WireGrant{TTL: int64(ttl / time.Second)}, &out)
-	return LeaseID(out.ID), err
+	return store.LeaseID(out.ID), err
 }
 
-func wireCompare(c Compare) WireCompare {
+func wireCompare(c store.Compare) WireCompare {
 	w := WireCompare{Key: []byte(c.Key), Result: WireEqual}
-	if c.Field == CreateRevision {
+	if c.Field == store.CreateRevision {
 		w.Target, w.CreateRevision = WireCreate, c.Equal
 		return w
 	}
--- a/platform/wire.go
+++ b/store/gateway/wire.go
@@ -1,4 +1,4 @@
-package platform
+package gateway
 
 // The JSON mapping of etcd version 3's gRPC gateway: bytes are base64, 64-bit
 // integers are strings.
--- a/platform/platform.go
+++ b/store/store.go
@@ -1,7 +1,7 @@
-// Package platform is the edge to the platform's key-value service: a narrow
-// interface and its client for the etcd version 3 JSON-over-HTTP protocol.
-// Nothing else in the project knows that protocol.
-package platform
+// Package store is the narrow interface to the key-value service that keeps
+// what must last. Its clients are store/gateway, for the etcd version 3 JSON
+// protocol, and the platform package; one contract test covers both.
+package store
 
 import (
 	"context"
