--- a/agent/packetfront/nodes.go
+++ b/agent/packetfront/nodes.go
@@ -29,16 +29,20 @@
 	if err != nil {
 		return err
 	}
-	c.Greet(now, balancers)
+	// Their answers must not name peers again: each answer would be answered.
+	c.greet(now, balancers, false)
 	return nil
 }
 
-// Greet announces the host to balancers that are not known yet; they answer
-// with a beacon.
-func (c *Core) Greet(now time.Time, balancers []flow.IPv4) {
+// Greet announces the host to balancers that the store names.
+func (c *Core) Greet(now time.Time, balancers []flow.IPv4) { c.greet(now, balancers, true) }
+
+// greet announces the host to balancers that are not known yet; they answer with
+// a beacon.
+func (c *Core) greet(now time.Time, balancers []flow.IPv4, wantPeers bool) {
 	for _, ip := range balancers {
 		if !c.view.KnowsBalancer(ip) {
-			c.announceTo(now, ip, true)
+			c.announceTo(now, ip, wantPeers)
 		}
 	}
 }
--- a/balancer/packetfront/nodes.go
+++ b/balancer/packetfront/nodes.go
@@ -44,6 +44,9 @@
 		host, _ := c.view.Host(from)
 		c.events.HostChanged(host, change)
 	}
+	if change == fleet.Joined || (change != fleet.Stale && a.WantPeers) {
+		c.sendBeacon(from, fleet.Beacon{Reply: true})
+	}
 	if change != fleet.Stale && a.WantPeers {
 		c.sendPeers(from)
 	}
