Flows that certainly no host holds are reset at once

A search now ends with a verdict: every candidate said a certain no (its host bounced the packet, or the agent saw it start, or nothing listens), the view did not change meanwhile, the balancer is up for 0.8 s, and no agent that the registry in the store lists is missing from the view; only then is the client reset. Agents register under a lease that outlives a power loss. Searches go on in rounds of 33 hosts, so that large services are covered.

Found by the stateful test: the answer to a late copy of a SYN set an open flow back, and the agent forgot it after 5 s.

--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -224,7 +224,7 @@
 // that saw its host start knows all its flows; another one asks the host.
 func (c *Core) deliverUnknown(now time.Time, key flow.Key, packet []byte) {
 	if c.host.state() == fleet.Absent || c.host.state() == fleet.Gone {
-		c.passOn(packet, c.host.ended())
+		c.passOn(packet, c.host.holdsNothing())
 		return
 	}
 	if c.host.sawStart && !c.flows.overflowed {
@@ -247,6 +247,9 @@
 		c.sendEnvelope(next.Host, packet)
 		return
 	}
+	if ok {
+		c.env.Flags |= envelope.Unsure
+	}
 	if c.env.Flags&envelope.Search != 0 {
 		c.env.Flags |= envelope.Searched
 	}
@@ -293,9 +296,9 @@
 }
 
 // noteAccepted notes a SYN+ACK. A balancer whose SYN was passed on learns where
-// it went.
+// it went. The answer to a late copy of the SYN does not set an open flow back.
 func (c *Core) noteAccepted(key flow.Key, r *record, h *flow.Header) {
-	if (r.stage == halfOpen || r.stage == open) && r.hostSeq == h.Seq {
+	if (r.stage == halfOpen || r.stage == open) && flow.SameFlow(h.Seq, r.hostSeq) {
 		return
 	}
 	c.flows.answered(r)
@@ -336,7 +339,8 @@
 		c.bouncedOpen(now, key, r, h)
 		return
 	}
-	if r != nil && r.stage < open {
+	// A host may refuse a copy of a SYN whose flow it holds half open.
+	if r != nil && (r.stage == offered || (r.stage == halfOpen && !h.IsOpening())) {
 		c.flows.remove(key, r)
 	}
 	c.env = *env
--- a/agent/packetfront/front.go
+++ b/agent/packetfront/front.go
@@ -43,10 +43,11 @@
 type Front struct {
 	cfg   Settings
 	log   *zap.Logger
-	store store.Store
+	store store.Watcher
 	reg   *prometheus.Registry
 
 	internal, outbound *relay.Datagrams
+	self               flow.IPv4
 	port               uint16
 	clientPort         uint16
 	host               netip.AddrPort
@@ -64,8 +65,7 @@
 		reg: prometheus.NewRegistry(), host: netip.MustParseAddrPort(cfg.Host),
 		clientPort: netip.MustParseAddrPort(cfg.Data).Port(),
 	}
-	var self flow.IPv4
-	self, f.port = cfg.self()
+	f.self, f.port = cfg.self()
 	var err error
 	if f.internal, err = relay.OpenDatagrams(netip.MustParseAddrPort(cfg.Internal)); err != nil {
 		return nil, errors.Wrap(err, "field \"internal\"")
@@ -74,7 +74,7 @@
 		return nil, errors.Wrap(err, "field \"outbound\"")
 	}
 	opts := Options{
-		Self: self, Zone: flow.TagOf(cfg.Zone), Service: flow.TagOf(cfg.Service), Seeds: cfg.seeds(),
+		Self: f.self, Zone: flow.TagOf(cfg.Zone), Service: flow.TagOf(cfg.Service), Seeds: cfg.seeds(),
 		Epoch: rand.Uint64() | 1, HeartbeatPeriod: cfg.HeartbeatEvery.D(), FlowTTL: cfg.FlowTTL.D(),
 	}
 	f.core = New(opts, f, platform.Codec{}, newObserver(log, f.reg))
@@ -116,7 +116,9 @@
 		return worker.Every(ctx, tickPeriod, func() { f.locked(f.core.Tick) })
 	})
 	group.Go(work, "probe", f.probeHost)
-	group.Go(work, "registry", f.followRegistry)
+	group.Go(work, "join", f.followRegistry)
+	entry := registry.New(f.store, registry.Agents, f.self, f.log)
+	group.Go(ctx, "registry", entry.Run)
 	group.Go(work, "heartbeats", f.serveHeartbeats)
 	if f.cfg.Metrics != "" {
 		group.Go(work, "metrics", f.serveMetrics)
@@ -206,7 +208,7 @@
 		if !f.lone() {
 			return
 		}
-		balancers, err := registry.List(ctx, f.store)
+		balancers, err := registry.List(ctx, f.store, registry.Balancers)
 		if err != nil {
 			f.log.Warn("registry not read", zap.Error(err))
 			return
--- a/agent/packetfront/host.go
+++ b/agent/packetfront/host.go
@@ -44,8 +44,9 @@
 	}
 }
 
-// ended tells that the host is certainly no more.
-func (h *host) ended() bool { return h.killed }
+// holdsNothing tells that no host runs here for certain: it has ended, or a
+// connection was refused.
+func (h *host) holdsNothing() bool { return h.killed || (h.sawDown && !h.up) }
 
 func (h *host) slots() int {
 	if h.beat.Slots <= 0 {
--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -70,6 +70,7 @@
 	nextBeacon   time.Time
 	nextJoin     time.Time
 	nextCompare  time.Time
+	survey       survey
 	beaconRounds int
 
 	// Scratch space, so that a packet costs no allocation.
@@ -151,7 +152,9 @@
 		c.direct(key, host, packet)
 		return
 	}
-	c.search(now, key, packet, 0, 0)
+	if !c.search(now, key, packet, quest{}) {
+		c.events.Dropped(DropNoCandidate)
+	}
 }
 
 // direct sends a packet to the host that is remembered for its flow.
@@ -226,29 +229,44 @@
 	c.port.Reset(key, 0)
 }
 
-// search sends a packet along the candidates of its flow. tried is a host that
-// does not hold it.
-func (c *Core) search(now time.Time, key flow.Key, packet []byte, tried flow.IPv4, hops uint8) {
+// generation changes with everything that the order of a search depends on.
+func (c *Core) generation() uint32 { return c.view.Generation() + uint32(c.ConfigVersion()) }
+
+// quest is where a search for a packet's flow stands.
+type quest struct {
+	hops  uint8
+	round uint8
+	// unsure is set once a host could not say a certain no.
+	unsure bool
+}
+
+// search sends a packet along the candidates of its flow and tells whether any
+// was left.
+func (c *Core) search(now time.Time, key flow.Key, packet []byte, q quest) bool {
 	if c.config == nil {
 		c.events.Dropped(DropNoConfig)
-		return
+		return false
 	}
 	route, ok := c.config.Routes[key.Front()]
 	if !ok {
 		c.events.Dropped(DropNoRoute)
-		return
+		return false
 	}
-	candidates := c.searchCandidates(now, key, route, tried)
-	if len(candidates) == 0 {
-		c.events.Dropped(DropNoCandidate)
-		return
+	candidates := c.searchCandidates(now, key, route)
+	from := int(q.round) * searchRound
+	if from >= len(candidates) {
+		return false
 	}
-	c.events.Searching(key, len(candidates))
+	candidates = first(candidates[from:], searchRound)
+	c.events.Searching(key, len(candidates), int(q.round))
 	c.env = envelope.Envelope{
-		Kind: envelope.Deliver, Balancer: c.opts.Self, Flags: envelope.Search,
-		Service: candidates[0].Service, Hops: hops,
+		Kind: envelope.Deliver, Balancer: c.opts.Self, Flags: envelope.Search, Hops: q.hops,
+		Round: q.round, Generation: c.generation(), Service: candidates[0].Service,
+	}
+	if q.unsure {
+		c.env.Flags |= envelope.Unsure
 	}
-	first := candidates[0].Host
 	c.env.SetCandidates(candidates[1:])
-	c.send(first, packet)
+	c.send(candidates[0].Host, packet)
+	return true
 }
--- a/balancer/packetfront/events.go
+++ b/balancer/packetfront/events.go
@@ -41,11 +41,11 @@
 	Forwarded()
 	Opened(d Decision)
 	Refused(key flow.Key, reason, route string)
-	Searching(key flow.Key, candidates int)
+	Searching(key flow.Key, candidates, round int)
 	OwnerFound(key flow.Key, host flow.IPv4, hops int)
-	// Lost is a packet whose flow no candidate holds; sure when each said so
-	// for certain.
-	Lost(key flow.Key, hops int, sure bool)
+	// Lost is a packet whose flow no candidate holds. doubt says why the flow is
+	// not reset all the same; empty when it is.
+	Lost(key flow.Key, hops int, doubt Doubt)
 	Dropped(reason Drop)
 	HostChanged(h *fleet.Host, change fleet.Change)
 	HostForgotten(ip flow.IPv4)
--- a/balancer/packetfront/front.go
+++ b/balancer/packetfront/front.go
@@ -81,7 +81,7 @@
 	if f.internal, err = relay.OpenDatagrams(netip.MustParseAddrPort(cfg.Internal)); err != nil {
 		return nil, errors.Wrap(err, "field \"internal\"")
 	}
-	f.registry = registry.New(f.store, f.self, log)
+	f.registry = registry.New(f.store, registry.Balancers, f.self, log)
 	opts := Options{
 		Self: f.self, Zone: flow.TagOf(cfg.Zone), Seeds: cfg.seeds(), Epoch: rand.Uint64() | 1,
 		Weights: choose.Weights{OtherZone: cfg.OtherZoneCost, Warming: warmingFactor},
@@ -190,6 +190,7 @@
 		if f.lone() {
 			f.readRegistry(ctx)
 		}
+		f.surveyAgents(ctx)
 	})
 }
 
@@ -263,7 +264,7 @@
 }
 
 func (f *Front) readRegistry(ctx context.Context) {
-	balancers, err := registry.List(ctx, f.store)
+	balancers, err := registry.List(ctx, f.store, registry.Balancers)
 	if err != nil {
 		f.log.Warn("registry not read", zap.Error(err))
 		return
@@ -271,6 +272,21 @@
 	f.locked(func(time.Time) { f.core.Greet(balancers, nil) })
 }
 
+// surveyAgents reads which agents are registered when the core wants to know.
+func (f *Front) surveyAgents(ctx context.Context) {
+	wanted, began := false, time.Time{}
+	f.locked(func(now time.Time) { wanted, began = f.core.WantsSurvey(now), now })
+	if !wanted {
+		return
+	}
+	agents, err := registry.List(ctx, f.store, registry.Agents)
+	if err != nil {
+		f.log.Warn("registry not read", zap.Error(err))
+		return
+	}
+	f.locked(func(time.Time) { f.core.Surveyed(began, agents) })
+}
+
 func (f *Front) readyHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.PathReady, func(w http.ResponseWriter, _ *http.Request) {
--- a/balancer/packetfront/nodes.go
+++ b/balancer/packetfront/nodes.go
@@ -144,20 +144,33 @@
 	if err != nil {
 		return err
 	}
-	key, hops, flags := h.FromClient(), c.env.Hops, c.env.Flags
+	key, env := h.FromClient(), c.env
 	c.table.drop(key, from)
 	if h.IsOpening() {
 		c.refuseAll(now, key, &h)
 		return nil
 	}
-	if flags&envelope.Searched != 0 || hops >= envelope.MaxHops {
-		c.events.Lost(key, int(hops), flags&envelope.Unsure == 0)
-		return nil
+	q := quest{hops: env.Hops, round: env.Round, unsure: env.Flags&envelope.Unsure != 0}
+	if env.Flags&envelope.Searched != 0 {
+		q.round++
+		q.hops = 0
+	}
+	if env.Hops >= envelope.MaxHops || q.round >= maxRounds || !c.search(now, key, packet, q) {
+		c.giveUp(now, key, &h, &env)
 	}
-	c.search(now, key, packet, from, hops+1)
 	return nil
 }
 
+// giveUp ends the search for a flow that no candidate holds. Its client is told
+// at once when the flow is certainly over.
+func (c *Core) giveUp(now time.Time, key flow.Key, h *flow.Header, env *envelope.Envelope) {
+	doubt := c.doubt(now, env)
+	c.events.Lost(key, int(env.Hops), doubt)
+	if doubt == "" && !h.Flags.Has(flow.RST) {
+		c.port.Reset(key, h.Ack)
+	}
+}
+
 // refuseAll answers a SYN that every candidate refused, if no later copy can
 // have been taken meanwhile.
 func (c *Core) refuseAll(now time.Time, key flow.Key, h *flow.Header) {
--- a/balancer/packetfront/observer.go
+++ b/balancer/packetfront/observer.go
@@ -121,9 +121,9 @@
 }
 
 // Searching implements Events.
-func (o *observer) Searching(key flow.Key, candidates int) {
+func (o *observer) Searching(key flow.Key, candidates, round int) {
 	o.searches.Inc()
-	o.line(&o.searching, "flow unknown, searched for", zap.Stringer(fieldFlow, key), zap.Int(fieldCandidates, candidates))
+	o.line(&o.searching, "flow unknown, searched for", zap.Stringer(fieldFlow, key), zap.Int(fieldCandidates, candidates), zap.Int("round", round))
 }
 
 // OwnerFound implements Events.
@@ -133,13 +133,13 @@
 }
 
 // Lost implements Events.
-func (o *observer) Lost(key flow.Key, hops int, sure bool) {
-	label := "no"
-	if sure {
-		label = "yes"
+func (o *observer) Lost(key flow.Key, hops int, doubt Doubt) {
+	outcome := string(doubt)
+	if doubt == "" {
+		outcome = "reset"
 	}
-	o.lost.WithLabelValues(label).Inc()
-	o.line(&o.searching, "flow held by no host", zap.Stringer(fieldFlow, key), zap.Int(fieldHops, hops), zap.Bool("sure", sure))
+	o.lost.WithLabelValues(outcome).Inc()
+	o.line(&o.searching, "flow held by no host", zap.Stringer(fieldFlow, key), zap.Int(fieldHops, hops), zap.String("outcome", outcome))
 }
 
 // Dropped implements Events.
--- a/balancer/packetfront/plan.go
+++ b/balancer/packetfront/plan.go
@@ -18,6 +18,11 @@
 	openFar  = 4
 	// openTries is how many hosts a SYN may be offered to, one after another.
 	openTries = 8
+	// searchRound is how many hosts one round of a search covers.
+	searchRound = envelope.MaxCandidates + 1
+	// maxRounds and maxSearched bound a search.
+	maxRounds   = 8
+	maxSearched = maxRounds * searchRound
 )
 
 // plan is scratch space for candidates.
@@ -28,11 +33,11 @@
 
 func newPlan() plan {
 	return plan{
-		near:  flow.NewRanking(envelope.MaxCandidates),
-		far:   flow.NewRanking(envelope.MaxCandidates),
-		rest:  flow.NewRanking(envelope.MaxCandidates),
-		quiet: flow.NewRanking(envelope.MaxCandidates),
-		out:   make([]flow.Candidate, 0, 4*envelope.MaxCandidates),
+		near:  flow.NewRanking(maxSearched),
+		far:   flow.NewRanking(maxSearched),
+		rest:  flow.NewRanking(maxSearched),
+		quiet: flow.NewRanking(maxSearched),
+		out:   make([]flow.Candidate, 0, 4*maxSearched),
 	}
 }
 
@@ -82,7 +87,7 @@
 			Busy: int(h.Busy), Sent: h.Sent, Slots: int(h.Slots),
 			OtherZone: h.Zone != c.opts.Zone,
 			Warming:   h.WarmupMillis > 0 && now.Sub(h.HeardAt) < time.Duration(h.WarmupMillis)*time.Millisecond,
-			Avoid:     h.Quiet(now) || now.Before(h.SkipUntil),
+			Avoid:     h.Quiet(now),
 		})
 		c.offerOf = append(c.offerOf, h)
 	}
@@ -104,14 +109,14 @@
 // hosts of the service that new flows go to, in the own zone, then elsewhere;
 // hosts of other services, for a change of the route leaves open flows where
 // they are; last those that were not heard lately.
-func (c *Core) searchCandidates(now time.Time, key flow.Key, route *flow.Route, tried flow.IPv4) []flow.Candidate {
+func (c *Core) searchCandidates(now time.Time, key flow.Key, route *flow.Route) []flow.Candidate {
 	p := &c.plan
 	p.reset()
 	hash := key.Hash()
 	picked := route.Pick(hash).Tag
 	for _, tag := range c.view.Services() {
 		for _, h := range c.view.Service(tag) {
-			if h.IP == tried || h.State == fleet.Gone {
+			if h.State == fleet.Gone {
 				continue
 			}
 			c.searchRanking(now, h, picked).Offer(flow.Score(hash, h.IP), flow.Candidate{Host: h.IP, Service: tag})
@@ -120,7 +125,7 @@
 	for _, r := range [...]*flow.Ranking{p.near, p.far, p.rest, p.quiet} {
 		p.out = append(p.out, r.Items()...)
 	}
-	return first(p.out, envelope.MaxCandidates+1)
+	return first(p.out, maxSearched)
 }
 
 func (c *Core) searchRanking(now time.Time, h *fleet.Host, picked flow.Tag) *flow.Ranking {
--- /dev/null
+++ b/balancer/packetfront/survey.go
@@ -0,0 +1,92 @@
+package packetfront
+
+import (
+	"time"
+
+	"github.com/poppywall/poppywall/fleet"
+	"github.com/poppywall/poppywall/flow"
+	"github.com/poppywall/poppywall/flow/envelope"
+)
+
+// Doubt is why a flow that no candidate holds may live all the same. Only a flow
+// that is certainly over is reset.
+type Doubt string
+
+// The doubts.
+const (
+	// DoubtHost: a host that was asked could not say a certain no.
+	DoubtHost Doubt = "a host is unsure"
+	// DoubtView: hosts came, went or changed during the search.
+	DoubtView Doubt = "the view changed"
+	// DoubtFresh: the balancer has just started; agents have not found it yet.
+	DoubtFresh Doubt = "just started"
+	// DoubtSurvey: the registry of agents was not read lately.
+	DoubtSurvey Doubt = "no survey"
+	// DoubtMissing: an agent that is registered was not heard.
+	DoubtMissing Doubt = "a host was not asked"
+)
+
+// Times of the proof that a flow is over.
+const (
+	// freshTime is how long after its start a balancer takes its view for
+	// incomplete. Agents that live greet a new balancer within a round trip of
+	// its joining, a balancer joins by its seeds five times a second, and views
+	// are compared each half second.
+	freshTime = 800 * time.Millisecond
+	// surveyTTL is how long a reading of the registry counts.
+	surveyTTL = 4 * time.Second
+	// surveyPause is the least pause between readings.
+	surveyPause = 500 * time.Millisecond
+)
+
+// survey is the last reading of the registry of agents. An agent is registered
+// under a lease that outlives a power loss: so a balancer that has just started
+// learns from it which hosts may hold flows, also when their agents are not back.
+type survey struct {
+	agents   []flow.IPv4
+	readAt   time.Time
+	wanted   bool
+	wantedAt time.Time
+}
+
+// doubt tells whether a flow for which every candidate was asked may live.
+func (c *Core) doubt(now time.Time, env *envelope.Envelope) Doubt {
+	switch {
+	case env.Flags&envelope.Unsure != 0:
+		return DoubtHost
+	case env.Generation != c.generation():
+		return DoubtView
+	case now.Sub(c.startedAt) < freshTime:
+		return DoubtFresh
+	case c.survey.readAt.IsZero() || now.Sub(c.survey.readAt) > surveyTTL:
+		c.survey.wanted = true
+		return DoubtSurvey
+	}
+	for _, ip := range c.survey.agents {
+		if _, known := c.view.Host(ip); !known {
+			return DoubtMissing
+		}
+	}
+	for _, ip := range c.view.Hosts() {
+		if h, _ := c.view.Host(ip); h.Quiet(now) && h.State != fleet.Gone {
+			return DoubtMissing
+		}
+	}
+	return ""
+}
+
+// WantsSurvey tells whether the registry of agents is to be read: right after
+// the start, and when a flow seems to be over.
+func (c *Core) WantsSurvey(now time.Time) bool {
+	if now.Sub(c.survey.wantedAt) < surveyPause || (!c.survey.wanted && !c.survey.readAt.IsZero()) {
+		return false
+	}
+	c.survey.wantedAt = now
+	return true
+}
+
+// Surveyed takes a reading of the registry that began at the given time.
+func (c *Core) Surveyed(began time.Time, agents []flow.IPv4) {
+	c.survey.agents, c.survey.readAt, c.survey.wanted = agents, began, false
+	c.Greet(nil, agents)
+}
--- a/fleet/registry/registry.go
+++ b/fleet/registry/registry.go
@@ -1,6 +1,6 @@
 // Package registry keeps a node's address in the store under a lease, so that
-// nodes find each other when every seed is gone. It is the last resort: nodes
-// that know one another do not read it.
+// nodes find each other when every seed is gone, and so that a balancer that
+// starts learns which agents there were before it. It is read in need only.
 package registry
 
 import (
@@ -18,8 +18,15 @@
 	"github.com/poppywall/poppywall/worker"
 )
 
-// Prefix is where balancers stand; the address ends the key.
-const Prefix = "poppywall/balancers/"
+// Role tells the kinds of nodes apart; it is the prefix of their keys, which the
+// address ends.
+type Role string
+
+// The roles.
+const (
+	Balancers Role = "poppywall/balancers/"
+	Agents    Role = "poppywall/agents/"
+)
 
 // Times of the registry.
 const (
@@ -40,8 +47,8 @@
 }
 
 // New returns a registry for the node at the address.
-func New(s store.Watcher, self flow.IPv4, log *zap.Logger) *Registry {
-	return &Registry{store: s, key: Prefix + self.String(), log: log}
+func New(s store.Watcher, role Role, self flow.IPv4, log *zap.Logger) *Registry {
+	return &Registry{store: s, key: string(role) + self.String(), log: log}
 }
 
 // Run keeps the entry until ctx ends, then takes it away.
@@ -106,12 +113,12 @@
 	}
 }
 
-// List returns the balancers that are registered.
-func List(ctx context.Context, s store.Store) ([]flow.IPv4, error) {
+// List returns the nodes of a role that are registered.
+func List(ctx context.Context, s store.Store, role Role) ([]flow.IPv4, error) {
 	var out []flow.IPv4
-	req := store.RangeRequest{Key: Prefix, End: store.PrefixEnd(Prefix)}
+	req := store.RangeRequest{Key: string(role), End: store.PrefixEnd(string(role))}
 	_, err := store.ReadAll(ctx, s, req, func(kv store.KV) error {
-		if ip, err := netip.ParseAddr(strings.TrimPrefix(kv.Key, Prefix)); err == nil {
+		if ip, err := netip.ParseAddr(strings.TrimPrefix(kv.Key, string(role))); err == nil {
 			out = append(out, flow.FromAddr(ip))
 		}
 		return nil
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -54,10 +54,8 @@
 	// HeardAt is when the agent was heard last, KnownAt first.
 	HeardAt, KnownAt time.Time
 	// Sent counts new flows sent here since the last announcement.
-	Sent int
-	// SkipUntil is when the host may be chosen again after it refused.
-	SkipUntil time.Time
-	order     order
+	Sent  int
+	order order
 }
 
 // Quiet tells whether the host was not heard lately.
@@ -79,6 +77,8 @@
 	// tags are the keys of services, sorted.
 	tags  []flow.Tag
 	peers map[flow.IPv4]*Peer
+	// generation rises with each change of who may hold a flow.
+	generation uint32
 }
 
 // NewView returns an empty view.
@@ -105,6 +105,9 @@
 // keys returns the addresses in order, so that a run repeats.
 func keys[V any](m map[flow.IPv4]V) []flow.IPv4 { return slices.Sorted(maps.Keys(m)) }
 
+// Generation changes whenever a host joins, leaves or becomes another one.
+func (v *View) Generation() uint32 { return v.generation }
+
 // Digest tells two views of the same nodes from others, whatever their order.
 // self is the address of the view's owner.
 func (v *View) Digest(self flow.IPv4) uint32 {
@@ -163,10 +166,11 @@
 		v.reindex(h, former.Service)
 	}
 	if !known || former.Epoch != a.Epoch {
+		v.generation++
 		return Joined
 	}
 	if former.Service != a.Service || former.Incarnation != a.Incarnation || former.State != a.State {
-		h.SkipUntil = time.Time{}
+		v.generation++
 		return Altered
 	}
 	return Same
@@ -229,6 +233,7 @@
 	for ip, h := range v.hosts {
 		if now.Sub(h.HeardAt) > Forget {
 			v.unlist(h, h.Service)
+			v.generation++
 			delete(v.hosts, ip)
 			hosts = append(hosts, ip)
 		}
--- a/flow/envelope/envelope.go
+++ b/flow/envelope/envelope.go
@@ -3,8 +3,8 @@
 // untouched behind it.
 //
 // Layout, big-endian: magic (2), version (1), kind (1), balancer (4), hops (1),
-// flags (1), candidate count (1), reserved (1), service (4), then 8 bytes for
-// each candidate still to try (address 4, service 4), then the packet.
+// flags (1), candidate count (1), round (1), service (4), generation (4), then 8
+// bytes for each candidate still to try (address 4, service 4), then the packet.
 //
 // Cost: decoding allocates nothing (BenchmarkDecode).
 package envelope
@@ -56,7 +56,7 @@
 	MaxHops = MaxCandidates + 8
 	// PrefixLen is the length of magic, version and kind.
 	PrefixLen = 4
-	headLen   = 16
+	headLen   = 20
 	itemLen   = 8
 	// MaxLen is the longest envelope, in bytes.
 	MaxLen = headLen + MaxCandidates*itemLen
@@ -78,6 +78,11 @@
 	Flags Flags
 	// Service is what the receiver's host must serve.
 	Service flow.Tag
+	// Round counts the searches before this one for the same packet: each covers
+	// MaxCandidates hosts and the one that it is sent to.
+	Round uint8
+	// Generation is that of the balancer's view when the search began.
+	Generation uint32
 	// Count is the number of Candidates still to try, in order.
 	Count      int
 	Candidates [MaxCandidates]flow.Candidate
@@ -117,8 +122,9 @@
 func (e *Envelope) Append(b []byte) []byte {
 	b = AppendPrefix(b, e.Kind)
 	b = binary.BigEndian.AppendUint32(b, uint32(e.Balancer))
-	b = append(b, e.Hops, byte(e.Flags), byte(e.Count), 0)
+	b = append(b, e.Hops, byte(e.Flags), byte(e.Count), e.Round)
 	b = binary.BigEndian.AppendUint32(b, uint32(e.Service))
+	b = binary.BigEndian.AppendUint32(b, e.Generation)
 	for _, c := range e.Candidates[:e.Count] {
 		b = binary.BigEndian.AppendUint32(b, uint32(c.Host))
 		b = binary.BigEndian.AppendUint32(b, uint32(c.Service))
@@ -143,7 +149,9 @@
 	e.Kind = kind
 	e.Balancer = flow.IPv4(binary.BigEndian.Uint32(b[4:]))
 	e.Hops, e.Flags, e.Count = b[8], Flags(b[9]), count
+	e.Round = b[11]
 	e.Service = flow.Tag(binary.BigEndian.Uint32(b[12:]))
+	e.Generation = binary.BigEndian.Uint32(b[16:])
 	for i := range count {
 		at := b[headLen+i*itemLen:]
 		e.Candidates[i] = flow.Candidate{
