Agents bound what waits at a host, newest new flow first; doubtful flows are searched for again

A host now gets at most 1.5 requests queued for each slot; other hosts are tried first, then the SYN waits at the last one, at most 180 ms, newest first.

--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -66,6 +66,9 @@
 	notes *notes
 	host  host
 
+	waiting waiting
+	opening []openingFlow
+
 	seq          uint32
 	leaving      bool
 	announced    fleet.Announcement
@@ -140,11 +143,25 @@
 // deliverOpening gives a SYN to the host, or to the next candidate.
 func (c *Core) deliverOpening(now time.Time, h *flow.Header, packet []byte) {
 	key := h.FromClient()
-	if reason, ok := c.refusal(); !ok {
+	reason, ok := c.refusal()
+	if ok && c.full() && c.flows.get(key) == nil {
+		if c.env.Count == 0 {
+			c.events.Waiting(key, c.flows.busy, c.limit())
+			c.waiting.push(now, key, &c.env, packet)
+			return
+		}
+		reason, ok = "host at its limit", false
+	}
+	if !ok {
 		c.events.PassedOn(key, reason, int(c.env.Hops))
 		c.passOn(packet, true)
 		return
 	}
+	c.admit(now, key, packet)
+}
+
+// admit gives a SYN to the host.
+func (c *Core) admit(now time.Time, key flow.Key, packet []byte) {
 	if c.flows.get(key) == nil {
 		r := c.flows.ensure(now, key)
 		r.stage = offered
@@ -160,7 +177,7 @@
 	switch {
 	case c.env.Service != c.opts.Service:
 		return "another service", false
-	case c.host.state() != fleet.Ready || c.leaving:
+	case !c.host.takesNew() || c.leaving:
 		return "host " + c.host.state().String(), false
 	}
 	return "", true
@@ -212,7 +229,7 @@
 	if h.Len == 0 {
 		return
 	}
-	if r.pendingAt.IsZero() {
+	if r.pendingAt.IsZero() || r.stage == halfOpen {
 		if id := c.codec.RequestID(packet); id != nil {
 			c.events.Request(key, id, c.flows.busy, c.host.slots())
 		}
@@ -278,6 +295,7 @@
 	}
 	key := h.FromHost()
 	c.noteHost(now, key, h)
+	c.admitWaiting(now)
 	c.port.ToClient(key.ClientIP, packet)
 }
 
@@ -289,7 +307,7 @@
 		c.flows.answered(r)
 		c.flows.setStage(r, closed)
 	case h.Flags.Has(flow.SYN):
-		c.noteAccepted(key, r, h)
+		c.noteAccepted(now, key, r, h)
 	default:
 		c.noteSent(r, h)
 	}
@@ -297,12 +315,13 @@
 
 // noteAccepted notes a SYN+ACK. A balancer whose SYN was passed on learns where
 // it went. The answer to a late copy of the SYN does not set an open flow back.
-func (c *Core) noteAccepted(key flow.Key, r *record, h *flow.Header) {
+func (c *Core) noteAccepted(now time.Time, key flow.Key, r *record, h *flow.Header) {
 	if (r.stage == halfOpen || r.stage == open) && flow.SameFlow(h.Seq, r.hostSeq) {
 		return
 	}
 	c.flows.answered(r)
 	c.flows.setStage(r, halfOpen)
+	c.countOpening(now, key, r)
 	r.hostSeq, r.clientFin, r.hostFin = h.Seq, false, false
 	if r.balancer != 0 {
 		c.tellOwner(key, r.balancer, 1)
--- a/agent/packetfront/events.go
+++ b/agent/packetfront/events.go
@@ -23,6 +23,8 @@
 	Delivered()
 	// Request is the first packet of a request, delivered to the host.
 	Request(key flow.Key, requestID []byte, busy, slots int)
+	// Waiting is a new flow for which no host has room at the moment.
+	Waiting(key flow.Key, busy, limit int)
 	PassedOn(key flow.Key, reason string, hops int)
 	// Bounced is a packet that the host did not take.
 	Bounced(key flow.Key, opening bool)
--- a/agent/packetfront/flows.go
+++ b/agent/packetfront/flows.go
@@ -1,7 +1,6 @@
 package packetfront
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -147,7 +146,8 @@
 // kill marks all flows of a host that has ended and calls each for every open
 // one, in an order that repeats.
 func (f *flows) kill(now time.Time, each func(flow.Key, *record)) {
-	keys := slices.SortedFunc(maps.Keys(f.byKey), func(a, b flow.Key) int { return cmp.Compare(a.Hash(), b.Hash()) })
+	keys := slices.Collect(maps.Keys(f.byKey))
+	flow.SortKeys(keys)
 	for _, key := range keys {
 		r := f.byKey[key]
 		f.answered(r)
--- a/agent/packetfront/host.go
+++ b/agent/packetfront/host.go
@@ -48,6 +48,9 @@
 // connection was refused.
 func (h *host) holdsNothing() bool { return h.killed || (h.sawDown && !h.up) }
 
+// takesNew tells whether the host may get new flows.
+func (h *host) takesNew() bool { return h.state() == fleet.Ready }
+
 func (h *host) slots() int {
 	if h.beat.Slots <= 0 {
 		return assumedSlots
--- a/agent/packetfront/nodes.go
+++ b/agent/packetfront/nodes.go
@@ -58,6 +58,8 @@
 	if left := c.host.left; !left.IsZero() && now.Sub(left) > leaveGrace {
 		c.kill(now, "its host has left")
 	}
+	c.expireOpening(now)
+	c.admitWaiting(now)
 	c.announceDue(now)
 	if !now.Before(c.nextExpire) {
 		c.nextExpire = now.Add(time.Second)
--- a/agent/packetfront/observer.go
+++ b/agent/packetfront/observer.go
@@ -40,9 +40,9 @@
 
 	requests, passes, other telemetry.Budget
 
-	delivered, requested, passedOn, bounced, resets prometheus.Counter
-	drops                                           map[Drop]prometheus.Counter
-	load                                            prometheus.Histogram
+	delivered, requested, waited, passedOn, bounced, resets prometheus.Counter
+	drops                                                   map[Drop]prometheus.Counter
+	load                                                    prometheus.Histogram
 }
 
 func newObserver(log *zap.Logger, reg *prometheus.Registry) *observer {
@@ -57,6 +57,7 @@
 		other:     telemetry.Budget{PerSecond: otherLines},
 		delivered: counter("delivered_packets_total", "Packets handed to the host."),
 		requested: counter("requests_total", "Requests whose first packet was handed to the host."),
+		waited:    counter("waiting_flows_total", "New flows for which no host had room at once."),
 		passedOn:  counter("passed_on_packets_total", "Packets that the agent did not hand to the host."),
 		bounced:   counter("bounced_packets_total", "Packets that the host did not take."),
 		resets:    counter("reset_flows_total", "Flows reset because their host has ended."),
@@ -100,6 +101,12 @@
 		zap.Int(fieldLoad, busy), zap.Int(fieldSlots, slots))
 }
 
+// Waiting implements Events.
+func (o *observer) Waiting(key flow.Key, busy, limit int) {
+	o.waited.Inc()
+	o.line(&o.passes, "new flow waits for room", zap.Stringer(fieldFlow, key), zap.Int(fieldLoad, busy), zap.Int("limit", limit))
+}
+
 // PassedOn implements Events.
 func (o *observer) PassedOn(key flow.Key, reason string, hops int) {
 	o.passedOn.Inc()
--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -71,6 +71,7 @@
 	nextJoin     time.Time
 	nextCompare  time.Time
 	survey       survey
+	limbo        limbo
 	beaconRounds int
 
 	// Scratch space, so that a packet costs no allocation.
@@ -86,7 +87,7 @@
 	return &Core{
 		opts: opts, port: port, codec: codec, events: events, rnd: rnd,
 		view: fleet.NewView(), table: newTable(maxFlows), startedAt: now,
-		buf: make([]byte, 0, 2048), plan: newPlan(),
+		buf: make([]byte, 0, 2048), plan: newPlan(), limbo: newLimbo(),
 	}
 }
 
--- a/balancer/packetfront/nodes.go
+++ b/balancer/packetfront/nodes.go
@@ -130,6 +130,7 @@
 	}
 	c.events.OwnerFound(key, from, int(c.env.Hops))
 	c.table.put(now, key, from)
+	c.limbo.drop(key)
 	return nil
 }
 
@@ -156,17 +157,23 @@
 		q.hops = 0
 	}
 	if env.Hops >= envelope.MaxHops || q.round >= maxRounds || !c.search(now, key, packet, q) {
-		c.giveUp(now, key, &h, &env)
+		c.giveUp(now, key, &h, packet, &env)
 	}
 	return nil
 }
 
 // giveUp ends the search for a flow that no candidate holds. Its client is told
-// at once when the flow is certainly over.
-func (c *Core) giveUp(now time.Time, key flow.Key, h *flow.Header, env *envelope.Envelope) {
+// at once when the flow is certainly over; while that is not certain, the search
+// is repeated.
+func (c *Core) giveUp(now time.Time, key flow.Key, h *flow.Header, packet []byte, env *envelope.Envelope) {
 	doubt := c.doubt(now, env)
 	c.events.Lost(key, int(env.Hops), doubt)
-	if doubt == "" && !h.Flags.Has(flow.RST) {
+	if doubt != "" {
+		c.limbo.keep(now, key, packet)
+		return
+	}
+	c.limbo.drop(key)
+	if !h.Flags.Has(flow.RST) {
 		c.port.Reset(key, h.Ack)
 	}
 }
@@ -186,6 +193,7 @@
 // Tick does what is due.
 func (c *Core) Tick(now time.Time) {
 	c.join(now)
+	c.searchAgain(now)
 	if now.Before(c.nextBeacon) {
 		return
 	}
--- a/balancer/packetfront/survey.go
+++ b/balancer/packetfront/survey.go
@@ -32,7 +32,7 @@
 	// incomplete. Agents that live greet a new balancer within a round trip of
 	// its joining, a balancer joins by its seeds five times a second, and views
 	// are compared each half second.
-	freshTime = 800 * time.Millisecond
+	freshTime = 500 * time.Millisecond
 	// surveyTTL is how long a reading of the registry counts.
 	surveyTTL = 4 * time.Second
 	// surveyPause is the least pause between readings.
--- a/e2e/packets/world_test.go
+++ b/e2e/packets/world_test.go
@@ -245,6 +245,7 @@
 	// ackedBy is the life of the agent that acknowledged it: a fresh agent knows
 	// after the next heartbeat.
 	ackedBy  int
+	ackedAt  time.Time
 	flows    map[flow.Key]*hostFlow
 	sequence uint64
 	full     bool
@@ -479,6 +480,7 @@
 
 func (quietAgent) Delivered()                         {}
 func (quietAgent) Request(flow.Key, []byte, int, int) {}
+func (quietAgent) Waiting(flow.Key, int, int)         {}
 func (quietAgent) PassedOn(flow.Key, string, int)     {}
 func (quietAgent) Bounced(flow.Key, bool)             {}
 func (quietAgent) Reset(flow.Key, string)             {}
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -1,8 +1,10 @@
 package flow
 
 import (
+	"cmp"
 	"encoding/binary"
 	"net/netip"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -59,6 +61,11 @@
 		netip.AddrPortFrom(k.FrontIP.Addr(), k.FrontPort).String()
 }
 
+// SortKeys orders keys by their hashes, so that a run repeats.
+func SortKeys(keys []Key) {
+	slices.SortFunc(keys, func(a, b Key) int { return cmp.Compare(a.Hash(), b.Hash()) })
+}
+
 // Front returns the address that the client called.
 func (k Key) Front() Front { return Front{k.FrontIP, k.FrontPort} }
 
