New flows that wait are served by priority, first copies first; they count as load from admission on

Cause: SYNs that an agent took in one burst were not yet counted when the next one came (load 26 to 48 at a limit of 10 to 17 after a power loss), and copies and new attempts of requests that were late already went before fresh ones.

--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -1,6 +1,7 @@
 package packetfront
 
 import (
+	"slices"
 	"time"
 
 	"github.com/poppywall/poppywall/fleet"
@@ -147,7 +148,7 @@
 	if ok && c.full() && c.flows.get(key) == nil {
 		if c.env.Count == 0 {
 			c.events.Waiting(key, c.flows.busy, c.limit())
-			c.waiting.push(now, key, &c.env, packet)
+			c.waiting.push(waitingSyn{key: key, copy: h.Ack, env: c.env, packet: slices.Clone(packet), since: now})
 			return
 		}
 		reason, ok = "host at its limit", false
@@ -165,6 +166,7 @@
 	if c.flows.get(key) == nil {
 		r := c.flows.ensure(now, key)
 		r.stage = offered
+		c.countOpening(now, key, r)
 		if c.env.Hops > 0 {
 			r.balancer = c.env.Balancer
 		}
@@ -319,9 +321,7 @@
 	if (r.stage == halfOpen || r.stage == open) && flow.SameFlow(h.Seq, r.hostSeq) {
 		return
 	}
-	c.flows.answered(r)
 	c.flows.setStage(r, halfOpen)
-	c.countOpening(now, key, r)
 	r.hostSeq, r.clientFin, r.hostFin = h.Seq, false, false
 	if r.balancer != 0 {
 		c.tellOwner(key, r.balancer, 1)
--- a/agent/packetfront/waiting.go
+++ b/agent/packetfront/waiting.go
@@ -1,6 +1,7 @@
 package packetfront
 
 import (
+	"slices"
 	"time"
 
 	"github.com/poppywall/poppywall/flow"
@@ -13,63 +14,69 @@
 	// request behind so many waits for 1.5 times the host's work on one, which
 	// leaves it within the latency objectives in use (4 to 5 times the work).
 	// What a host queues beyond that is late when it runs.
-	queuePerSlot = 1.5
+	queuePerSlot = 0.5
 	// maxWaiting bounds the SYNs that wait for room at the host.
 	maxWaiting = 64
 	// waitTTL is how long a SYN waits: its client sends the next copy after
 	// 200 ms.
 	waitTTL = 180 * time.Millisecond
-	// openingLoad is how long a flow that was accepted counts as load although
-	// its client has sent nothing.
+	// openingLoad is how long a flow that was given to the host counts as load
+	// although its client has sent nothing.
 	openingLoad = 300 * time.Millisecond
 )
 
-// waiting holds SYNs that no host had room for. The newest is served first: under
-// overload the oldest is late anyway, and in order all would be late (adaptive
-// LIFO). A SYN that is not served in time is forgotten, its client sends copies.
+// waiting holds SYNs that no host had room for. Those of the highest priority go
+// first, of those first copies, of those the newest: under overload the oldest
+// is late anyway, and in order of arrival all would be late (adaptive LIFO). A
+// SYN that is not served in time is forgotten; its client sends copies.
 type waiting struct {
 	syns []waitingSyn
 }
 
 type waitingSyn struct {
-	key    flow.Key
+	key flow.Key
+	// copy counts the copies of the SYN sent before.
+	copy   uint32
 	env    envelope.Envelope
 	packet []byte
 	since  time.Time
 }
 
-// push adds a SYN; a copy replaces the one before. A full stack loses its oldest.
-func (w *waiting) push(now time.Time, key flow.Key, env *envelope.Envelope, packet []byte) {
-	w.remove(key)
-	if len(w.syns) >= maxWaiting {
-		w.syns = append(w.syns[:0], w.syns[1:]...)
+// before tells whether a SYN is to be served before another one.
+func (s *waitingSyn) before(other *waitingSyn) bool {
+	if s.env.Priority != other.env.Priority {
+		return s.env.Priority < other.env.Priority
+	}
+	if first, otherFirst := s.copy == 0, other.copy == 0; first != otherFirst {
+		return first
 	}
-	w.syns = append(w.syns, waitingSyn{key, *env, append([]byte(nil), packet...), now})
+	return s.since.After(other.since)
 }
 
-func (w *waiting) remove(key flow.Key) {
-	for i := range w.syns {
-		if w.syns[i].key == key {
-			w.syns = append(w.syns[:i], w.syns[i+1:]...)
-			return
-		}
+// push adds a SYN; a copy replaces the one before. A full store loses its oldest.
+func (w *waiting) push(s waitingSyn) {
+	w.syns = slices.DeleteFunc(w.syns, func(o waitingSyn) bool { return o.key == s.key })
+	if len(w.syns) >= maxWaiting {
+		w.syns = slices.Delete(w.syns, 0, 1)
 	}
+	w.syns = append(w.syns, s)
 }
 
-// pop takes the newest SYN that has not waited for too long.
+// pop takes the SYN that is to be served next, none that has waited for too long.
 func (w *waiting) pop(now time.Time) (waitingSyn, bool) {
-	n := len(w.syns)
-	if n == 0 {
+	w.syns = slices.DeleteFunc(w.syns, func(s waitingSyn) bool { return now.Sub(s.since) > waitTTL })
+	if len(w.syns) == 0 {
 		return waitingSyn{}, false
 	}
-	newest := w.syns[n-1]
-	w.syns = w.syns[:n-1]
-	if now.Sub(newest.since) > waitTTL {
-		// All below are older.
-		w.syns = w.syns[:0]
-		return waitingSyn{}, false
+	best := 0
+	for i := range w.syns {
+		if w.syns[i].before(&w.syns[best]) {
+			best = i
+		}
 	}
-	return newest, true
+	s := w.syns[best]
+	w.syns = slices.Delete(w.syns, best, best+1)
+	return s, true
 }
 
 // limit is how many requests the host may have, running and queued.
@@ -93,13 +100,14 @@
 	}
 }
 
-// openingFlow is a flow that counts as load from its acceptance on.
+// openingFlow is a flow that counts as load from its admission on.
 type openingFlow struct {
 	key flow.Key
 	at  time.Time
 }
 
-// countOpening counts an accepted flow as load: its request will follow.
+// countOpening counts a flow that was given to the host as load: its request
+// will follow.
 func (c *Core) countOpening(now time.Time, key flow.Key, r *record) {
 	c.flows.requested(now, r)
 	c.opening = append(c.opening, openingFlow{key, now})
@@ -110,7 +118,7 @@
 	for len(c.opening) > 0 && now.Sub(c.opening[0].at) > openingLoad {
 		first := c.opening[0]
 		c.opening = c.opening[1:]
-		if r := c.flows.get(first.key); r != nil && r.stage == halfOpen && r.pendingAt.Equal(first.at) {
+		if r := c.flows.get(first.key); r != nil && r.stage < open && r.pendingAt.Equal(first.at) {
 			c.flows.answered(r)
 		}
 	}
--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -204,7 +204,9 @@
 	host.Sent++
 	c.events.Opened(Decision{Key: key, Route: route.Name, Service: backend.Name, Host: host, Config: c.config.Version,
 		Age: now.Sub(host.HeardAt), Candidates: len(candidates), Copy: h.Ack})
-	c.env = envelope.Envelope{Kind: envelope.Deliver, Balancer: c.opts.Self, Service: chosen.Service}
+	c.env = envelope.Envelope{
+		Kind: envelope.Deliver, Balancer: c.opts.Self, Service: chosen.Service, Priority: route.Priority,
+	}
 	c.env.SetCandidates(candidates[1:])
 	c.send(chosen.Host, packet)
 }
--- a/flow/config.go
+++ b/flow/config.go
@@ -17,6 +17,8 @@
 	Name string
 	// Backends are the services with their shares; at least one.
 	Backends []Backend
+	// Priority orders routes when not all new flows can be served; 0 is highest.
+	Priority uint8
 	// Objective is the latency objective of a request, zero when unstated.
 	Objective time.Duration
 	// Deadline is when a client gives a request up, zero when unstated.
--- a/flow/envelope/envelope.go
+++ b/flow/envelope/envelope.go
@@ -3,8 +3,9 @@
 // untouched behind it.
 //
 // Layout, big-endian: magic (2), version (1), kind (1), balancer (4), hops (1),
-// flags (1), candidate count (1), round (1), service (4), generation (4), then 8
-// bytes for each candidate still to try (address 4, service 4), then the packet.
+// flags (1), candidate count (1), round (1), service (4), generation (4),
+// priority (1), then 8 bytes for each candidate still to try (address 4, service
+// 4), then the packet.
 //
 // Cost: decoding allocates nothing (BenchmarkDecode).
 package envelope
@@ -56,7 +57,7 @@
 	MaxHops = MaxCandidates + 8
 	// PrefixLen is the length of magic, version and kind.
 	PrefixLen = 4
-	headLen   = 20
+	headLen   = 21
 	itemLen   = 8
 	// MaxLen is the longest envelope, in bytes.
 	MaxLen = headLen + MaxCandidates*itemLen
@@ -83,6 +84,8 @@
 	Round uint8
 	// Generation is that of the balancer's view when the search began.
 	Generation uint32
+	// Priority is that of the route, 0 the highest; for new flows only.
+	Priority uint8
 	// Count is the number of Candidates still to try, in order.
 	Count      int
 	Candidates [MaxCandidates]flow.Candidate
@@ -125,6 +128,7 @@
 	b = append(b, e.Hops, byte(e.Flags), byte(e.Count), e.Round)
 	b = binary.BigEndian.AppendUint32(b, uint32(e.Service))
 	b = binary.BigEndian.AppendUint32(b, e.Generation)
+	b = append(b, e.Priority)
 	for _, c := range e.Candidates[:e.Count] {
 		b = binary.BigEndian.AppendUint32(b, uint32(c.Host))
 		b = binary.BigEndian.AppendUint32(b, uint32(c.Service))
@@ -152,6 +156,7 @@
 	e.Round = b[11]
 	e.Service = flow.Tag(binary.BigEndian.Uint32(b[12:]))
 	e.Generation = binary.BigEndian.Uint32(b[16:])
+	e.Priority = b[20]
 	for i := range count {
 		at := b[headLen+i*itemLen:]
 		e.Candidates[i] = flow.Candidate{
