--- a/balancer/packetfront/front.go
+++ b/balancer/packetfront/front.go
@@ -183,7 +183,7 @@
 // followPeers fetches a configuration that another balancer has and this one
 // does not get from the store, and reads the registry when it is alone.
 func (f *Front) followPeers(ctx context.Context) error {
-	return worker.Every(ctx, tickPeriod, func() {
+	look := func() {
 		if peer, due := f.staleBehind(); due {
 			f.fetch(ctx, peer)
 		}
@@ -191,7 +191,10 @@
 			f.readRegistry(ctx)
 		}
 		f.surveyAgents(ctx)
-	})
+	}
+	// At once: the registry names the agents before any of them is heard.
+	look()
+	return worker.Every(ctx, tickPeriod, look)
 }
 
 // staleBehind returns a balancer with a newer configuration once the own watch
