An agent without a host says so; the log of a lost flow names the host that was not asked

By the logs: 439 times 'a host was not asked', all for 10.2.0.8, whose host had left at 29.7 s; the power loss brought its VM back for some seconds, its agent announced 'absent' and was taken away, and 'absent' and silent left every balancer in doubt for 20 s. An agent whose host refused a connection now announces 'gone', for nothing can be open there. Leases of the registry are 8 s instead of 12.

--- a/agent/packetfront/nodes.go
+++ b/agent/packetfront/nodes.go
@@ -110,6 +110,10 @@
 
 func (c *Core) announcement(now time.Time) fleet.Announcement {
 	state := c.host.state()
+	if c.host.holdsNothing() {
+		// Balancers need not ask here for open flows.
+		state = fleet.Gone
+	}
 	if c.leaving && state == fleet.Ready {
 		state = fleet.Draining
 	}
--- a/balancer/packetfront/events.go
+++ b/balancer/packetfront/events.go
@@ -44,8 +44,9 @@
 	Searching(key flow.Key, candidates, round int)
 	OwnerFound(key flow.Key, host flow.IPv4, hops int)
 	// Lost is a packet whose flow no candidate holds. doubt says why the flow is
-	// not reset all the same; empty when it is.
-	Lost(key flow.Key, hops int, doubt Doubt)
+	// not reset all the same, empty when it is; missing is the host that was not
+	// asked, if that is the doubt.
+	Lost(key flow.Key, hops int, doubt Doubt, missing flow.IPv4)
 	Dropped(reason Drop)
 	HostChanged(h *fleet.Host, change fleet.Change)
 	HostForgotten(ip flow.IPv4)
--- a/balancer/packetfront/nodes.go
+++ b/balancer/packetfront/nodes.go
@@ -166,8 +166,8 @@
 // at once when the flow is certainly over; while that is not certain, the search
 // is repeated.
 func (c *Core) giveUp(now time.Time, key flow.Key, h *flow.Header, packet []byte, env *envelope.Envelope) {
-	doubt := c.doubt(now, env)
-	c.events.Lost(key, int(env.Hops), doubt)
+	doubt, missing := c.doubt(now, env)
+	c.events.Lost(key, int(env.Hops), doubt, missing)
 	if doubt != "" {
 		c.limbo.keep(now, key, packet)
 		return
--- a/balancer/packetfront/observer.go
+++ b/balancer/packetfront/observer.go
@@ -133,13 +133,14 @@
 }
 
 // Lost implements Events.
-func (o *observer) Lost(key flow.Key, hops int, doubt Doubt) {
+func (o *observer) Lost(key flow.Key, hops int, doubt Doubt, missing flow.IPv4) {
 	outcome := string(doubt)
 	if doubt == "" {
 		outcome = "reset"
 	}
 	o.lost.WithLabelValues(outcome).Inc()
-	o.line(&o.searching, "flow held by no host", zap.Stringer(fieldFlow, key), zap.Int(fieldHops, hops), zap.String("outcome", outcome))
+	o.line(&o.searching, "flow held by no host", zap.Stringer(fieldFlow, key), zap.Int(fieldHops, hops), zap.String("outcome", outcome),
+		zap.Stringer("missing", missing))
 }
 
 // Dropped implements Events.
--- a/balancer/packetfront/survey.go
+++ b/balancer/packetfront/survey.go
@@ -49,30 +49,31 @@
 	wantedAt time.Time
 }
 
-// doubt tells whether a flow for which every candidate was asked may live.
-func (c *Core) doubt(now time.Time, env *envelope.Envelope) Doubt {
+// doubt tells whether a flow for which every candidate was asked may live, and
+// the host that it may live at if that is known.
+func (c *Core) doubt(now time.Time, env *envelope.Envelope) (Doubt, flow.IPv4) {
 	switch {
 	case env.Flags&envelope.Unsure != 0:
-		return DoubtHost
+		return DoubtHost, 0
 	case env.Generation != c.generation():
-		return DoubtView
+		return DoubtView, 0
 	case now.Sub(c.startedAt) < freshTime:
-		return DoubtFresh
+		return DoubtFresh, 0
 	case c.survey.readAt.IsZero() || now.Sub(c.survey.readAt) > surveyTTL:
 		c.survey.wanted = true
-		return DoubtSurvey
+		return DoubtSurvey, 0
 	}
 	for _, ip := range c.survey.agents {
 		if _, known := c.view.Host(ip); !known {
-			return DoubtMissing
+			return DoubtMissing, ip
 		}
 	}
 	for _, ip := range c.view.Hosts() {
 		if h, _ := c.view.Host(ip); h.Quiet(now) && h.State != fleet.Gone {
-			return DoubtMissing
+			return DoubtMissing, ip
 		}
 	}
-	return ""
+	return "", 0
 }
 
 // WantsSurvey tells whether the registry of agents is to be read: right after
--- a/e2e/packets/packets_test.go
+++ b/e2e/packets/packets_test.go
@@ -237,6 +237,30 @@
 	require.Empty(t, w.violations)
 }
 
+// TestVMWithoutHostDoesNotKeepDeadFlows: a VM whose host does not come back and
+// that is then taken away must not leave the balancers in doubt.
+func TestVMWithoutHostDoesNotKeepDeadFlows(t *testing.T) {
+	w := newWorld(6)
+	deployment(w)
+	w.run(3 * time.Second)
+	c := w.addClient("z1", frontA)
+	w.run(time.Second)
+	var other *agentNode
+	for _, a := range sortedAgents(w) {
+		if a.host != c.host {
+			other = a
+		}
+	}
+	blackout(w, time.Second, 3*time.Second)
+	w.run(2500 * time.Millisecond)
+	other.core.Stop(w.now)
+	other.stop()
+	w.run(4 * time.Second)
+	c.request()
+	w.run(time.Second)
+	require.Equal(t, refused, c.state)
+}
+
 // TestBlackoutOfTheSystemAloneResetsNothing: hosts that live keep their flows.
 func TestBlackoutOfTheSystemAloneResetsNothing(t *testing.T) {
 	for seed := range uint64(10) {
--- a/e2e/packets/world_test.go
+++ b/e2e/packets/world_test.go
@@ -215,7 +215,7 @@
 }
 
 // leaseTTL is how long an agent stays registered after its end.
-const leaseTTL = 12 * time.Second
+const leaseTTL = 8 * time.Second
 
 // registered returns the agents that the store has.
 func (w *world) registered() []flow.IPv4 {
@@ -465,16 +465,16 @@
 // quietBalancer and quietAgent hear nothing.
 type quietBalancer struct{}
 
-func (quietBalancer) Forwarded()                              {}
-func (quietBalancer) Opened(balancerfront.Decision)           {}
-func (quietBalancer) Refused(flow.Key, string, string)        {}
-func (quietBalancer) Searching(flow.Key, int, int)            {}
-func (quietBalancer) OwnerFound(flow.Key, flow.IPv4, int)     {}
-func (quietBalancer) Lost(flow.Key, int, balancerfront.Doubt) {}
-func (quietBalancer) Dropped(balancerfront.Drop)              {}
-func (quietBalancer) HostChanged(*fleet.Host, fleet.Change)   {}
-func (quietBalancer) HostForgotten(flow.IPv4)                 {}
-func (quietBalancer) PeerChanged(flow.IPv4, string)           {}
+func (quietBalancer) Forwarded()                                         {}
+func (quietBalancer) Opened(balancerfront.Decision)                      {}
+func (quietBalancer) Refused(flow.Key, string, string)                   {}
+func (quietBalancer) Searching(flow.Key, int, int)                       {}
+func (quietBalancer) OwnerFound(flow.Key, flow.IPv4, int)                {}
+func (quietBalancer) Lost(flow.Key, int, balancerfront.Doubt, flow.IPv4) {}
+func (quietBalancer) Dropped(balancerfront.Drop)                         {}
+func (quietBalancer) HostChanged(*fleet.Host, fleet.Change)              {}
+func (quietBalancer) HostForgotten(flow.IPv4)                            {}
+func (quietBalancer) PeerChanged(flow.IPv4, string)                      {}
 
 type quietAgent struct{}
 
--- a/fleet/registry/registry.go
+++ b/fleet/registry/registry.go
@@ -31,9 +31,9 @@
 // Times of the registry.
 const (
 	// leaseTTL is how long a dead balancer stays listed.
-	leaseTTL = 12 * time.Second
+	leaseTTL = 8 * time.Second
 	// keepPeriod leaves two tries before the lease ends.
-	keepPeriod = 4 * time.Second
+	keepPeriod = 2500 * time.Millisecond
 	// retryPause is the pause after a failed call: an entry is back within two
 	// seconds of the store's return.
 	retryPause = 800 * time.Millisecond
