--- a/standin/store.go
+++ b/standin/store.go
@@ -46,10 +46,12 @@
 	now      func() time.Time
 	revision int64
 	history  map[string][]version
-	leases   map[store.LeaseID]time.Time
-	next     store.LeaseID
-	faults   Faults
-	calls    int
+	leases   map[store.LeaseID]lease
+	// compacted is the revision up to which the history is gone for watches.
+	compacted int64
+	next      store.LeaseID
+	faults    Faults
+	calls     int
 }
 
 var errInjected = errors.New("injected fault")
@@ -60,7 +62,7 @@
 		now:      now,
 		revision: 1,
 		history:  map[string][]version{},
-		leases:   map[store.LeaseID]time.Time{},
+		leases:   map[store.LeaseID]lease{},
 	}
 }
 
@@ -89,8 +91,9 @@
 func (s *Store) LapseLeases() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id := range s.leases {
-		s.leases[id] = time.Time{}
+	for id, l := range s.leases {
+		l.till = time.Time{}
+		s.leases[id] = l
 	}
 	s.expire()
 }
@@ -105,8 +108,8 @@
 }
 
 func (s *Store) expire() {
-	for id, till := range s.leases {
-		if s.now().Before(till) {
+	for id, l := range s.leases {
+		if s.now().Before(l.till) {
 			continue
 		}
 		delete(s.leases, id)
@@ -184,6 +187,11 @@
 		s.faults.LoseRequests--
 		return store.TxnResponse{}, lost
 	}
+	for _, p := range txn.Puts {
+		if _, ok := s.leases[p.Lease]; p.Lease != 0 && !ok {
+			return store.TxnResponse{}, noLease()
+		}
+	}
 	resp := store.TxnResponse{Succeeded: s.holds(txn.Compares)}
 	if resp.Succeeded {
 		s.put(txn.Puts)
@@ -237,7 +245,7 @@
 		return 0, err
 	}
 	s.next++
-	s.leases[s.next] = s.now().Add(ttl)
+	s.leases[s.next] = lease{ttl: ttl, till: s.now().Add(ttl)}
 	return s.next, nil
 }
 
@@ -247,3 +255,17 @@
 	defer s.mu.Unlock()
 	return s.faults
 }
+
+// LoseAnswer drops the answer of the next write after its effect.
+func (s *Store) LoseAnswer() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults.LoseAnswers++
+}
+
+// Down makes every call fail before it has an effect, or ends that.
+func (s *Store) Down(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults.Down = down
+}
--- /dev/null
+++ b/store/storetest/contract.go
@@ -0,0 +1,127 @@
+// Package storetest is the contract of store.Store that every client has to
+// keep, whatever protocol it speaks.
+package storetest
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/poppywall/poppywall/store"
+	"github.com/poppywall/poppywall/verdict"
+)
+
+// Faulty lets the service behind the client misbehave.
+type Faulty interface {
+	// LoseAnswer drops the answer of the next write after its effect.
+	LoseAnswer()
+	// Down makes every call fail before it has an effect, or ends that.
+	Down(down bool)
+	// LapseLeases ends all leases at once.
+	LapseLeases()
+}
+
+// Run checks a client against an empty service.
+func Run(t *testing.T, s store.Store, faults Faulty) {
+	t.Helper()
+	t.Run("transactions", func(t *testing.T) { transactions(t, s) })
+	t.Run("pages", func(t *testing.T) { pages(t, s) })
+	t.Run("leases", func(t *testing.T) { leases(t, s, faults) })
+	t.Run("verdicts", func(t *testing.T) { verdicts(t, s, faults) })
+}
+
+func put(key, value string) store.Put { return store.Put{Key: key, Value: []byte(value)} }
+
+func read(t *testing.T, s store.Store, key string) (store.KV, bool) {
+	t.Helper()
+	resp, err := s.Range(context.Background(), store.RangeRequest{Key: key})
+	require.NoError(t, err)
+	if len(resp.KVs) == 0 {
+		return store.KV{}, false
+	}
+	return resp.KVs[0], true
+}
+
+func transactions(t *testing.T, s store.Store) {
+	ctx := context.Background()
+	absent := store.Compare{Key: "txn/a", Field: store.ModRevision, Equal: 0}
+	first, err := s.Txn(ctx, store.Txn{Compares: []store.Compare{absent}, Puts: []store.Put{put("txn/a", "1"), put("txn/b", "2")}})
+	require.NoError(t, err)
+	require.True(t, first.Succeeded)
+	second, err := s.Txn(ctx, store.Txn{Compares: []store.Compare{absent}, Puts: []store.Put{put("txn/a", "3")}})
+	require.NoError(t, err)
+	require.False(t, second.Succeeded, "the key exists")
+	kv, ok := read(t, s, "txn/a")
+	require.True(t, ok)
+	require.Equal(t, "1", string(kv.Value))
+	require.Equal(t, first.Revision, kv.ModRevision)
+	present := store.Compare{Key: "txn/a", Field: store.ModRevision, Equal: kv.ModRevision}
+	third, err := s.Txn(ctx, store.Txn{Compares: []store.Compare{present}, Puts: []store.Put{put("txn/a", "")}})
+	require.NoError(t, err)
+	require.True(t, third.Succeeded)
+	require.Greater(t, third.Revision, first.Revision)
+	kv, ok = read(t, s, "txn/a")
+	require.True(t, ok, "a key without a value exists")
+	require.Empty(t, kv.Value)
+	_, ok = read(t, s, "txn/none")
+	require.False(t, ok)
+}
+
+// pages writes more keys than one answer holds.
+func pages(t *testing.T, s store.Store) {
+	const keys = 1203
+	ctx := context.Background()
+	for from := 0; from < keys; from += 30 {
+		var puts []store.Put
+		for i := from; i < min(from+30, keys); i++ {
+			puts = append(puts, put(fmt.Sprintf("pages/%05d", i), "x"))
+		}
+		_, err := s.Txn(ctx, store.Txn{Puts: puts})
+		require.NoError(t, err)
+	}
+	_, err := s.Txn(ctx, store.Txn{Puts: []store.Put{put("pagesX", "not below the prefix")}})
+	require.NoError(t, err)
+	var got []string
+	req := store.RangeRequest{Key: "pages/", End: store.PrefixEnd("pages/")}
+	_, err = store.ReadAll(ctx, s, req, func(kv store.KV) error {
+		got = append(got, kv.Key)
+		return nil
+	})
+	require.NoError(t, err)
+	require.Len(t, got, keys)
+	require.IsIncreasing(t, got)
+}
+
+func leases(t *testing.T, s store.Store, faults Faulty) {
+	ctx := context.Background()
+	id, err := s.Grant(ctx, time.Minute)
+	require.NoError(t, err)
+	_, err = s.Txn(ctx, store.Txn{Puts: []store.Put{{Key: "lease/a", Value: []byte("x"), Lease: id}}})
+	require.NoError(t, err)
+	_, ok := read(t, s, "lease/a")
+	require.True(t, ok)
+	faults.LapseLeases()
+	_, ok = read(t, s, "lease/a")
+	require.False(t, ok, "its lease has ended")
+	_, err = s.Txn(ctx, store.Txn{Puts: []store.Put{{Key: "lease/a", Lease: id}}})
+	require.Error(t, err)
+}
+
+func verdicts(t *testing.T, s store.Store, faults Faulty) {
+	ctx := context.Background()
+	faults.LoseAnswer()
+	_, err := s.Txn(ctx, store.Txn{Puts: []store.Put{put("verdict/a", "1")}})
+	require.Error(t, err)
+	require.Equal(t, verdict.Unknown, verdict.Of(err), "the answer was lost")
+	_, ok := read(t, s, "verdict/a")
+	require.True(t, ok, "it had its effect all the same")
+	faults.Down(true)
+	_, err = s.Txn(ctx, store.Txn{Puts: []store.Put{put("verdict/b", "1")}})
+	require.Error(t, err)
+	faults.Down(false)
+	_, ok = read(t, s, "verdict/b")
+	require.False(t, ok)
+}
