A soak of the real programs on loopback; the proof that a flow is over survives lapsed leases

poppywall-soak starts balancers and agents of the packet front as processes beside stand-ins of hosts, clients, routers and the store, injects faults by a seed and checks what clients and hosts see. Its first seeds found: - SIGHUP that came while a process started ended it; it is taken first of all now. - A balancer that had just started reset flows of a living host whose agent was down while all leases had lapsed: names heard from other balancers count as hosts to ask for 20 s, and a registry that lacks an agent that is heard proves nothing.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Commands of the project; `make trial` runs it, `make test` passes the tests.
 STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
-BINARIES := poppywall-balancer poppywall-agent poppywallctl poppywall-load poppywall-trial poppywall-standin poppywall-measure
+BINARIES := poppywall-balancer poppywall-agent poppywallctl poppywall-load poppywall-trial poppywall-standin poppywall-measure poppywall-soak
 VERSION := $(shell git describe --always --dirty 2>/dev/null || echo dev)
 LDFLAGS := -X github.com/poppywall/poppywall/telemetry.Version=$(VERSION)
 MODULES = $(patsubst %/go.mod,./%/...,$(wildcard */go.mod))
--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -65,12 +65,14 @@
 	table     *table
 	startedAt time.Time
 
-	seq          uint32
-	leaving      bool
-	nextBeacon   time.Time
-	nextJoin     time.Time
-	nextCompare  time.Time
-	survey       survey
+	seq         uint32
+	leaving     bool
+	nextBeacon  time.Time
+	nextJoin    time.Time
+	nextCompare time.Time
+	survey      survey
+	// named are agents that other balancers know and this one has not heard.
+	named        map[flow.IPv4]time.Time
 	limbo        limbo
 	beaconRounds int
 
@@ -87,7 +89,7 @@
 	return &Core{
 		opts: opts, port: port, codec: codec, events: events, rnd: rnd,
 		view: fleet.NewView(), table: newTable(maxFlows), startedAt: now,
-		buf: make([]byte, 0, 2048), plan: newPlan(), limbo: newLimbo(),
+		buf: make([]byte, 0, 2048), plan: newPlan(), limbo: newLimbo(), named: map[flow.IPv4]time.Time{},
 	}
 }
 
--- a/balancer/packetfront/core_test.go
+++ b/balancer/packetfront/core_test.go
@@ -237,14 +237,21 @@
 		flags   envelope.Flags
 		want    Doubt
 	}{
-		"all said no":            {want: ""},
-		"one was unsure":         {flags: envelope.Unsure, want: DoubtHost},
-		"a host joined":          {during: func(f *fixture) { f.announce(other, fleet.Ready) }, want: DoubtView},
-		"a host was replaced":    {during: func(f *fixture) { f.announce(hostA, fleet.Gone) }, want: DoubtView},
-		"just started":           {prepare: func(f *fixture) { f.startedAt = f.now }, want: DoubtFresh},
-		"registry not read":      {prepare: func(f *fixture) { f.survey.readAt = time.Time{} }, want: DoubtSurvey},
-		"registry read long ago": {prepare: func(f *fixture) { f.survey.readAt = f.now.Add(-surveyTTL - 1) }, want: DoubtSurvey},
-		"an agent is missing":    {prepare: func(f *fixture) { f.Surveyed(f.now, []flow.IPv4{hostA, hostB, other}) }, want: DoubtMissing},
+		"all said no":                {want: ""},
+		"one was unsure":             {flags: envelope.Unsure, want: DoubtHost},
+		"a host joined":              {during: func(f *fixture) { f.announce(other, fleet.Ready) }, want: DoubtView},
+		"a host was replaced":        {during: func(f *fixture) { f.announce(hostA, fleet.Gone) }, want: DoubtView},
+		"just started":               {prepare: func(f *fixture) { f.startedAt = f.now }, want: DoubtFresh},
+		"registry not read":          {prepare: func(f *fixture) { f.survey.readAt = time.Time{} }, want: DoubtSurvey},
+		"registry read long ago":     {prepare: func(f *fixture) { f.survey.readAt = f.now.Add(-surveyTTL - 1) }, want: DoubtSurvey},
+		"an agent is missing":        {prepare: func(f *fixture) { f.Surveyed(f.now, []flow.IPv4{hostA, hostB, other}) }, want: DoubtMissing},
+		"an agent is not registered": {prepare: func(f *fixture) { f.Surveyed(f.now, []flow.IPv4{hostA}) }, want: DoubtRegistry},
+		"another balancer names one": {
+			prepare: func(f *fixture) {
+				fleet.AppendPeers(nil, nil, []flow.IPv4{other}, func(msg []byte) { f.HandleNode(f.now, peer, msg) })
+			},
+			want: DoubtMissing,
+		},
 		"an agent is quiet": {
 			prepare: func(f *fixture) { f.now = f.now.Add(fleet.Quiet + time.Second); f.announce(hostA, fleet.Ready) },
 			want:    DoubtMissing,
@@ -296,8 +303,8 @@
 	var agents []flow.IPv4
 	for i := range flow.IPv4(hosts - 2) {
 		f.announce(0x0a020000+i, fleet.Ready)
-		agents = append(agents, 0x0a020000+i)
 	}
+	agents = f.View().Hosts()
 	f.Surveyed(f.now, agents)
 	f.client(packet(false, 9))
 	asked := map[flow.IPv4]bool{}
--- a/balancer/packetfront/nodes.go
+++ b/balancer/packetfront/nodes.go
@@ -99,6 +99,7 @@
 	}
 	for _, ip := range agents {
 		if _, known := c.view.Host(ip); !known {
+			c.named[ip] = now
 			c.sendBeacon(ip, fleet.Beacon{WantPeers: true})
 		}
 	}
--- a/balancer/packetfront/survey.go
+++ b/balancer/packetfront/survey.go
@@ -1,6 +1,7 @@
 package packetfront
 
 import (
+	"slices"
 	"time"
 
 	"github.com/poppywall/poppywall/fleet"
@@ -22,7 +23,11 @@
 	DoubtFresh Doubt = "just started"
 	// DoubtSurvey: the registry of agents was not read lately.
 	DoubtSurvey Doubt = "no survey"
-	// DoubtMissing: an agent that is registered was not heard.
+	// DoubtRegistry: an agent that is heard is not registered, so others may be
+	// missing there: leases have lapsed, or the store was away.
+	DoubtRegistry Doubt = "registry incomplete"
+	// DoubtMissing: an agent that the registry or another balancer names was not
+	// heard.
 	DoubtMissing Doubt = "a host was not asked"
 )
 
@@ -63,17 +68,46 @@
 		c.survey.wanted = true
 		return DoubtSurvey, 0
 	}
+	if ip, missing := c.unheard(now); missing {
+		return DoubtMissing, ip
+	}
+	if ip, missing := c.unregistered(); missing {
+		c.survey.wanted = true
+		return DoubtRegistry, ip
+	}
+	return "", 0
+}
+
+// unheard returns a host that may hold flows and could not be asked.
+func (c *Core) unheard(now time.Time) (flow.IPv4, bool) {
 	for _, ip := range c.survey.agents {
 		if _, known := c.view.Host(ip); !known {
-			return DoubtMissing, ip
+			return ip, true
+		}
+	}
+	for ip, at := range c.named {
+		if _, known := c.view.Host(ip); known || now.Sub(at) > fleet.Forget {
+			delete(c.named, ip)
+			continue
 		}
+		return ip, true
 	}
 	for _, ip := range c.view.Hosts() {
 		if h, _ := c.view.Host(ip); h.Quiet(now) && h.State != fleet.Gone {
-			return DoubtMissing, ip
+			return ip, true
 		}
 	}
-	return "", 0
+	return 0, false
+}
+
+// unregistered returns an agent that is heard and not in the registry.
+func (c *Core) unregistered() (flow.IPv4, bool) {
+	for _, ip := range c.view.Hosts() {
+		if h, _ := c.view.Host(ip); h.State != fleet.Gone && !slices.Contains(c.survey.agents, ip) {
+			return ip, true
+		}
+	}
+	return 0, false
 }
 
 // WantsSurvey tells whether the registry of agents is to be read: right after
--- a/binaries/internal/process/process.go
+++ b/binaries/internal/process/process.go
@@ -52,6 +52,9 @@
 
 // Main parses flags, checks settings and runs until SIGTERM or SIGINT.
 func (d Daemon[T]) Main(args []string) {
+	// First of all: a signal that comes while the process starts must not end it.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	path, check := "", false
 	p := NewParser(d.Name, d.Description)
 	p.String(&path, "s", "settings", "Path of the JSON settings file.")
@@ -64,7 +67,7 @@
 		fmt.Println("settings are valid")
 		return
 	}
-	if err := d.run(path, cfg); err != nil {
+	if err := d.run(path, cfg, hangup); err != nil {
 		Fail(ExitFailure, err)
 	}
 }
@@ -80,7 +83,7 @@
 	return cfg
 }
 
-func (d Daemon[T]) run(path string, cfg T) error {
+func (d Daemon[T]) run(path string, cfg T, hangup <-chan os.Signal) error {
 	log, level, err := telemetry.NewLogger(d.Log(cfg))
 	if err != nil {
 		return err
@@ -93,7 +96,7 @@
 	}
 	ctx, stop := SignalContext()
 	defer stop()
-	go d.follow(ctx, path, r, log, level)
+	go d.follow(ctx, path, hangup, r, log, level)
 	return r.Run(ctx)
 }
 
--- a/binaries/internal/process/reload.go
+++ b/binaries/internal/process/reload.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -25,10 +23,7 @@
 }
 
 // follow reloads the settings on SIGHUP and when their file has changed.
-func (d Daemon[T]) follow(ctx context.Context, path string, r Runner, log *zap.Logger, level zap.AtomicLevel) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+func (d Daemon[T]) follow(ctx context.Context, path string, hangup <-chan os.Signal, r Runner, log *zap.Logger, level zap.AtomicLevel) {
 	tick := time.NewTicker(settingsPoll)
 	defer tick.Stop()
 	// A file that cannot be read is taken for unchanged; the next look tells.
--- a/e2e/packets/packets_test.go
+++ b/e2e/packets/packets_test.go
@@ -156,7 +156,7 @@
 	b := w.balancers[ips[rapid.IntRange(0, len(ips)-1).Draw(t, "balancer")]]
 	down := time.Duration(rapid.IntRange(1, 800).Draw(t, "down")) * time.Millisecond
 	front := rapid.SampledFrom([]flow.Front{frontA, frontB}).Draw(t, "front")
-	switch rapid.IntRange(0, 13).Draw(t, "what") {
+	switch rapid.IntRange(0, 14).Draw(t, "what") {
 	case 0:
 		b.restart(down)
 	case 1:
@@ -176,6 +176,8 @@
 		})
 	case 6:
 		replaceHost(w, a)
+	case 14:
+		w.lapsedAt = w.now
 	case 12:
 		blackout(w, down, down)
 	case 13:
--- a/e2e/packets/world_test.go
+++ b/e2e/packets/world_test.go
@@ -73,6 +73,8 @@
 	// cut tells whether datagrams between two nodes are lost.
 	cut func(from, to flow.IPv4) bool
 
+	// lapsedAt is when the store let all leases end.
+	lapsedAt   time.Time
 	nextIP     flow.IPv4
 	messages   int
 	violations []string
@@ -221,13 +223,23 @@
 func (w *world) registered() []flow.IPv4 {
 	var out []flow.IPv4
 	for _, a := range sortedAgents(w) {
-		if a.up || w.now.Sub(a.downAt) < leaseTTL {
+		if a.registered(w) {
 			out = append(out, a.ip)
 		}
 	}
 	return out
 }
 
+// renewal is how long after a lapse an agent that lives is registered again.
+const renewal = 2500 * time.Millisecond
+
+func (a *agentNode) registered(w *world) bool {
+	if w.now.Sub(w.lapsedAt) < renewal {
+		return false
+	}
+	return a.up || (w.now.Sub(a.downAt) < leaseTTL && w.lapsedAt.Before(a.downAt))
+}
+
 // restart replaces the process by a fresh one after a pause.
 func (b *balancerNode) restart(down time.Duration) {
 	b.up = false
--- /dev/null
+++ b/soak/faults.go
@@ -0,0 +1,238 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"github.com/poppywall/poppywall/standin"
+)
+
+// fault is something that happens to a site; it returns what ends it, nil when
+// it ends by itself.
+type fault struct {
+	name string
+	do   func(s *site, rnd *rand.Rand, rec *recorder) (end func())
+}
+
+// faults are all kinds, each as likely as the others.
+var faults = []fault{
+	{"balancer killed", func(s *site, rnd *rand.Rand, rec *recorder) func() {
+		return restart(pick(s.balancers, rnd), syscall.SIGKILL, rec)
+	}},
+	{"balancer stopped", func(s *site, rnd *rand.Rand, rec *recorder) func() {
+		return restart(pick(s.balancers, rnd), syscall.SIGTERM, rec)
+	}},
+	{"balancer paused", func(s *site, rnd *rand.Rand, rec *recorder) func() { return pause(pick(s.balancers, rnd), rec) }},
+	{"agent killed", func(s *site, rnd *rand.Rand, rec *recorder) func() {
+		return restart(pick(s.agents, rnd), syscall.SIGKILL, rec)
+	}},
+	{"agent stopped", func(s *site, rnd *rand.Rand, rec *recorder) func() {
+		return restart(pick(s.agents, rnd), syscall.SIGTERM, rec)
+	}},
+	{"agent paused", func(s *site, rnd *rand.Rand, rec *recorder) func() { return pause(pick(s.agents, rnd), rec) }},
+	{"settings reloaded", reload},
+	{"host crashes", crashHost},
+	{"host drains and is replaced", drainHost},
+	{"host is replaced by one of another service", replaceHost},
+	{"store down", storeFault(standin.Faults{Down: true})},
+	{"store slow", storeFault(standin.Faults{DelayMillis: 700})},
+	{"store answers lost", storeFault(standin.Faults{LoseAnswers: 4})},
+	{"store lapses and drops its history", lapse},
+	{"configuration changes", func(s *site, _ *rand.Rand, rec *recorder) func() {
+		if err := s.putConfig(); err != nil {
+			rec.violate("configuration: %v", err)
+		}
+		return nil
+	}},
+	{"all processes killed", blackout},
+}
+
+func pick(list []*node, rnd *rand.Rand) *node { return list[rnd.IntN(len(list))] }
+
+// inject lets the faults come one after the other; some overlap.
+func (s *site) inject(rnd *rand.Rand, rec *recorder) {
+	type running struct {
+		end func()
+		at  time.Time
+	}
+	var open []running
+	finish := func(all bool) {
+		var left []running
+		for _, r := range open {
+			if all || time.Now().After(r.at) {
+				r.end()
+			} else {
+				left = append(left, r)
+			}
+		}
+		open = left
+	}
+	for range s.cfg.Faults {
+		f := faults[rnd.IntN(len(faults))]
+		rec.note("%s", f.name)
+		if end := f.do(s, rnd, rec); end != nil {
+			open = append(open, running{end, time.Now().Add(time.Duration(100+rnd.IntN(1500)) * time.Millisecond)})
+		}
+		time.Sleep(time.Duration(50+rnd.IntN(900)) * time.Millisecond)
+		finish(false)
+		s.checkProcesses(rec)
+	}
+	finish(true)
+}
+
+// checkProcesses finds processes that ended by themselves.
+func (s *site) checkProcesses(rec *recorder) {
+	for _, n := range append(append([]*node{}, s.balancers...), s.agents...) {
+		if n.running() || n.asked {
+			continue
+		}
+		rec.violate("%s ended by itself", n.name)
+		if err := n.start(); err != nil {
+			rec.violate("restart: %v", err)
+		}
+	}
+}
+
+// restart ends a process; it is started again later. A process that is down or
+// paused already is left alone.
+func restart(n *node, how syscall.Signal, rec *recorder) func() {
+	if !n.running() || n.paused {
+		return nil
+	}
+	rec.note("%s: %v", n.name, how)
+	n.asked = true
+	n.signal(how)
+	return func() {
+		<-n.exited
+		rec.note("%s starts again", n.name)
+		if err := n.start(); err != nil {
+			rec.violate("restart: %v", err)
+		}
+	}
+}
+
+func pause(n *node, rec *recorder) func() {
+	if !n.running() || n.paused {
+		return nil
+	}
+	rec.note("%s paused", n.name)
+	n.paused = true
+	n.signal(syscall.SIGSTOP)
+	return func() {
+		rec.note("%s goes on", n.name)
+		n.signal(syscall.SIGCONT)
+		n.paused = false
+	}
+}
+
+func reload(s *site, rnd *rand.Rand, _ *recorder) func() {
+	n := pick(append(append([]*node{}, s.balancers...), s.agents...), rnd)
+	if n.running() && time.Since(n.started) > signalAge {
+		n.signal(syscall.SIGHUP)
+	}
+	return nil
+}
+
+// signalAge is how old a process has to be to take SIGHUP: before its first
+// instruction nothing can keep the signal from ending it.
+const signalAge = 200 * time.Millisecond
+
+// startAgain starts a host where none is.
+func startAgain(s *site, n *node, rec *recorder) {
+	if n.current() != nil {
+		return
+	}
+	rec.note("host beside %s starts", n.name)
+	if err := s.startHost(n); err != nil {
+		rec.violate("host: %v", err)
+	}
+}
+
+func crashHost(s *site, rnd *rand.Rand, rec *recorder) func() {
+	n := pick(s.agents, rnd)
+	if n.current() == nil || lastOfService(s, n) {
+		return nil
+	}
+	rec.note("host beside %s crashes", n.name)
+	n.crashHost()
+	return func() { startAgain(s, n, rec) }
+}
+
+// drainHost lets a host drain, crash late and come back.
+func drainHost(s *site, rnd *rand.Rand, rec *recorder) func() {
+	n := pick(s.agents, rnd)
+	h := n.current()
+	if h == nil || lastOfService(s, n) {
+		return nil
+	}
+	rec.note("host %s drains", h.ID)
+	h.Drain()
+	return func() {
+		if h.Late() > 0 {
+			rec.violate("%d new flows at host %s after its drain was acknowledged", h.Late(), h.ID)
+		}
+		if n.current() == h {
+			n.crashHost()
+		}
+		startAgain(s, n, rec)
+	}
+}
+
+// replaceHost ends a host with its agent; its address serves another service
+// from then on.
+func replaceHost(s *site, rnd *rand.Rand, rec *recorder) func() {
+	n := pick(s.agents, rnd)
+	if !n.running() || n.paused || n.current() == nil || lastOfService(s, n) {
+		return nil
+	}
+	rec.note("host beside %s is replaced", n.name)
+	n.crashHost()
+	n.kill()
+	n.service = (n.service + 1) % len(services)
+	return func() {
+		if err := s.prepare(n, "poppywall-agent", n.name, s.agentSettings(n)); err != nil {
+			rec.violate("restart: %v", err)
+		}
+		startAgain(s, n, rec)
+	}
+}
+
+// lastOfService tells whether a service would be left without a host.
+func lastOfService(s *site, n *node) bool {
+	for _, other := range s.agents {
+		if other != n && other.service == n.service && other.current() != nil {
+			return false
+		}
+	}
+	return true
+}
+
+func storeFault(f standin.Faults) func(*site, *rand.Rand, *recorder) func() {
+	return func(s *site, _ *rand.Rand, _ *recorder) func() {
+		s.store.SetFaults(f)
+		return func() { s.store.SetFaults(standin.Faults{}) }
+	}
+}
+
+func lapse(s *site, _ *rand.Rand, _ *recorder) func() {
+	s.store.LapseLeases()
+	s.store.Compact()
+	return nil
+}
+
+// blackout ends all processes of the system at once; the hosts live on.
+func blackout(s *site, rnd *rand.Rand, rec *recorder) func() {
+	var ends []func()
+	for _, n := range append(append([]*node{}, s.balancers...), s.agents...) {
+		if end := restart(n, syscall.SIGKILL, rec); end != nil {
+			ends = append(ends, end)
+		}
+	}
+	rnd.Shuffle(len(ends), func(i, j int) { ends[i], ends[j] = ends[j], ends[i] })
+	return func() {
+		for _, end := range ends {
+			end()
+		}
+	}
+}
--- a/standin/store.go
+++ b/standin/store.go
@@ -269,3 +269,10 @@
 	defer s.mu.Unlock()
 	s.faults.Down = down
 }
+
+// Operator writes past the faults, which are those of the system's own calls.
+func (s *Store) Operator(puts ...store.Put) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(puts)
+}
