--- a/balancer/packetfront/front.go
+++ b/balancer/packetfront/front.go
@@ -119,6 +119,7 @@
 	group.Go(ctx, "registry", f.registry.Run)
 	group.Go(work, "config", f.source().run)
 	group.Go(work, "peers", f.followPeers)
+	group.Go(work, "survey", f.followRegistry)
 	group.Go(work, "ready", func(ctx context.Context) error { return f.serveHTTP(ctx, f.cfg.Ready, f.readyHandler()) })
 	group.Go(work, "internal calls", func(ctx context.Context) error { return f.serveHTTP(ctx, f.cfg.Internal, f.peerHandler()) })
 	if f.cfg.Metrics != "" {
@@ -181,18 +182,26 @@
 }
 
 // followPeers fetches a configuration that another balancer has and this one
-// does not get from the store, and reads the registry when it is alone.
+// does not get from the store.
 func (f *Front) followPeers(ctx context.Context) error {
-	look := func() {
+	return worker.Every(ctx, tickPeriod, func() {
 		if peer, due := f.staleBehind(); due {
 			f.fetch(ctx, peer)
 		}
+	})
+}
+
+// followRegistry reads the registry when the core wants to know the agents, and
+// when the balancer is alone. It starts at once: the registry names the agents
+// before any of them is heard. It has a loop of its own, for a store that does
+// not answer holds it up.
+func (f *Front) followRegistry(ctx context.Context) error {
+	look := func() {
 		if f.lone() {
 			f.readRegistry(ctx)
 		}
 		f.surveyAgents(ctx)
 	}
-	// At once: the registry names the agents before any of them is heard.
 	look()
 	return worker.Every(ctx, tickPeriod, look)
 }
--- /dev/null
+++ b/balancer/packetfront/front_test.go
@@ -0,0 +1,113 @@
+package packetfront
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/poppywall/poppywall/flow"
+	"github.com/poppywall/poppywall/platform/platformtest"
+	"github.com/poppywall/poppywall/settings"
+	"github.com/poppywall/poppywall/standin"
+)
+
+// startFront runs a front at 127.0.HOST.1 before a store.
+func startFront(t *testing.T, host int, store string) *Front {
+	t.Helper()
+	at := func(host, port int) string { return fmt.Sprintf("127.0.%d.1:%d", host, port) }
+	cfg := Defaults()
+	cfg.Name, cfg.Zone, cfg.Store = "b", "z1", store
+	cfg.Data, cfg.Internal, cfg.Ready = at(host, 22001), at(host, 22002), at(host, 22003)
+	cfg.Seeds = []string{at(71, 22004)}
+	cfg.LeaveDelay = settings.Duration(0)
+	f, err := NewFront(cfg, zap.NewNop())
+	require.NoError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	wg.Go(func() { _ = f.Run(ctx) })
+	t.Cleanup(func() {
+		stop()
+		wg.Wait()
+	})
+	return f
+}
+
+func (f *Front) version() (v int64) {
+	f.locked(func(time.Time) { v = f.core.ConfigVersion() })
+	return v
+}
+
+func putVersion(t *testing.T, s *standin.Store, version int64) {
+	t.Helper()
+	require.NoError(t, platformtest.PutConfig(s, &flow.Config{Version: version, IdleTimeout: time.Second, Routes: config(1).Routes}))
+}
+
+// TestConfigurationComesThroughPeers: a balancer whose way to the store is cut
+// in silence has a configuration as soon as it meets another one, and follows
+// its changes; it need not wait for its own calls to time out.
+func TestConfigurationComesThroughPeers(t *testing.T) {
+	s := standin.NewStore(time.Now)
+	putVersion(t, s, 3)
+	healthy := httptest.NewServer(platformtest.Store(s))
+	defer healthy.Close()
+	release := make(chan struct{})
+	silent := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	defer silent.Close()
+	defer close(release)
+
+	first := startFront(t, 71, healthy.Listener.Addr().String())
+	require.Eventually(t, func() bool { return first.version() == 3 }, 5*time.Second, 5*time.Millisecond)
+	cut := startFront(t, 72, silent.Listener.Addr().String())
+	began := time.Now()
+	require.Eventually(t, func() bool { return cut.version() == 3 }, 5*time.Second, 5*time.Millisecond)
+	require.Less(t, time.Since(began), storeTimeout, "before the first call to the store was given up")
+	putVersion(t, s, 4)
+	require.Eventually(t, func() bool { return first.version() == 4 && cut.version() == 4 }, 5*time.Second, 5*time.Millisecond)
+}
+
+// TestConfigurationFollowsTheStore through an outage and a dropped history.
+func TestConfigurationFollowsTheStore(t *testing.T) {
+	s := standin.NewStore(time.Now)
+	server := httptest.NewServer(platformtest.Store(s))
+	defer server.Close()
+	f := startFront(t, 73, server.Listener.Addr().String())
+	time.Sleep(50 * time.Millisecond)
+	require.Zero(t, f.version(), "there is none yet")
+	for version := int64(1); version <= 3; version++ {
+		putVersion(t, s, version)
+		require.Eventually(t, func() bool { return f.version() == version }, 5*time.Second, 5*time.Millisecond)
+		s.Down(true)
+		putVersion(t, s, version+10)
+		s.Compact()
+		s.Down(false)
+		require.Eventually(t, func() bool { return f.version() == version+10 }, 5*time.Second, 5*time.Millisecond)
+		f.locked(func(time.Time) { f.core.config = nil })
+	}
+}
+
+// TestReadinessIsServed: 503 before a configuration, 200 after.
+func TestReadinessIsServed(t *testing.T) {
+	s := standin.NewStore(time.Now)
+	server := httptest.NewServer(platformtest.Store(s))
+	defer server.Close()
+	f := startFront(t, 74, server.Listener.Addr().String())
+	status := func() int {
+		resp, err := http.Get("http://" + netip.MustParseAddrPort(f.cfg.Ready).String() + "/poppywall/ready")
+		if err != nil {
+			return 0
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode
+	}
+	require.Eventually(t, func() bool { return status() == http.StatusServiceUnavailable }, 5*time.Second, 5*time.Millisecond)
+	putVersion(t, s, 1)
+	require.Eventually(t, func() bool { return status() == http.StatusOK }, 5*time.Second, 5*time.Millisecond)
+}
