Two balancers a zone watch the store, the others are told; surveys are a second apart

A balancer watches when it is among the first two of its zone, or hears fewer than three that are fed; a beacon says so while the store answers.

--- a/balancer/packetfront/configsource.go
+++ b/balancer/packetfront/configsource.go
@@ -24,6 +24,9 @@
 	// retryPause is the pause after a failed call; it doubles up to the most.
 	retryPause    = 50 * time.Millisecond
 	mostRetryWait = 800 * time.Millisecond
+	// idlePause is how often a balancer that others feed looks whether it still
+	// is.
+	idlePause = 100 * time.Millisecond
 )
 
 // decodeConfig turns the stored bytes into a configuration.
@@ -37,6 +40,10 @@
 	// apply takes a configuration and its stored bytes.
 	apply func(c *flow.Config, raw []byte, from string)
 	log   *zap.Logger
+	// needed tells whether this balancer has to ask the store; others tell it
+	// otherwise. answered hears of each answer.
+	needed   func() bool
+	answered func()
 	// lost tells that the store does not answer.
 	lost bool
 }
@@ -45,8 +52,13 @@
 func (s *configSource) run(ctx context.Context) error {
 	revision, pause := int64(0), retryPause
 	for ctx.Err() == nil {
+		if !s.needed() {
+			worker.Sleep(ctx, idlePause)
+			continue
+		}
 		next, err := s.step(ctx, revision)
 		if err == nil {
+			s.answered()
 			revision, pause = next, retryPause
 			s.noteStore(nil)
 			continue
--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -70,7 +70,9 @@
 	nextBeacon  time.Time
 	nextJoin    time.Time
 	nextCompare time.Time
-	survey      survey
+	// fedAt is when the store answered a read or a watch of the configuration.
+	fedAt  time.Time
+	survey survey
 	// named are agents that other balancers know and this one has not heard.
 	named        map[flow.IPv4]time.Time
 	limbo        limbo
@@ -113,6 +115,19 @@
 	return true
 }
 
+// feedTime is how long after an answer of the store a balancer counts as fed: a
+// watch's waiting time and its time-out.
+const feedTime = watchWait + storeTimeout
+
+// Feeds tells whether this balancer has to watch the store.
+func (c *Core) Feeds(now time.Time) bool { return c.view.Feeds(now, c.opts.Self, c.opts.Zone) }
+
+// Fed notes that the store answered.
+func (c *Core) Fed(now time.Time) { c.fedAt = now }
+
+// feeding tells the others that a new configuration would come from here.
+func (c *Core) feeding(now time.Time) bool { return now.Sub(c.fedAt) <= feedTime && c.Feeds(now) }
+
 // ConfigVersion returns the version in force, zero before the first.
 func (c *Core) ConfigVersion() int64 {
 	if c.config == nil {
--- a/balancer/packetfront/front.go
+++ b/balancer/packetfront/front.go
@@ -165,6 +165,11 @@
 func (f *Front) source() *configSource {
 	return &configSource{
 		store: f.store, key: platform.ConfigKey, decode: platform.DecodeConfig, apply: f.apply, log: f.log,
+		needed: func() (yes bool) {
+			f.locked(func(now time.Time) { yes = f.core.ConfigVersion() == 0 || f.core.Feeds(now) })
+			return yes
+		},
+		answered: func() { f.locked(f.core.Fed) },
 	}
 }
 
@@ -219,7 +224,7 @@
 		if f.staleSince.IsZero() {
 			f.staleSince = now
 		}
-		peer, due = ip, own == 0 || now.Sub(f.staleSince) >= peerPatience
+		peer, due = ip, own == 0 || !f.core.Feeds(now) || now.Sub(f.staleSince) >= peerPatience
 	})
 	return peer, due
 }
@@ -281,7 +286,7 @@
 		f.log.Warn("registry not read", zap.Error(err))
 		return
 	}
-	f.locked(func(time.Time) { f.core.Greet(balancers, nil) })
+	f.locked(func(now time.Time) { f.core.Greet(now, balancers, nil) })
 }
 
 // surveyAgents reads which agents are registered when the core wants to know.
--- a/balancer/packetfront/front_test.go
+++ b/balancer/packetfront/front_test.go
@@ -73,6 +73,42 @@
 	require.Eventually(t, func() bool { return first.version() == 4 && cut.version() == 4 }, 5*time.Second, 5*time.Millisecond)
 }
 
+// TestFedBalancersLeaveTheStoreAlone: of many balancers of one zone two watch the
+// store, all have a change at once, and others take over when those two end.
+func TestFedBalancersLeaveTheStoreAlone(t *testing.T) {
+	s := standin.NewStore(time.Now)
+	putVersion(t, s, 1)
+	server := httptest.NewServer(platformtest.Store(s))
+	defer server.Close()
+	var fronts []*Front
+	for host := 71; host < 76; host++ {
+		fronts = append(fronts, startFront(t, host, server.Listener.Addr().String()))
+	}
+	feeders := func() (n int) {
+		for _, f := range fronts {
+			f.locked(func(now time.Time) {
+				if f.core.Feeds(now) {
+					n++
+				}
+			})
+		}
+		return n
+	}
+	// Below the number that others rely on, all but those relied on feed.
+	require.Eventually(t, func() bool { return feeders() < len(fronts) }, 10*time.Second, 20*time.Millisecond)
+	for version := int64(2); version < 5; version++ {
+		putVersion(t, s, version)
+		require.Eventually(t, func() bool {
+			for _, f := range fronts {
+				if f.version() != version {
+					return false
+				}
+			}
+			return true
+		}, 3*time.Second, 5*time.Millisecond, "version %d", version)
+	}
+}
+
 // TestConfigurationFollowsTheStore through an outage and a dropped history.
 func TestConfigurationFollowsTheStore(t *testing.T) {
 	s := standin.NewStore(time.Now)
--- a/balancer/packetfront/nodes.go
+++ b/balancer/packetfront/nodes.go
@@ -45,7 +45,7 @@
 		c.events.HostChanged(host, change)
 	}
 	if change == fleet.Joined || (change != fleet.Stale && a.WantPeers) {
-		c.sendBeacon(from, fleet.Beacon{Reply: true})
+		c.sendBeacon(now, from, fleet.Beacon{Reply: true})
 	}
 	if change != fleet.Stale && a.WantPeers {
 		c.sendPeers(from)
@@ -66,7 +66,7 @@
 		c.events.PeerChanged(from, "joined")
 	}
 	if !m.Reply && (change == fleet.Joined || m.WantPeers) {
-		c.sendBeacon(from, fleet.Beacon{Reply: true})
+		c.sendBeacon(now, from, fleet.Beacon{Reply: true})
 	}
 	if m.WantPeers {
 		c.sendPeers(from)
@@ -82,7 +82,7 @@
 		return
 	}
 	c.nextCompare = now.Add(comparePeriod)
-	c.sendBeacon(peer, fleet.Beacon{Reply: true, WantPeers: true})
+	c.sendBeacon(now, peer, fleet.Beacon{Reply: true, WantPeers: true})
 }
 
 // handlePeers greets nodes that are not known yet; agents answer with their
@@ -94,28 +94,28 @@
 	}
 	for _, ip := range balancers {
 		if ip != c.opts.Self && !c.view.KnowsBalancer(ip) {
-			c.sendBeacon(ip, fleet.Beacon{})
+			c.sendBeacon(now, ip, fleet.Beacon{})
 		}
 	}
 	for _, ip := range agents {
 		if _, known := c.view.Host(ip); !known {
 			c.named[ip] = now
-			c.sendBeacon(ip, fleet.Beacon{WantPeers: true})
+			c.sendBeacon(now, ip, fleet.Beacon{WantPeers: true})
 		}
 	}
 	return nil
 }
 
 // Greet makes the balancer known to nodes that the seeds or the store name.
-func (c *Core) Greet(balancers, agents []flow.IPv4) {
+func (c *Core) Greet(now time.Time, balancers, agents []flow.IPv4) {
 	for _, ip := range balancers {
 		if ip != c.opts.Self && !c.view.KnowsBalancer(ip) {
-			c.sendBeacon(ip, fleet.Beacon{WantPeers: true})
+			c.sendBeacon(now, ip, fleet.Beacon{WantPeers: true})
 		}
 	}
 	for _, ip := range agents {
 		if _, known := c.view.Host(ip); !known {
-			c.sendBeacon(ip, fleet.Beacon{WantPeers: true})
+			c.sendBeacon(now, ip, fleet.Beacon{WantPeers: true})
 		}
 	}
 }
@@ -214,7 +214,7 @@
 	if now.Sub(c.startedAt) > settleTime && len(c.view.Balancers()) > 0 {
 		c.nextJoin = now.Add(rejoinPeriod)
 	}
-	c.Greet(c.opts.Seeds, nil)
+	c.Greet(now, c.opts.Seeds, nil)
 }
 
 func (c *Core) expire(now time.Time) {
@@ -232,23 +232,24 @@
 // has in force.
 func (c *Core) sendBeacons(now time.Time, agents bool) {
 	for _, ip := range c.view.Balancers() {
-		c.sendBeacon(ip, fleet.Beacon{})
+		c.sendBeacon(now, ip, fleet.Beacon{})
 	}
 	if !agents {
 		return
 	}
 	for _, ip := range c.view.Hosts() {
-		c.sendBeacon(ip, fleet.Beacon{})
+		c.sendBeacon(now, ip, fleet.Beacon{})
 	}
 }
 
-func (c *Core) sendBeacon(to flow.IPv4, m fleet.Beacon) {
+func (c *Core) sendBeacon(now time.Time, to flow.IPv4, m fleet.Beacon) {
 	c.seq++
 	m.Identity = fleet.Identity{Epoch: c.opts.Epoch, Seq: c.seq}
 	m.Zone = c.opts.Zone
 	m.ConfigVersion = c.ConfigVersion()
 	m.Digest = c.view.Digest(c.opts.Self)
 	m.Leaving = c.leaving
+	m.Feeding = c.feeding(now)
 	c.port.ToNode(to, m.Append(c.buf[:0]), nil)
 }
 
--- a/balancer/packetfront/survey.go
+++ b/balancer/packetfront/survey.go
@@ -39,9 +39,9 @@
 	// are compared each half second.
 	freshTime = 500 * time.Millisecond
 	// surveyTTL is how long a reading of the registry counts.
-	surveyTTL = 4 * time.Second
+	surveyTTL = 5 * time.Second
 	// surveyPause is the least pause between readings.
-	surveyPause = 500 * time.Millisecond
+	surveyPause = time.Second
 )
 
 // survey is the last reading of the registry of agents. An agent is registered
@@ -123,5 +123,5 @@
 // Surveyed takes a reading of the registry that began at the given time.
 func (c *Core) Surveyed(began time.Time, agents []flow.IPv4) {
 	c.survey.agents, c.survey.readAt, c.survey.wanted = agents, began, false
-	c.Greet(nil, agents)
+	c.Greet(began, nil, agents)
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -33,7 +33,7 @@
 	gotA, err := DecodeAnnouncement(a.Append(nil))
 	require.NoError(t, err)
 	require.Equal(t, a, gotA)
-	b := Beacon{Identity: Identity{1, 2}, Zone: 3, ConfigVersion: 1 << 40, Digest: 5, Leaving: true, Reply: true}
+	b := Beacon{Identity: Identity{1, 2}, Zone: 3, ConfigVersion: 1 << 40, Digest: 5, Leaving: true, Feeding: true, Reply: true}
 	gotB, err := DecodeBeacon(b.Append(nil))
 	require.NoError(t, err)
 	require.Equal(t, b, gotB)
@@ -165,6 +165,35 @@
 	require.False(t, newer)
 }
 
+// TestFeeders: a fleet of any size has some in each zone, and one that hears too
+// few of them feeds itself.
+func TestFeeders(t *testing.T) {
+	const zone, elsewhere = flow.Tag(1), flow.Tag(2)
+	v := NewView()
+	hear := func(at time.Time, ip flow.IPv4, zone flow.Tag, feeding, leaving bool) {
+		seq := uint32(at.Sub(start)/time.Millisecond) + 1
+		v.Beacon(at, ip, Beacon{Identity: Identity{uint64(ip), seq}, Zone: zone, Feeding: feeding, Leaving: leaving})
+	}
+	self := flow.IPv4(100)
+	require.True(t, v.Feeds(start, self, zone), "alone")
+	hear(start, 1, zone, true, false)
+	require.True(t, v.Feeds(start, self, zone), "the second of its zone")
+	hear(start, 2, zone, true, false)
+	require.True(t, v.Feeds(start, self, zone), "two that feed are too few")
+	hear(start, 200, elsewhere, true, false)
+	require.False(t, v.Feeds(start, self, zone))
+	require.True(t, v.Feeds(start, 50, elsewhere), "none before it in its zone")
+	later := start.Add(feederHeard + time.Millisecond)
+	require.True(t, v.Feeds(later, self, zone), "not heard lately")
+	for _, ip := range []flow.IPv4{1, 2, 200} {
+		hear(later, ip, zone, ip != 1, false)
+	}
+	require.True(t, v.Feeds(later, self, zone), "the store does not answer one of them")
+	again := later.Add(time.Second)
+	hear(again, 1, zone, true, true)
+	require.True(t, v.Feeds(again, self, zone), "one is leaving")
+}
+
 func FuzzDecode(f *testing.F) {
 	a := announcement(1, 1, alpha, Ready)
 	f.Add(a.Append(nil))
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -82,6 +82,8 @@
 	Digest uint32
 	// Leaving balancers take no packets soon.
 	Leaving bool
+	// Feeding balancers watch the store, and it answers them.
+	Feeding bool
 	// WantPeers asks for the nodes that the receiver knows.
 	WantPeers bool
 	// Reply marks the answer to a beacon; it is not answered again.
@@ -98,12 +100,13 @@
 }
 
 type beaconWire struct {
-	Epoch                     uint64
-	Seq                       uint32
-	Zone                      uint32
-	ConfigVersion             int64
-	Digest                    uint32
-	Leaving, WantPeers, Reply uint8
+	Epoch            uint64
+	Seq              uint32
+	Zone             uint32
+	ConfigVersion    int64
+	Digest           uint32
+	Leaving, Feeding uint8
+	WantPeers, Reply uint8
 }
 
 func bit(b bool) uint8 {
@@ -129,7 +132,7 @@
 	b = envelope.AppendPrefix(b, envelope.Beacon)
 	return appendFixed(b, beaconWire{
 		Epoch: m.Epoch, Seq: m.Seq, Zone: uint32(m.Zone), ConfigVersion: m.ConfigVersion, Digest: m.Digest,
-		Leaving: bit(m.Leaving), WantPeers: bit(m.WantPeers), Reply: bit(m.Reply),
+		Leaving: bit(m.Leaving), Feeding: bit(m.Feeding), WantPeers: bit(m.WantPeers), Reply: bit(m.Reply),
 	})
 }
 
@@ -180,7 +183,7 @@
 	}
 	return Beacon{
 		Identity: Identity{w.Epoch, w.Seq}, Zone: flow.Tag(w.Zone), ConfigVersion: w.ConfigVersion, Digest: w.Digest,
-		Leaving: w.Leaving == 1, WantPeers: w.WantPeers == 1, Reply: w.Reply == 1,
+		Leaving: w.Leaving == 1, Feeding: w.Feeding == 1, WantPeers: w.WantPeers == 1, Reply: w.Reply == 1,
 	}, nil
 }
 
