--- a/agent/packetfront/core_test.go
+++ b/agent/packetfront/core_test.go
@@ -175,6 +175,25 @@
 	require.Equal(t, fleet.Draining, a.State)
 }
 
+// TestLoadIsAnnouncedEarlyInTheOwnZone: elsewhere it is repeated each second.
+func TestLoadIsAnnouncedEarlyInTheOwnZone(t *testing.T) {
+	f := newFixture()
+	for ip, zone := range map[flow.IPv4]flow.Tag{balancerIP: f.opts.Zone, nextIP: f.opts.Zone + 1} {
+		m := fleet.Beacon{Identity: fleet.Identity{Epoch: 4, Seq: 1}, Zone: zone}
+		f.HandleNode(f.now, ip, m.Append(nil))
+	}
+	f.pass(fleet.AnnouncePeriod)
+	f.port.nodes = nil
+	for i := range busyStep {
+		f.syn(i, 0, 0)
+	}
+	f.pass(announceGap)
+	require.Len(t, f.port.nodes, 1)
+	require.Equal(t, balancerIP, f.port.last().to)
+	f.pass(fleet.AnnouncePeriod)
+	require.Len(t, f.port.nodes, 3)
+}
+
 func TestABouncedPacketGoesOnUnmarked(t *testing.T) {
 	f := newFixture()
 	e := envelope.Envelope{Service: service}
--- a/agent/packetfront/nodes.go
+++ b/agent/packetfront/nodes.go
@@ -71,13 +71,17 @@
 	}
 }
 
-// announceDue repeats the announcement each period, and earlier when the load
-// has changed.
+// announceDue repeats the announcement each period. When the load has changed
+// the balancers of the own zone hear of it earlier: they send most of it, and
+// bytes between zones are dear.
 func (c *Core) announceDue(now time.Time) {
-	step := c.flows.busy - int(c.announced.Busy)
-	loadMoved := (step >= busyStep || step <= -busyStep) && now.Sub(c.announcedAt) >= announceGap
-	if loadMoved || !now.Before(c.nextAnnounce) {
+	if !now.Before(c.nextAnnounce) {
 		c.announceAll(now)
+		return
+	}
+	step := c.flows.busy - int(c.announced.Busy)
+	if (step >= busyStep || step <= -busyStep) && now.Sub(c.announcedAt) >= announceGap {
+		c.announceIn(now, c.view.BalancersIn(c.opts.Zone))
 	}
 }
 
@@ -91,9 +95,13 @@
 
 func (c *Core) announceAll(now time.Time) {
 	c.nextAnnounce = now.Add(fleet.AnnouncePeriod)
+	c.announceIn(now, c.view.Balancers())
+}
+
+func (c *Core) announceIn(now time.Time, balancers []flow.IPv4) {
 	c.announcedAt = now
 	c.announced = c.announcement(now)
-	for _, ip := range c.view.Balancers() {
+	for _, ip := range balancers {
 		c.announceTo(now, ip, false)
 	}
 }
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -102,6 +102,11 @@
 // Balancers returns the addresses of the other balancers.
 func (v *View) Balancers() []flow.IPv4 { return keys(v.peers) }
 
+// BalancersIn returns the addresses of the other balancers of a zone.
+func (v *View) BalancersIn(zone flow.Tag) []flow.IPv4 {
+	return slices.DeleteFunc(v.Balancers(), func(ip flow.IPv4) bool { return v.peers[ip].Zone != zone })
+}
+
 // keys returns the addresses in order, so that a run repeats.
 func keys[V any](m map[flow.IPv4]V) []flow.IPv4 { return slices.Sorted(maps.Keys(m)) }
 
