--- a/agent/packetfront/front.go
+++ b/agent/packetfront/front.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"net/netip"
 	"sync"
 	"syscall"
@@ -30,13 +29,10 @@
 	tickPeriod = 50 * time.Millisecond
 	// probeTimeout bounds a connection to the host, which is on the same VM.
 	probeTimeout = 250 * time.Millisecond
-	// loneTime is how long an agent may know no balancer before it reads the
-	// registry, again after each such time.
-	loneTime = 1500 * time.Millisecond
+	// lonePeriod is how often an agent looks whether it knows a balancer.
+	lonePeriod = 500 * time.Millisecond
 	// storeTimeout bounds a call at the store, which answers in milliseconds.
 	storeTimeout = 900 * time.Millisecond
-	// headerTimeout bounds a request's header.
-	headerTimeout = 2 * time.Second
 )
 
 // Front is an agent's packet front: sockets and the lock around a Core.
@@ -53,9 +49,9 @@
 	host               netip.AddrPort
 
 	// mu guards core; nothing else is locked under it.
-	mu         sync.Mutex
-	core       *Core
-	aloneSince time.Time
+	mu    sync.Mutex
+	core  *Core
+	alone fleet.Alone
 }
 
 // NewFront opens the sockets of a front.
@@ -65,7 +61,7 @@
 		reg: prometheus.NewRegistry(), host: netip.MustParseAddrPort(cfg.Host),
 		clientPort: netip.MustParseAddrPort(cfg.Data).Port(),
 	}
-	f.self, f.port = cfg.self()
+	f.self, f.port = flow.ParseAddrPort(cfg.Internal)
 	var err error
 	if f.internal, err = relay.OpenDatagrams(netip.MustParseAddrPort(cfg.Internal)); err != nil {
 		return nil, errors.Wrap(err, "field \"internal\"")
@@ -74,7 +70,7 @@
 		return nil, errors.Wrap(err, "field \"outbound\"")
 	}
 	opts := Options{
-		Self: f.self, Zone: flow.TagOf(cfg.Zone), Service: flow.TagOf(cfg.Service), Seeds: cfg.seeds(),
+		Self: f.self, Zone: flow.TagOf(cfg.Zone), Service: flow.TagOf(cfg.Service), Seeds: flow.ParseAddrs(cfg.Seeds),
 		Epoch: rand.Uint64() | 1, HeartbeatPeriod: cfg.HeartbeatEvery.D(), FlowTTL: cfg.FlowTTL.D(),
 	}
 	f.core = New(opts, f, platform.Codec{}, newObserver(log, f.reg))
@@ -119,9 +115,11 @@
 	group.Go(work, "join", f.followRegistry)
 	entry := registry.New(f.store, registry.Agents, f.self, f.log)
 	group.Go(ctx, "registry", entry.Run)
-	group.Go(work, "heartbeats", f.serveHeartbeats)
+	group.Go(work, "heartbeats", func(ctx context.Context) error {
+		return telemetry.ServeHTTP(ctx, f.cfg.Control, platform.HeartbeatHandler(f))
+	})
 	if f.cfg.Metrics != "" {
-		group.Go(work, "metrics", f.serveMetrics)
+		group.Go(work, "metrics", func(ctx context.Context) error { return telemetry.ServeMetrics(ctx, f.cfg.Metrics, f.reg) })
 	}
 	<-ctx.Done()
 	f.locked(f.core.Stop)
@@ -204,7 +202,7 @@
 
 // followRegistry reads the balancers from the store while none is known.
 func (f *Front) followRegistry(ctx context.Context) error {
-	return worker.Every(ctx, loneTime/3, func() {
+	return worker.Every(ctx, lonePeriod, func() {
 		if !f.lone() {
 			return
 		}
@@ -217,42 +215,8 @@
 	})
 }
 
+// lone tells that no balancer has been known for a while.
 func (f *Front) lone() (due bool) {
-	f.locked(func(now time.Time) {
-		if f.core.Balancers() > 0 {
-			f.aloneSince = time.Time{}
-			return
-		}
-		if f.aloneSince.IsZero() {
-			f.aloneSince = now
-		}
-		if due = now.Sub(f.aloneSince) > loneTime; due {
-			f.aloneSince = now
-		}
-	})
+	f.locked(func(now time.Time) { due = f.alone.Due(now, f.core.Balancers() == 0) })
 	return due
 }
-
-func (f *Front) serveHeartbeats(ctx context.Context) error {
-	ln, err := net.Listen("tcp4", f.cfg.Control)
-	if err != nil {
-		return errors.Wrap(err, "field \"control\"")
-	}
-	server := &http.Server{Handler: platform.HeartbeatHandler(f), ReadHeaderTimeout: headerTimeout}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
-
-func (f *Front) serveMetrics(ctx context.Context) error {
-	health := &telemetry.Health{}
-	health.Set(true)
-	endpoint, err := telemetry.Listen(f.cfg.Metrics, f.reg, health)
-	if err != nil {
-		return err
-	}
-	return endpoint.Serve(ctx)
-}
--- a/agent/packetfront/settings.go
+++ b/agent/packetfront/settings.go
@@ -1,10 +1,8 @@
 package packetfront
 
 import (
-	"net/netip"
 	"time"
 
-	"github.com/poppywall/poppywall/flow"
 	"github.com/poppywall/poppywall/settings"
 )
 
@@ -48,16 +46,3 @@
 		FlowTTL:        settings.Duration(60 * time.Second),
 	}
 }
-
-func (s *Settings) self() (flow.IPv4, uint16) {
-	ap := netip.MustParseAddrPort(s.Internal)
-	return flow.FromAddr(ap.Addr()), ap.Port()
-}
-
-func (s *Settings) seeds() []flow.IPv4 {
-	out := make([]flow.IPv4, 0, len(s.Seeds))
-	for _, seed := range s.Seeds {
-		out = append(out, flow.FromAddr(netip.MustParseAddrPort(seed).Addr()))
-	}
-	return out
-}
--- a/balancer/packetfront/front.go
+++ b/balancer/packetfront/front.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -15,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/poppywall/poppywall/choose"
+	"github.com/poppywall/poppywall/fleet"
 	"github.com/poppywall/poppywall/fleet/registry"
 	"github.com/poppywall/poppywall/flow"
 	"github.com/poppywall/poppywall/platform"
@@ -33,15 +33,10 @@
 	peerPatience = 250 * time.Millisecond
 	// peerTimeout bounds that fetch.
 	peerTimeout = 500 * time.Millisecond
-	// loneTime is how long a balancer may know no other node before it reads
-	// the registry, again after each such time.
-	loneTime = 1500 * time.Millisecond
 	// warmingFactor weighs the load of a host that is slow after its start.
 	warmingFactor = 1.6
 	// maxConfig bounds a configuration that another balancer sends, in bytes.
 	maxConfig = 4 << 20
-	// headerTimeout bounds a request's header.
-	headerTimeout = 2 * time.Second
 )
 
 // Front is a balancer's packet front: sockets, the store and the lock around a
@@ -65,13 +60,13 @@
 	raw []byte
 	// staleSince is when a newer configuration was heard of first.
 	staleSince time.Time
-	aloneSince time.Time
+	alone      fleet.Alone
 }
 
 // NewFront opens the sockets of a front.
 func NewFront(cfg Settings, log *zap.Logger) (*Front, error) {
 	f := &Front{cfg: cfg, log: log, store: platform.NewStore(cfg.Store, storeTimeout), reg: prometheus.NewRegistry()}
-	f.self, f.port = cfg.self()
+	f.self, f.port = flow.ParseAddrPort(cfg.Internal)
 	dataAddr := netip.MustParseAddrPort(cfg.Data)
 	f.clientPort = dataAddr.Port()
 	var err error
@@ -83,7 +78,7 @@
 	}
 	f.registry = registry.New(f.store, registry.Balancers, f.self, log)
 	opts := Options{
-		Self: f.self, Zone: flow.TagOf(cfg.Zone), Seeds: cfg.seeds(), Epoch: rand.Uint64() | 1,
+		Self: f.self, Zone: flow.TagOf(cfg.Zone), Seeds: flow.ParseAddrs(cfg.Seeds), Epoch: rand.Uint64() | 1,
 		Weights: choose.Weights{OtherZone: cfg.OtherZoneCost, Warming: warmingFactor},
 	}
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
@@ -120,10 +115,10 @@
 	group.Go(work, "config", f.source().run)
 	group.Go(work, "peers", f.followPeers)
 	group.Go(work, "survey", f.followRegistry)
-	group.Go(work, "ready", func(ctx context.Context) error { return f.serveHTTP(ctx, f.cfg.Ready, f.readyHandler()) })
-	group.Go(work, "internal calls", func(ctx context.Context) error { return f.serveHTTP(ctx, f.cfg.Internal, f.peerHandler()) })
+	group.Go(work, "ready", func(ctx context.Context) error { return telemetry.ServeHTTP(ctx, f.cfg.Ready, f.readyHandler()) })
+	group.Go(work, "internal calls", func(ctx context.Context) error { return telemetry.ServeHTTP(ctx, f.cfg.Internal, f.peerHandler()) })
 	if f.cfg.Metrics != "" {
-		group.Go(work, "metrics", f.serveMetrics)
+		group.Go(work, "metrics", func(ctx context.Context) error { return telemetry.ServeMetrics(ctx, f.cfg.Metrics, f.reg) })
 	}
 	<-ctx.Done()
 	f.leave()
@@ -266,16 +261,7 @@
 // lone tells that no other node has been known for a while.
 func (f *Front) lone() (due bool) {
 	f.locked(func(now time.Time) {
-		if len(f.core.view.Balancers())+len(f.core.view.Hosts()) > 0 {
-			f.aloneSince = time.Time{}
-			return
-		}
-		if f.aloneSince.IsZero() {
-			f.aloneSince = now
-		}
-		if due = now.Sub(f.aloneSince) > loneTime; due {
-			f.aloneSince = now
-		}
+		due = f.alone.Due(now, len(f.core.view.Balancers())+len(f.core.view.Hosts()) == 0)
 	})
 	return due
 }
@@ -330,27 +316,3 @@
 	})
 	return mux
 }
-
-func (f *Front) serveHTTP(ctx context.Context, address string, handler http.Handler) error {
-	ln, err := net.Listen("tcp4", address)
-	if err != nil {
-		return errors.Wrapf(err, "listen on %s", address)
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
-
-func (f *Front) serveMetrics(ctx context.Context) error {
-	health := &telemetry.Health{}
-	health.Set(true)
-	endpoint, err := telemetry.Listen(f.cfg.Metrics, f.reg, health)
-	if err != nil {
-		return err
-	}
-	return endpoint.Serve(ctx)
-}
--- a/balancer/packetfront/observer.go
+++ b/balancer/packetfront/observer.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promauto"
 	"go.uber.org/zap"
 
 	"github.com/poppywall/poppywall/fleet"
@@ -25,7 +24,6 @@
 	fieldCopy       = "copy"
 	fieldHops       = "hops"
 	fieldReason     = "reason"
-	fieldLeftOut    = "left_out"
 	fieldState      = "state"
 )
 
@@ -40,8 +38,7 @@
 // observer logs and counts what the core decides. It is called under the
 // front's lock.
 type observer struct {
-	log *zap.Logger
-	now func() time.Time
+	telemetry.Lines
 
 	opening, searching, other telemetry.Budget
 
@@ -52,53 +49,25 @@
 }
 
 func newObserver(log *zap.Logger, reg *prometheus.Registry) *observer {
-	f := promauto.With(reg)
-	counter := func(name, help string) prometheus.Counter {
-		return f.NewCounter(prometheus.CounterOpts{Namespace: "poppywall", Subsystem: "packetfront", Name: name, Help: help})
-	}
+	c := telemetry.Counters{Registry: reg, Subsystem: "packetfront"}
 	o := &observer{
-		log: log, now: time.Now,
+		Lines:     telemetry.Lines{Log: log, Now: time.Now},
 		opening:   telemetry.Budget{PerSecond: openLines},
 		searching: telemetry.Budget{PerSecond: searchLines},
 		other:     telemetry.Budget{PerSecond: otherLines},
-		forwarded: counter("forwarded_packets_total", "Packets sent to the remembered host of their flow."),
-		opened:    counter("opening_packets_total", "Opening packets for which a host was chosen."),
-		refused:   counter("refused_flows_total", "Flows reset because no host can take them."),
-		searches:  counter("searches_total", "Packets of unknown flows sent along their candidates."),
-		owners:    counter("owners_found_total", "Flows whose host a search found."),
-		drops:     map[Drop]prometheus.Counter{},
-		readingAge: f.NewHistogram(prometheus.HistogramOpts{
-			Namespace: "poppywall", Subsystem: "packetfront", Name: "reading_age_seconds",
-			Help:    "Age of the host's load reading when a new flow was sent to it.",
-			Buckets: []float64{0.05, 0.1, 0.2, 0.5, 1, 2, 5},
-		}),
-		lost: f.NewCounterVec(prometheus.CounterOpts{
-			Namespace: "poppywall", Subsystem: "packetfront", Name: "lost_packets_total",
-			Help: "Packets whose flow no host holds.",
-		}, []string{"sure"}),
-	}
-	drops := f.NewCounterVec(prometheus.CounterOpts{
-		Namespace: "poppywall", Subsystem: "packetfront", Name: "dropped_packets_total",
-		Help: "Packets dropped, by reason.",
-	}, []string{"reason"})
-	for _, d := range Drops {
-		o.drops[d] = drops.WithLabelValues(string(d))
+		forwarded: c.Counter("forwarded_packets_total", "Packets sent to the remembered host of their flow."),
+		opened:    c.Counter("opening_packets_total", "Opening packets for which a host was chosen."),
+		refused:   c.Counter("refused_flows_total", "Flows reset because no host can take them."),
+		searches:  c.Counter("searches_total", "Packets of unknown flows sent along their candidates."),
+		owners:    c.Counter("owners_found_total", "Flows whose host a search found."),
+		drops:     telemetry.ByReason(c, "dropped_packets_total", "Packets dropped, by reason.", Drops),
+		readingAge: c.Histogram("reading_age_seconds",
+			"Age of the host's load reading when a new flow was sent to it.", []float64{0.05, 0.1, 0.2, 0.5, 1, 2, 5}),
+		lost: c.Vector("lost_packets_total", "Packets whose flow no host holds.", "sure"),
 	}
 	return o
 }
 
-// line writes one line within a budget.
-func (o *observer) line(b *telemetry.Budget, msg string, fields ...zap.Field) {
-	left, ok := b.Take(o.now())
-	if !ok {
-		return
-	}
-	if left > 0 {
-		fields = append(fields, zap.Int(fieldLeftOut, left))
-	}
-	o.log.Info(msg, fields...)
-}
-
 // Forwarded implements Events.
 func (o *observer) Forwarded() { o.forwarded.Inc() }
 
@@ -106,7 +75,7 @@
 func (o *observer) Opened(d Decision) {
 	o.opened.Inc()
 	o.readingAge.Observe(d.Age.Seconds())
-	o.line(&o.opening, "flow sent to host",
+	o.Write(&o.opening, "flow sent to host",
 		zap.Stringer(fieldFlow, d.Key), zap.String(fieldRoute, d.Route),
 		zap.String(telemetry.FieldService, d.Service), zap.Stringer(fieldHost, d.Host.IP),
 		zap.Uint16(fieldLoad, d.Host.Busy), zap.Uint16(fieldSlots, d.Host.Slots),
@@ -117,19 +86,19 @@
 // Refused implements Events.
 func (o *observer) Refused(key flow.Key, reason, route string) {
 	o.refused.Inc()
-	o.line(&o.other, "flow reset", zap.Stringer(fieldFlow, key), zap.String(fieldRoute, route), zap.String(fieldReason, reason))
+	o.Write(&o.other, "flow reset", zap.Stringer(fieldFlow, key), zap.String(fieldRoute, route), zap.String(fieldReason, reason))
 }
 
 // Searching implements Events.
 func (o *observer) Searching(key flow.Key, candidates, round int) {
 	o.searches.Inc()
-	o.line(&o.searching, "flow unknown, searched for", zap.Stringer(fieldFlow, key), zap.Int(fieldCandidates, candidates), zap.Int("round", round))
+	o.Write(&o.searching, "flow unknown, searched for", zap.Stringer(fieldFlow, key), zap.Int(fieldCandidates, candidates), zap.Int("round", round))
 }
 
 // OwnerFound implements Events.
 func (o *observer) OwnerFound(key flow.Key, host flow.IPv4, hops int) {
 	o.owners.Inc()
-	o.line(&o.searching, "flow found", zap.Stringer(fieldFlow, key), zap.Stringer(fieldHost, host), zap.Int(fieldHops, hops))
+	o.Write(&o.searching, "flow found", zap.Stringer(fieldFlow, key), zap.Stringer(fieldHost, host), zap.Int(fieldHops, hops))
 }
 
 // Lost implements Events.
@@ -139,14 +108,14 @@
 		outcome = "reset"
 	}
 	o.lost.WithLabelValues(outcome).Inc()
-	o.line(&o.searching, "flow held by no host", zap.Stringer(fieldFlow, key), zap.Int(fieldHops, hops), zap.String("outcome", outcome),
+	o.Write(&o.searching, "flow held by no host", zap.Stringer(fieldFlow, key), zap.Int(fieldHops, hops), zap.String("outcome", outcome),
 		zap.Stringer("missing", missing))
 }
 
 // Dropped implements Events.
 func (o *observer) Dropped(reason Drop) {
 	o.drops[reason].Inc()
-	o.line(&o.other, "packet dropped", zap.String(fieldReason, string(reason)))
+	o.Write(&o.other, "packet dropped", zap.String(fieldReason, string(reason)))
 }
 
 // HostChanged implements Events.
@@ -155,16 +124,16 @@
 	if change == fleet.Joined {
 		what = "host joined"
 	}
-	o.log.Info(what, zap.Stringer(fieldHost, h.IP), zap.Stringer(fieldState, h.State), zap.Uint32("service_tag", uint32(h.Service)),
+	o.Log.Info(what, zap.Stringer(fieldHost, h.IP), zap.Stringer(fieldState, h.State), zap.Uint32("service_tag", uint32(h.Service)),
 		zap.Uint32("incarnation", uint32(h.Incarnation)), zap.Uint16(fieldSlots, h.Slots), zap.Uint16("warmup_ms", h.WarmupMillis))
 }
 
 // HostForgotten implements Events.
 func (o *observer) HostForgotten(ip flow.IPv4) {
-	o.log.Info("host forgotten", zap.Stringer(fieldHost, ip))
+	o.Log.Info("host forgotten", zap.Stringer(fieldHost, ip))
 }
 
 // PeerChanged implements Events.
 func (o *observer) PeerChanged(ip flow.IPv4, what string) {
-	o.log.Info("balancer "+what, zap.Stringer(telemetry.FieldPeer, ip))
+	o.Log.Info("balancer "+what, zap.Stringer(telemetry.FieldPeer, ip))
 }
--- /dev/null
+++ b/binaries/internal/process/reload_test.go
@@ -0,0 +1,32 @@
+package process
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/poppywall/poppywall/settings"
+)
+
+type testSettings struct {
+	Name string       `json:"name" validate:"required"`
+	Log  settings.Log `json:"log"`
+}
+
+// TestBadSettingsAreRefusedWithOneLine: the old ones stay, also the log's level.
+func TestBadSettingsAreRefusedWithOneLine(t *testing.T) {
+	d := Daemon[testSettings]{Log: func(s testSettings) settings.Log { return s.Log }}
+	core, lines := observer.New(zapcore.InfoLevel)
+	level := zap.NewAtomicLevelAt(zapcore.InfoLevel)
+	d.reload([]byte(`{"name":"a","log":{"level":"debug"}}`), "test", nil, zap.New(core), level)
+	require.Equal(t, zapcore.DebugLevel, level.Level())
+	require.Equal(t, 1, lines.FilterMessage("settings reloaded").Len())
+	for _, bad := range []string{`{`, `{"log":{"level":"error"}}`, `{"name":"a","log":{"level":"loud"}}`} {
+		d.reload([]byte(bad), "test", nil, zap.New(core), level)
+		require.Equal(t, zapcore.DebugLevel, level.Level(), bad)
+	}
+	require.Equal(t, 3, lines.FilterMessage("settings refused, the old ones stay").Len())
+}
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -29,6 +29,23 @@
 	return netip.AddrFrom4(b)
 }
 
+// ParseAddrPort reads an "IPv4:port" that has been validated.
+func ParseAddrPort(text string) (IPv4, uint16) {
+	ap := netip.MustParseAddrPort(text)
+	return FromAddr(ap.Addr()), ap.Port()
+}
+
+// ParseAddrs returns the addresses of a list of "IPv4:port" that has been
+// validated.
+func ParseAddrs(list []string) []IPv4 {
+	out := make([]IPv4, 0, len(list))
+	for _, text := range list {
+		ip, _ := ParseAddrPort(text)
+		out = append(out, ip)
+	}
+	return out
+}
+
 // String returns the dotted form.
 func (ip IPv4) String() string { return ip.Addr().String() }
 
--- a/store/gateway/http.go
+++ b/store/gateway/http.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -103,7 +102,7 @@
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.client.Do(req)
 	if err != nil {
-		return &verdict.Error{Verdict: dialVerdict(err), Reason: "platform-unreachable", Err: err}
+		return &verdict.Error{Verdict: verdict.OfCall(err), Reason: "platform-unreachable", Err: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	return readAnswer(resp, out)
@@ -123,12 +122,3 @@
 	}
 	return nil
 }
-
-// dialVerdict tells a request that never left from one that may have arrived.
-func dialVerdict(err error) verdict.Verdict {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return verdict.NotRun
-	}
-	return verdict.Unknown
-}
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -97,10 +97,33 @@
 func (e *Endpoint) Addr() string { return e.listener.Addr().String() }
 
 // Serve runs until ctx ends.
-func (e *Endpoint) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = e.server.Close() })
+func (e *Endpoint) Serve(ctx context.Context) error { return serve(ctx, e.listener, e.server) }
+
+// ServeHTTP serves a handler on an address until ctx ends.
+func ServeHTTP(ctx context.Context, address string, handler http.Handler) error {
+	ln, err := net.Listen("tcp4", address)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", address)
+	}
+	return serve(ctx, ln, &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout})
+}
+
+// ServeMetrics serves /metrics and /healthz of a process that is healthy as long
+// as it runs.
+func ServeMetrics(ctx context.Context, address string, reg *prometheus.Registry) error {
+	health := &Health{}
+	health.Set(true)
+	endpoint, err := Listen(address, reg, health)
+	if err != nil {
+		return err
+	}
+	return endpoint.Serve(ctx)
+}
+
+func serve(ctx context.Context, ln net.Listener, server *http.Server) error {
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	err := e.server.Serve(e.listener)
+	err := server.Serve(ln)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -7,6 +7,7 @@
 
 import (
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -97,6 +98,15 @@
 	return Unknown
 }
 
+// OfCall tells a call over HTTP that never left from one that may have arrived.
+func OfCall(err error) Verdict {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return NotRun
+	}
+	return Unknown
+}
+
 // WriteTo reports the failure as an HTTP answer at once; the client is told
 // when to come back instead of being held (issue 2).
 func (e *Error) WriteTo(w http.ResponseWriter) {
