--- a/Makefile
+++ b/Makefile
@@ -7,10 +7,12 @@
 
 export CGO_ENABLED = 1
 
-.PHONY: trial test fuzz build lint capacity ejection choice overload costs fleet relay bench experiments modules mutants
+.PHONY: trial soak test fuzz build lint capacity ejection choice overload costs fleet relay bench experiments modules mutants
 
+# The QUIC front in one process, then the packet front as processes under a few faults.
 trial: build
 	bin/poppywall-trial
+	bin/poppywall-soak --seed 1 --faults 4
 
 build:
 	@mkdir -p bin
@@ -32,7 +34,7 @@
 	tools/mutants.sh
 
 # Longer stateful fuzzing with fresh seeds; the seed of a failure is printed.
-FUZZ_PACKAGES := ./route ./relay/encap ./choose ./directory ./catalog ./change ./forward ./returnpath ./admission ./outlier ./agent
+FUZZ_PACKAGES := ./e2e/packets ./flow ./flow/envelope ./fleet ./platform ./route ./relay/encap ./choose ./directory ./catalog ./change ./forward ./returnpath ./admission ./outlier ./agent
 fuzz:
 	POPPYWALL_SEED=0 POPPYWALL_CHECKS=5000 go test -count=1 -timeout 30m $(FUZZ_PACKAGES)
 	go test ./route -run '^$$' -fuzz FuzzDecode -fuzztime 20s
@@ -41,6 +43,12 @@
 	go test ./forward -run '^$$' -fuzz FuzzFromCaller -fuzztime 20s
 	go test ./agent -run '^$$' -fuzz FuzzHandle -fuzztime 20s
 	go test ./directory -run '^$$' -fuzz FuzzEntryDecode -fuzztime 20s
+	go test ./platform -run '^$$' -fuzz FuzzDecodePacket -fuzztime 20s
+	go test ./platform -run '^$$' -fuzz FuzzDecodeConfig -fuzztime 20s
+	go test ./flow/envelope -run '^$$' -fuzz FuzzDecode -fuzztime 20s
+	go test ./fleet -run '^$$' -fuzz FuzzDecode -fuzztime 20s
+	go test ./agent/packetfront -run '^$$' -fuzz FuzzHandleNode -fuzztime 20s
+	go test ./balancer/packetfront -run '^$$' -fuzz FuzzHandleNode -fuzztime 20s
 
 # The measurements that docs/ quotes.
 choice ejection overload capacity costs fleet relay: build
