Reload tells which changed fields need a restart and takes over the seeds; a host that speaks is there

Found in re-reading: after a probe that was refused an agent announced its host as gone until the host's ID changed, also when the host sent heartbeats again; the ranking for new flows kept 264 hosts where it needs 4.

--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -92,6 +92,9 @@
 	}
 }
 
+// SetSeeds replaces the balancers to join by.
+func (c *Core) SetSeeds(seeds []flow.IPv4) { c.opts.Seeds = seeds }
+
 // Busy returns the requests that the host works on or has queued, Open its open
 // flows.
 func (c *Core) Busy() int { return c.flows.busy }
--- a/agent/packetfront/core_test.go
+++ b/agent/packetfront/core_test.go
@@ -357,6 +357,17 @@
 	require.Zero(t, f.Busy())
 }
 
+// TestAHostThatSpeaksIsThere, whatever a probe said before.
+func TestAHostThatSpeaksIsThere(t *testing.T) {
+	f := newFixture()
+	f.Probed(f.now, ProbeRefused)
+	require.Equal(t, fleet.Gone, f.announcement(f.now).State)
+	f.beat(false)
+	require.Equal(t, fleet.Ready, f.announcement(f.now).State)
+	f.syn(1, 0, 0)
+	require.Len(t, f.port.host, 1)
+}
+
 func TestProbesAreWantedInDoubtOnly(t *testing.T) {
 	f := newFixture()
 	f.pass(silenceProbe * 2)
--- a/agent/packetfront/host.go
+++ b/agent/packetfront/host.go
@@ -74,7 +74,7 @@
 func (h *host) heard(now time.Time) {
 	h.owesSince = time.Time{}
 	if h.left.IsZero() {
-		h.up = true
+		h.up, h.killed = true, false
 	}
 }
 
--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -95,6 +95,9 @@
 	}
 }
 
+// SetSeeds replaces the balancers to join by.
+func (c *Core) SetSeeds(seeds []flow.IPv4) { c.opts.Seeds = seeds }
+
 // View returns what is known of the fleet.
 func (c *Core) View() *fleet.View { return c.view }
 
--- a/balancer/packetfront/front.go
+++ b/balancer/packetfront/front.go
@@ -134,6 +134,12 @@
 	time.Sleep(f.cfg.LeaveDelay.D())
 }
 
+// Reload implements process.Reloader: the seeds are taken over.
+func (f *Front) Reload(cfg Settings) []string {
+	f.locked(func(time.Time) { f.core.SetSeeds(flow.ParseAddrs(cfg.Seeds)) })
+	return []string{"seeds"}
+}
+
 func (f *Front) locked(do func(now time.Time)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/balancer/packetfront/plan.go
+++ b/balancer/packetfront/plan.go
@@ -12,7 +12,7 @@
 // Sizes of the choice.
 const (
 	// openNear and openFar are how many hosts of a flow's ranking in the own
-	// zone and in all zones are compared for a new flow. They bound the search
+	// zone and in other zones are compared for a new flow. They bound the search
 	// for it later.
 	openNear = 4
 	openFar  = 4
@@ -27,12 +27,16 @@
 
 // plan is scratch space for candidates.
 type plan struct {
+	// openNear and openFar rank the hosts for a new flow.
+	openNear, openFar *flow.Ranking
+	// near, far, rest and quiet rank those that may hold an open one.
 	near, far, rest, quiet *flow.Ranking
 	out                    []flow.Candidate
 }
 
 func newPlan() plan {
 	return plan{
+		openNear: flow.NewRanking(openNear), openFar: flow.NewRanking(openFar),
 		near:  flow.NewRanking(maxSearched),
 		far:   flow.NewRanking(maxSearched),
 		rest:  flow.NewRanking(maxSearched),
@@ -42,6 +46,8 @@
 }
 
 func (p *plan) reset() {
+	p.openNear.Reset()
+	p.openFar.Reset()
 	p.near.Reset()
 	p.far.Reset()
 	p.rest.Reset()
@@ -58,15 +64,15 @@
 		if h.State != fleet.Ready {
 			continue
 		}
-		ranking := p.far
+		ranking := p.openFar
 		if h.Zone == c.opts.Zone {
-			ranking = p.near
+			ranking = p.openNear
 		}
 		ranking.Offer(flow.Score(hash, h.IP), flow.Candidate{Host: h.IP, Service: service})
 	}
 	c.offers, c.offerOf = c.offers[:0], c.offerOf[:0]
-	c.offer(now, first(p.near.Items(), openNear))
-	c.offer(now, first(p.far.Items(), openFar))
+	c.offer(now, p.openNear.Items())
+	c.offer(now, p.openFar.Items())
 	for len(c.offers) > 0 && len(p.out) < openTries {
 		i := c.opts.Weights.Cheapest(c.offers, c.rnd)
 		p.out = append(p.out, flow.Candidate{Host: c.offerOf[i].IP, Service: service})
--- a/binaries/internal/process/process.go
+++ b/binaries/internal/process/process.go
@@ -96,7 +96,7 @@
 	}
 	ctx, stop := SignalContext()
 	defer stop()
-	go d.follow(ctx, path, hangup, r, log, level)
+	go d.follow(ctx, path, cfg, hangup, r, log, level)
 	return r.Run(ctx)
 }
 
--- a/binaries/internal/process/reload.go
+++ b/binaries/internal/process/reload.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"os"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,13 +18,16 @@
 const settingsPoll = 2 * time.Second
 
 // Reloader is a Runner that takes changed settings while it runs. It returns
-// the names of changed fields that need a restart.
+// the names of the fields that it has taken over; others need a restart.
 type Reloader[T any] interface {
-	Reload(cfg T) (restart []string)
+	Reload(cfg T) (taken []string)
 }
 
+// fieldLog is the field that every process takes over by itself.
+const fieldLog = "log"
+
 // follow reloads the settings on SIGHUP and when their file has changed.
-func (d Daemon[T]) follow(ctx context.Context, path string, hangup <-chan os.Signal, r Runner, log *zap.Logger, level zap.AtomicLevel) {
+func (d Daemon[T]) follow(ctx context.Context, path string, cfg T, hangup <-chan os.Signal, r Runner, log *zap.Logger, level zap.AtomicLevel) {
 	tick := time.NewTicker(settingsPoll)
 	defer tick.Stop()
 	// A file that cannot be read is taken for unchanged; the next look tells.
@@ -44,29 +48,33 @@
 		}
 		if bytes.Equal(data, last) {
 			if cause == "signal" {
-				log.Info("settings reloaded", zap.String("cause", cause), zap.Bool("changed", false))
+				log.Info("settings reloaded", zap.String("cause", cause), zap.Strings("changed", nil))
 			}
 			continue
 		}
 		last = data
-		d.reload(data, cause, r, log, level)
+		cfg = d.reload(data, cause, cfg, r, log, level)
 	}
 }
 
-// reload puts changed settings in force, or refuses them with one line.
-func (d Daemon[T]) reload(data []byte, cause string, r Runner, log *zap.Logger, level zap.AtomicLevel) {
+// reload puts changed settings in force, or refuses them with one line. It
+// returns those that are in force.
+func (d Daemon[T]) reload(data []byte, cause string, old T, r Runner, log *zap.Logger, level zap.AtomicLevel) T {
 	cfg, err := settings.Parse(data, d.Defaults)
 	if err != nil {
 		log.Error("settings refused, the old ones stay", zap.String("cause", cause), zap.Error(err))
-		return
+		return old
 	}
 	// The level was validated with the rest.
 	if l, err := telemetry.ParseLevel(d.Log(cfg)); err == nil {
 		level.SetLevel(l)
 	}
-	var restart []string
+	taken := []string{fieldLog}
 	if reloader, ok := r.(Reloader[T]); ok {
-		restart = reloader.Reload(cfg)
+		taken = append(taken, reloader.Reload(cfg)...)
 	}
-	log.Info("settings reloaded", zap.String("cause", cause), zap.Bool("changed", true), zap.Strings("needRestart", restart))
+	changed := settings.Changed(old, cfg)
+	restart := slices.DeleteFunc(slices.Clone(changed), func(f string) bool { return slices.Contains(taken, f) })
+	log.Info("settings reloaded", zap.String("cause", cause), zap.Strings("changed", changed), zap.Strings("need_restart", restart))
+	return cfg
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -87,6 +87,19 @@
 	return out, nil
 }
 
+// Changed returns the names of the fields in which two settings of one type
+// differ.
+func Changed(before, after any) []string {
+	var out []string
+	a, b := reflect.ValueOf(before), reflect.ValueOf(after)
+	for i := range a.NumField() {
+		if !reflect.DeepEqual(a.Field(i).Interface(), b.Field(i).Interface()) {
+			out = append(out, jsonName(a.Type().Field(i)))
+		}
+	}
+	return out
+}
+
 // Validate checks the struct tags of v and names the first field at fault.
 func Validate(v any) error {
 	err := newValidator().Struct(v)
