Soak: processes in groups of their own

The kernel sends SIGHUP to a process group that is orphaned while a member is paused: four soaks started from a shell that ended were ended so.

--- a/soak/site.go
+++ b/soak/site.go
@@ -61,6 +61,9 @@
 	p.asked, p.started = false, time.Now()
 	p.cmd = exec.Command(p.args[0], p.args[1:]...)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
+	// A group of its own: a group that is orphaned while a member is paused gets
+	// SIGHUP from the kernel, which would end the soak.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := p.cmd.Start(); err != nil {
 		return errors.Wrapf(err, "start %s", p.name)
 	}
