--- /dev/null
+++ b/e2e/packets/host_test.go
@@ -0,0 +1,164 @@
+package packets
+
+import (
+	"encoding/binary"
+	"fmt"
+	"time"
+
+	"github.com/poppywall/poppywall/fleet"
+	"github.com/poppywall/poppywall/flow"
+	"github.com/poppywall/poppywall/platform"
+)
+
+// host is the oracle: what the program beside an agent does.
+type host struct {
+	id       string
+	service  string
+	slots    int
+	cap      int
+	draining bool
+	// ackedBy is the life of the agent that acknowledged it: a fresh agent knows
+	// after the next heartbeat.
+	ackedBy  int
+	ackedAt  time.Time
+	flows    map[flow.Key]*hostFlow
+	sequence uint64
+	full     bool
+}
+
+type hostFlow struct {
+	seq, next uint32
+	open      bool
+}
+
+// startHost starts a fresh host beside the agent.
+func (a *agentNode) startHost() {
+	w := a.w
+	h := &host{id: fmt.Sprintf("i-%x", w.rnd.Uint32()), service: a.service, slots: 5, cap: 1000, flows: map[flow.Key]*hostFlow{}}
+	a.host = h
+	w.every(heartbeatPeriod, func() bool {
+		if a.host == h {
+			a.heartbeat()
+		}
+		return a.host == h
+	})
+}
+
+func (a *agentNode) heartbeat() {
+	h := a.host
+	h.sequence++
+	if !a.up {
+		return
+	}
+	a.core.Heartbeat(a.w.now, fleet.Heartbeat{HostID: h.id, Service: h.service, Slots: h.slots, Draining: h.draining, Sequence: h.sequence})
+	if h.draining && h.ackedBy != a.life {
+		h.ackedBy, h.ackedAt = a.life, a.w.now
+	}
+}
+
+// drain makes the host report that it leaves.
+func (a *agentNode) drain() {
+	if a.host != nil {
+		a.host.draining = true
+		a.heartbeat()
+	}
+}
+
+// crash ends the host; its flows are lost.
+func (a *agentNode) crash() { a.host = nil }
+
+// hostTakes is what a host does with a packet.
+func (a *agentNode) hostTakes(packet []byte) {
+	h := a.host
+	if h == nil {
+		return
+	}
+	head, err := platform.DecodePacket(packet)
+	if err != nil {
+		a.w.violate("a host got a malformed packet")
+		return
+	}
+	key := head.FromClient()
+	if head.IsOpening() {
+		a.hostOpens(h, key, &head, packet)
+		return
+	}
+	f, ok := h.flows[key]
+	if !ok || !flow.SameFlow(head.Ack, f.seq) || head.Ack < f.seq {
+		a.bounce(packet)
+		return
+	}
+	f.open = true
+	if head.Len == 0 {
+		return
+	}
+	f.next = f.seq + 100*(head.Seq+1)
+	a.hostSends(key, flow.ACK, f.next, head.Seq, []byte("answer"))
+}
+
+func (a *agentNode) hostOpens(h *host, key flow.Key, head *flow.Header, packet []byte) {
+	want := serviceA
+	if key.Front() == frontB {
+		want = serviceB
+	}
+	if want != h.service {
+		a.w.violate("a SYN for %s reached a host of %s", want, h.service)
+	}
+	// A packet may be on its way inside the VM at that moment.
+	if h.ackedBy == a.life && a.w.now.Sub(h.ackedAt) > time.Millisecond {
+		a.w.violate("a SYN reached a host whose draining was acknowledged")
+	}
+	if h.full || len(h.flows) >= h.cap {
+		a.bounce(packet)
+		return
+	}
+	f, ok := h.flows[key]
+	if !ok {
+		f = &hostFlow{seq: a.w.rnd.Uint32() >> 1}
+		h.flows[key] = f
+	}
+	a.hostSends(key, flow.SYN|flow.ACK, f.seq, 0, nil)
+}
+
+func (a *agentNode) bounce(packet []byte) {
+	packet[10] |= 32
+	packet[11] = 0
+	a.toAgent(packet)
+}
+
+func (a *agentNode) hostSends(key flow.Key, flags flow.Flags, seq, ack uint32, data []byte) {
+	a.toAgent(encode(key.FrontIP, key.ClientIP, key.FrontPort, key.ClientPort, flags, seq, ack, data))
+}
+
+func (a *agentNode) toAgent(packet []byte) {
+	a.w.after(50*time.Microsecond, func() {
+		if !a.up {
+			return
+		}
+		head, err := platform.DecodePacket(packet)
+		if err != nil {
+			a.w.violate("encode: %v", err)
+			return
+		}
+		a.core.HandleHost(a.w.now, &head, packet)
+	})
+}
+
+// encode writes a packet as an end would.
+func encode(src, dst flow.IPv4, sport, dport uint16, flags flow.Flags, seq, ack uint32, data []byte) []byte {
+	b := make([]byte, platform.HeadLen, platform.HeadLen+len(data))
+	binary.BigEndian.PutUint32(b[0:], seq)
+	binary.BigEndian.PutUint32(b[4:], ack)
+	binary.BigEndian.PutUint16(b[8:], uint16(len(data)))
+	for f, bit := range map[flow.Flags]byte{flow.SYN: 16, flow.ACK: 128, flow.FIN: 64, flow.RST: 2} {
+		if flags.Has(f) {
+			b[10] |= bit
+		}
+	}
+	binary.BigEndian.PutUint16(b[12:], dport)
+	binary.BigEndian.PutUint32(b[14:], uint32(dst))
+	binary.BigEndian.PutUint32(b[18:], uint32(src))
+	binary.BigEndian.PutUint16(b[22:], sport)
+	binary.BigEndian.PutUint32(b[24:], 0xfeed)
+	return append(b, data...)
+}
