--- a/soak/faults.go
+++ b/soak/faults.go
@@ -97,7 +97,7 @@
 // restart ends a process; it is started again later. A process that is down or
 // paused already is left alone.
 func restart(n *node, how syscall.Signal, rec *recorder) func() {
-	if !n.running() || n.paused {
+	if !n.free() {
 		return nil
 	}
 	rec.note("%s: %v", n.name, how)
@@ -113,7 +113,7 @@
 }
 
 func pause(n *node, rec *recorder) func() {
-	if !n.running() || n.paused {
+	if !n.free() {
 		return nil
 	}
 	rec.note("%s paused", n.name)
@@ -128,7 +128,7 @@
 
 func reload(s *site, rnd *rand.Rand, _ *recorder) func() {
 	n := pick(append(append([]*node{}, s.balancers...), s.agents...), rnd)
-	if n.running() && time.Since(n.started) > signalAge {
+	if n.free() && time.Since(n.started) > signalAge {
 		n.signal(syscall.SIGHUP)
 	}
 	return nil
@@ -183,7 +183,7 @@
 // from then on.
 func replaceHost(s *site, rnd *rand.Rand, rec *recorder) func() {
 	n := pick(s.agents, rnd)
-	if !n.running() || n.paused || n.current() == nil || lastOfService(s, n) {
+	if !n.free() || n.current() == nil || lastOfService(s, n) {
 		return nil
 	}
 	rec.note("host beside %s is replaced", n.name)
--- a/soak/site.go
+++ b/soak/site.go
@@ -87,6 +87,10 @@
 	}
 }
 
+// free tells whether nothing happens to the process at the moment: one that is
+// ending must not be paused, for whoever waits for its end would wait for ever.
+func (p *process) free() bool { return p.running() && !p.paused && !p.asked }
+
 // signal sends a signal; a process that is gone by now needs none.
 func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
