Lapsed leases keep flows in doubt for longer after a balancer's start

A first try, to compare the hosts that are heard with the first reading of the registry, does not see it, for agents that start beside the balancer are registered by then. Now an agent that finds its entry absent beside a host that was there before it says so in its announcements for 20 s, and a balancer waits for 4 s then. Test red without it.

--- a/agent/packetfront/core_test.go
+++ b/agent/packetfront/core_test.go
@@ -194,6 +194,26 @@
 	require.Len(t, f.port.nodes, 3)
 }
 
+// TestLapsedLeasesAreTold by agents that find their entry gone beside a host
+// that was there before them.
+func TestLapsedLeasesAreTold(t *testing.T) {
+	for name, c := range map[string]struct {
+		absent, sawStart bool
+		after            time.Duration
+		want             bool
+	}{
+		"entry there":         {false, false, 0, false},
+		"entry gone":          {true, false, 0, true},
+		"a VM that is new":    {true, true, 0, false},
+		"entry gone long ago": {true, false, fleet.Forget, false},
+	} {
+		f := newFixture()
+		f.host.sawStart = c.sawStart
+		f.Registered(f.now, c.absent)
+		require.Equal(t, c.want, f.announcement(f.now.Add(c.after)).Lapsed, name)
+	}
+}
+
 func TestABouncedPacketGoesOnUnmarked(t *testing.T) {
 	f := newFixture()
 	e := envelope.Envelope{Service: service}
--- a/agent/packetfront/front.go
+++ b/agent/packetfront/front.go
@@ -113,7 +113,9 @@
 	})
 	group.Go(work, "probe", f.probeHost)
 	group.Go(work, "join", f.followRegistry)
-	entry := registry.New(f.store, registry.Agents, f.self, f.log)
+	entry := registry.New(f.store, registry.Agents, f.self, f.log, func(absent bool) {
+		f.locked(func(now time.Time) { f.core.Registered(now, absent) })
+	})
 	group.Go(ctx, "registry", entry.Run)
 	group.Go(work, "heartbeats", func(ctx context.Context) error {
 		return telemetry.ServeHTTP(ctx, f.cfg.Control, platform.HeartbeatHandler(f))
--- a/agent/packetfront/nodes.go
+++ b/agent/packetfront/nodes.go
@@ -88,7 +88,7 @@
 // announceChange tells every balancer at once when the host's state changed.
 func (c *Core) announceChange(now time.Time) {
 	next := c.announcement(now)
-	if next.State != c.announced.State || next.Incarnation != c.announced.Incarnation || next.Slots != c.announced.Slots {
+	if next.State != c.announced.State || next.Incarnation != c.announced.Incarnation || next.Slots != c.announced.Slots || next.Lapsed != c.announced.Lapsed {
 		c.announceAll(now)
 	}
 }
@@ -129,6 +129,7 @@
 		Zone: c.opts.Zone, Service: c.opts.Service,
 		Incarnation:  flow.TagOf(c.host.id),
 		State:        state,
+		Lapsed:       c.lapsed(now),
 		Slots:        uint16(min(c.host.slots(), 1<<16-1)),
 		Busy:         uint16(min(c.flows.busy, 1<<16-1)),
 		Open:         uint16(min(c.flows.open, 1<<16-1)),
--- a/balancer/packetfront/core_test.go
+++ b/balancer/packetfront/core_test.go
@@ -97,6 +97,13 @@
 	return f
 }
 
+// announceLapsed announces a host whose agent found its registration lapsed.
+func (f *fixture) announceLapsed(ip flow.IPv4) {
+	f.seq++
+	a := fleet.Announcement{Identity: fleet.Identity{Epoch: uint64(ip), Seq: f.seq}, Service: alpha, State: fleet.Ready, Slots: 4, Lapsed: true}
+	f.HandleNode(f.now, ip, a.Append(nil))
+}
+
 func config(version int64) *flow.Config {
 	return &flow.Config{Version: version, Routes: map[flow.Front]*flow.Route{
 		front: {Name: "r", Backends: []flow.Backend{{Name: "alpha", Tag: alpha, Weight: 1}}},
--- a/balancer/packetfront/front.go
+++ b/balancer/packetfront/front.go
@@ -76,7 +76,7 @@
 	if f.internal, err = relay.OpenDatagrams(netip.MustParseAddrPort(cfg.Internal)); err != nil {
 		return nil, errors.Wrap(err, "field \"internal\"")
 	}
-	f.registry = registry.New(f.store, registry.Balancers, f.self, log)
+	f.registry = registry.New(f.store, registry.Balancers, f.self, log, func(bool) {})
 	opts := Options{
 		Self: f.self, Zone: flow.TagOf(cfg.Zone), Seeds: flow.ParseAddrs(cfg.Seeds), Epoch: rand.Uint64() | 1,
 		Weights: choose.Weights{OtherZone: cfg.OtherZoneCost, Warming: warmingFactor},
--- a/balancer/packetfront/survey.go
+++ b/balancer/packetfront/survey.go
@@ -38,6 +38,9 @@
 	// its joining, a balancer joins by its seeds five times a second, and views
 	// are compared each half second.
 	freshTime = 500 * time.Millisecond
+	// lapsedTime is the same where leases have lapsed, for agents that are down
+	// are not registered then: longer than a process takes to be restarted.
+	lapsedTime = 4 * time.Second
 	// surveyTTL is how long a reading of the registry counts.
 	surveyTTL = 5 * time.Second
 	// surveyPause is the least pause between readings.
@@ -62,7 +65,7 @@
 		return DoubtHost, 0
 	case env.Generation != c.generation():
 		return DoubtView, 0
-	case now.Sub(c.startedAt) < freshTime:
+	case now.Sub(c.startedAt) < c.freshFor():
 		return DoubtFresh, 0
 	case c.survey.readAt.IsZero() || now.Sub(c.survey.readAt) > surveyTTL:
 		c.survey.wanted = true
@@ -78,6 +81,17 @@
 	return "", 0
 }
 
+// freshFor is how long after its start this balancer takes its view for
+// incomplete: longer when an agent says that leases have lapsed.
+func (c *Core) freshFor() time.Duration {
+	for _, ip := range c.view.Hosts() {
+		if h, _ := c.view.Host(ip); h.Lapsed {
+			return lapsedTime
+		}
+	}
+	return freshTime
+}
+
 // unheard returns a host that may hold flows and could not be asked.
 func (c *Core) unheard(now time.Time) (flow.IPv4, bool) {
 	for _, ip := range c.survey.agents {
--- a/e2e/packets/nodes_test.go
+++ b/e2e/packets/nodes_test.go
@@ -81,9 +81,15 @@
 
 func (a *agentNode) registered(w *world) bool {
 	if w.now.Sub(w.lapsedAt) < renewal {
-		return false
+		// Fresh processes register at once, others with their next renewal.
+		return a.up && a.startedAt.After(w.lapsedAt)
 	}
-	return a.up || (w.now.Sub(a.downAt) < leaseTTL && w.lapsedAt.Before(a.downAt))
+	return a.up || a.listed(w)
+}
+
+// listed tells whether the entry of the agent's former life is still there.
+func (a *agentNode) listed(w *world) bool {
+	return !a.downAt.IsZero() && (w.now.Sub(a.downAt) < leaseTTL && w.lapsedAt.Before(a.downAt.Add(-renewal)))
 }
 
 // restart replaces the process by a fresh one after a pause.
@@ -102,9 +108,11 @@
 	core    *agentfront.Core
 	up      bool
 	downAt  time.Time
-	life    int
-	host    *host
-	rst     int
+	// startedAt is when the present process started.
+	startedAt time.Time
+	life      int
+	host      *host
+	rst       int
 }
 
 func (a *agentNode) ToNode(to flow.IPv4, head, packet []byte) { a.w.toNode(a.ip, to, head, packet) }
@@ -136,9 +144,15 @@
 		Epoch: w.rnd.Uint64() | 1, HeartbeatPeriod: heartbeatPeriod, FlowTTL: time.Minute,
 	}
 	a.core = agentfront.New(opts, a, platform.Codec{}, quietAgent{})
-	a.up = true
+	a.up, a.startedAt = true, w.now
 	a.life++
 	life := a.life
+	absent := !a.listed(w)
+	w.after(20*time.Millisecond, func() {
+		if a.life == life {
+			a.core.Registered(w.now, absent)
+		}
+	})
 	w.every(hostTick, func() bool {
 		if a.up && a.life == life {
 			a.core.Tick(w.now)
--- a/e2e/packets/packets_test.go
+++ b/e2e/packets/packets_test.go
@@ -287,6 +287,35 @@
 	}
 }
 
+// TestLapsedLeasesKeepFlowsInDoubt: all leases lapse, all processes are killed, and
+// one agent comes back late: its host's flows are not reset meanwhile (found by
+// the soak).
+func TestLapsedLeasesKeepFlowsInDoubt(t *testing.T) {
+	w := newWorld(8)
+	deployment(w)
+	w.run(4 * time.Second)
+	c := w.addClient("z1", frontA)
+	w.run(time.Second)
+	w.lapsedAt = w.now
+	w.run(100 * time.Millisecond)
+	for _, ip := range w.balancerIPs() {
+		w.balancers[ip].restart(time.Second)
+	}
+	for _, a := range sortedAgents(w) {
+		down := time.Second
+		if a.host == c.host {
+			down = 3500 * time.Millisecond
+		}
+		a.restart(down)
+	}
+	w.run(1500 * time.Millisecond)
+	c.request()
+	w.run(5 * time.Second)
+	require.Empty(t, w.violations)
+	require.Equal(t, established, c.state)
+	require.Equal(t, c.asked, c.answered)
+}
+
 // replaceHost ends a host with its agent; its address serves the other service
 // from then on.
 func replaceHost(w *world, a *agentNode) {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -29,7 +29,7 @@
 
 func TestMessagesSurviveTheWire(t *testing.T) {
 	a := announcement(7, 8, alpha, Draining)
-	a.Zone, a.WantPeers, a.Busy, a.Open, a.WarmupMillis = 3, true, 4, 5, 600
+	a.Zone, a.WantPeers, a.Lapsed, a.Busy, a.Open, a.WarmupMillis = 3, true, true, 4, 5, 600
 	gotA, err := DecodeAnnouncement(a.Append(nil))
 	require.NoError(t, err)
 	require.Equal(t, a, gotA)
--- a/fleet/registry/registry.go
+++ b/fleet/registry/registry.go
@@ -44,11 +44,15 @@
 	store store.Watcher
 	key   string
 	log   *zap.Logger
+	// written hears whether the entry was absent when it was written: the node is
+	// new, or its former lease has lapsed.
+	written func(absent bool)
 }
 
-// New returns a registry for the node at the address.
-func New(s store.Watcher, role Role, self flow.IPv4, log *zap.Logger) *Registry {
-	return &Registry{store: s, key: string(role) + self.String(), log: log}
+// New returns a registry for the node at the address. written is told each time
+// the entry was written, and whether it was absent before.
+func New(s store.Watcher, role Role, self flow.IPv4, log *zap.Logger, written func(absent bool)) *Registry {
+	return &Registry{store: s, key: string(role) + self.String(), log: log, written: written}
 }
 
 // Run keeps the entry until ctx ends, then takes it away.
@@ -70,8 +74,19 @@
 	if err != nil {
 		return 0, err
 	}
-	_, err = r.store.Txn(ctx, store.Txn{Puts: []store.Put{{Key: r.key, Lease: lease}}})
-	return lease, err
+	put := store.Put{Key: r.key, Lease: lease}
+	absent := store.Compare{Key: r.key, Field: store.ModRevision, Equal: 0}
+	resp, err := r.store.Txn(ctx, store.Txn{Compares: []store.Compare{absent}, Puts: []store.Put{put}})
+	if err != nil {
+		return 0, err
+	}
+	if !resp.Succeeded {
+		if _, err = r.store.Txn(ctx, store.Txn{Puts: []store.Put{put}}); err != nil {
+			return 0, err
+		}
+	}
+	r.written(resp.Succeeded)
+	return lease, nil
 }
 
 // keep renews the lease until it has ended. A renewal that fails otherwise is
--- a/fleet/registry/registry_test.go
+++ b/fleet/registry/registry_test.go
@@ -26,7 +26,8 @@
 
 func TestAnEntryComesBackAndGoesWithItsNode(t *testing.T) {
 	s := standin.NewStore(time.Now)
-	r := New(s, Agents, self, zap.NewNop())
+	absent := make(chan bool, 8)
+	r := New(s, Agents, self, zap.NewNop(), func(a bool) { absent <- a })
 	ctx, stop := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
 	wg.Go(func() { _ = r.Run(ctx) })
@@ -41,6 +42,8 @@
 	time.Sleep(20 * time.Millisecond)
 	s.Down(false)
 	listed(t, s, true)
+	require.True(t, <-absent, "new")
+	require.True(t, <-absent, "its lease had lapsed")
 
 	stop()
 	wg.Wait()
@@ -50,7 +53,7 @@
 func TestTheFirstEntryIsWrittenOnceTheStoreIsThere(t *testing.T) {
 	s := standin.NewStore(time.Now)
 	s.Down(true)
-	r := New(s, Agents, self, zap.NewNop())
+	r := New(s, Agents, self, zap.NewNop(), func(bool) {})
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var wg conc.WaitGroup
@@ -61,3 +64,15 @@
 	s.Down(false)
 	listed(t, s, true)
 }
+
+// TestARestartedNodeFindsItsEntry: its former lease has not lapsed.
+func TestARestartedNodeFindsItsEntry(t *testing.T) {
+	s := standin.NewStore(time.Now)
+	absent := make(chan bool, 8)
+	r := New(s, Agents, self, zap.NewNop(), func(a bool) { absent <- a })
+	for _, want := range []bool{true, false} {
+		_, err := r.publish(context.Background())
+		require.NoError(t, err)
+		require.Equal(t, want, <-absent)
+	}
+}
