--- a/balancer/packetfront/core_test.go
+++ b/balancer/packetfront/core_test.go
@@ -244,11 +244,25 @@
 		flags   envelope.Flags
 		want    Doubt
 	}{
-		"all said no":                {want: ""},
-		"one was unsure":             {flags: envelope.Unsure, want: DoubtHost},
-		"a host joined":              {during: func(f *fixture) { f.announce(other, fleet.Ready) }, want: DoubtView},
-		"a host was replaced":        {during: func(f *fixture) { f.announce(hostA, fleet.Gone) }, want: DoubtView},
-		"just started":               {prepare: func(f *fixture) { f.startedAt = f.now }, want: DoubtFresh},
+		"all said no":         {want: ""},
+		"one was unsure":      {flags: envelope.Unsure, want: DoubtHost},
+		"a host joined":       {during: func(f *fixture) { f.announce(other, fleet.Ready) }, want: DoubtView},
+		"a host was replaced": {during: func(f *fixture) { f.announce(hostA, fleet.Gone) }, want: DoubtView},
+		"just started":        {prepare: func(f *fixture) { f.startedAt = f.now }, want: DoubtFresh},
+		"leases lapsed before": {
+			prepare: func(f *fixture) {
+				f.startedAt = f.now.Add(-lapsedTime / 2)
+				f.announceLapsed(hostA)
+			},
+			want: DoubtFresh,
+		},
+		"leases lapsed long ago": {
+			prepare: func(f *fixture) {
+				f.startedAt = f.now.Add(-lapsedTime)
+				f.announceLapsed(hostA)
+			},
+			want: "",
+		},
 		"registry not read":          {prepare: func(f *fixture) { f.survey.readAt = time.Time{} }, want: DoubtSurvey},
 		"registry read long ago":     {prepare: func(f *fixture) { f.survey.readAt = f.now.Add(-surveyTTL - 1) }, want: DoubtSurvey},
 		"an agent is missing":        {prepare: func(f *fixture) { f.Surveyed(f.now, []flow.IPv4{hostA, hostB, other}) }, want: DoubtMissing},
