--- a/agent/packetfront/nodes.go
+++ b/agent/packetfront/nodes.go
@@ -88,7 +88,8 @@
 // announceChange tells every balancer at once when the host's state changed.
 func (c *Core) announceChange(now time.Time) {
 	next := c.announcement(now)
-	if next.State != c.announced.State || next.Incarnation != c.announced.Incarnation || next.Slots != c.announced.Slots || next.Lapsed != c.announced.Lapsed {
+	if next.State != c.announced.State || next.Incarnation != c.announced.Incarnation ||
+		next.Slots != c.announced.Slots || next.Lapsed != c.announced.Lapsed {
 		c.announceAll(now)
 	}
 }
