Re-reading: code that nothing called removed, one copy of the greeting and of the templates' test

Counters of the cores and of the stand-in host that nobody read, the time at which a host was known first; balancers greet named agents by Greet; the values and the rendering of the deployment's templates stood in both packet fronts' tests. No behaviour changed; no assertion touched.

--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -97,13 +97,9 @@
 // SetSeeds replaces the balancers to join by.
 func (c *Core) SetSeeds(seeds []flow.IPv4) { c.opts.Seeds = seeds }
 
-// Busy returns the requests that the host works on or has queued, Open its open
-// flows.
+// Busy returns the requests that the host works on or has queued.
 func (c *Core) Busy() int { return c.flows.busy }
 
-// Open returns the number of open flows.
-func (c *Core) Open() int { return c.flows.open }
-
 // Balancers returns the number of balancers known.
 func (c *Core) Balancers() int { return len(c.view.Balancers()) }
 
--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -101,12 +101,6 @@
 // View returns what is known of the fleet.
 func (c *Core) View() *fleet.View { return c.view }
 
-// Config returns the configuration in force, nil before the first.
-func (c *Core) Config() *flow.Config { return c.config }
-
-// Flows returns the number of flows remembered.
-func (c *Core) Flows() int { return len(c.table.flows) }
-
 // SetConfig puts a configuration in force unless it is older than the present
 // one; other balancers hear of it at once.
 func (c *Core) SetConfig(now time.Time, next *flow.Config) bool {
--- a/balancer/packetfront/nodes.go
+++ b/balancer/packetfront/nodes.go
@@ -100,9 +100,9 @@
 	for _, ip := range agents {
 		if _, known := c.view.Host(ip); !known {
 			c.named[ip] = now
-			c.sendBeacon(now, ip, fleet.Beacon{WantPeers: true})
 		}
 	}
+	c.Greet(now, nil, agents)
 	return nil
 }
 
--- a/choose/offer.go
+++ b/choose/offer.go
@@ -44,10 +44,10 @@
 	return cost
 }
 
-// Cheapest returns the index of the offer for a new flow, or -1 without any. Of
-// two random offers and the two cheapest zones' samples the cheaper one wins
-// (power of two choices), so that balancers with the same stale readings do not
-// all send to the same host.
+// Cheapest returns the index of the offer for a new flow, or -1 without any. Two
+// random offers of the own zone and two of the other zones are compared (power of
+// two choices), so that balancers with the same stale readings do not all send to
+// the same host.
 func (w Weights) Cheapest(offers []Offer, rnd *rand.Rand) int {
 	if len(offers) == 0 {
 		return -1
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -51,8 +51,8 @@
 type Host struct {
 	IP flow.IPv4
 	Announcement
-	// HeardAt is when the agent was heard last, KnownAt first.
-	HeardAt, KnownAt time.Time
+	// HeardAt is when the agent was heard last.
+	HeardAt time.Time
 	// Sent counts new flows sent here since the last announcement.
 	Sent  int
 	order order
@@ -154,7 +154,7 @@
 func (v *View) Announce(now time.Time, ip flow.IPv4, a Announcement) Change {
 	h, known := v.hosts[ip]
 	if !known {
-		h = &Host{IP: ip, KnownAt: now}
+		h = &Host{IP: ip}
 	}
 	former := h.Announcement
 	if !h.order.accept(a.Identity) {
--- a/settings/settingstest/template.go
+++ b/settings/settingstest/template.go
@@ -4,21 +4,42 @@
 import (
 	"encoding/json"
 	"fmt"
+	"os"
 	"regexp"
 	"strings"
+	"testing"
 
 	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
 )
 
+// values are what the platform fills into the templates of one node.
+var values = map[string]any{
+	"node-name": "node-1", "zone": "z1", "ip": "10.0.0.1", "internal-ports.0": 7720, "service": "alpha",
+	"listen.data-addr": "10.0.0.1:8172", "listen.ready": "10.0.0.1:8167", "listen.outbound": "10.0.0.1:8162",
+	"listen.control": "10.0.0.1:8166", "app": "10.0.0.1:8165", "seeds": []string{"10.0.0.1:8166", "10.0.0.2:8166"},
+	"platform.address": "10.200.1.7:8169", "heartbeat-ms": 1200, "bounds.flow-ttl-s": 60,
+}
+
 var (
 	sectionPattern = regexp.MustCompile(`(?s)\{\{#([\w.-]+)\}\}(.*?)\{\{/[\w.-]+\}\}`)
 	valuePattern   = regexp.MustCompile(`\{\{([\w.-]+)(\|json)?\}\}`)
 )
 
-// RenderTemplate fills a template in deploy/ as the platform does, as far as the
+// Render fills the template at a path with one node's values.
+func Render(t testing.TB, path string) []byte {
+	t.Helper()
+	template, err := os.ReadFile(path)
+	require.NoError(t, err)
+	text, err := renderTemplate(string(template), values)
+	require.NoError(t, err)
+	return []byte(text)
+}
+
+// renderTemplate fills a template in deploy/ as the platform does, as far as the
 // templates there use it: values, values as JSON, and sections over lists of
 // text.
-func RenderTemplate(template string, values map[string]any) (string, error) {
+func renderTemplate(template string, values map[string]any) (string, error) {
 	out := sectionPattern.ReplaceAllStringFunc(template, func(section string) string {
 		m := sectionPattern.FindStringSubmatch(section)
 		list, _ := values[m[1]].([]string)
