Late heartbeats and announcements of earlier processes at an address change nothing

Cause: an agent remembered one former host ID and a view one former epoch. A report of the ID before that, or one that a fresh agent could not know, was taken for a new host; the present host's own reports were then late for ever, its draining among them. The agent also took any change of the ID for proof that it had seen the new host start, and answered for flows it could not know.

--- a/agent/packetfront/host.go
+++ b/agent/packetfront/host.go
@@ -9,9 +9,12 @@
 
 // host is what an agent knows of the host beside it.
 type host struct {
-	// id is the host's ID, former the one before it.
-	id, former string
-	sequence   uint64
+	// id is the host's ID, empty until it reports; sequence is that of its last
+	// heartbeat.
+	id       string
+	sequence uint64
+	// lifetimes are the hosts before it.
+	lifetimes lifetimes
 	// beat is the last heartbeat, beatAt when it came.
 	beat   fleet.Heartbeat
 	beatAt time.Time
@@ -25,6 +28,8 @@
 	// sawDown is set when a probe was refused before the host came up, sawStart
 	// when the agent was there before the present host took its first flow.
 	sawDown, sawStart bool
+	// sawEnd is set when a probe was refused since the host reported last.
+	sawEnd bool
 	// owesSince is when the oldest packet was delivered since the host was heard.
 	owesSince time.Time
 	probedAt  time.Time
@@ -82,7 +87,7 @@
 // further new flow.
 func (c *Core) Heartbeat(now time.Time, b fleet.Heartbeat) {
 	h := &c.host
-	if b.HostID == h.former || (b.HostID == h.id && b.Sequence <= h.sequence) {
+	if !h.believes(now, b, c.opts.HeartbeatPeriod) {
 		c.events.HostReport("late heartbeat ignored", b)
 		return
 	}
@@ -90,7 +95,7 @@
 		c.newHost(b)
 	}
 	changed := h.beat.Draining != b.Draining
-	h.sequence, h.beat, h.beatAt = b.Sequence, b, now
+	h.sequence, h.beat, h.beatAt, h.sawEnd = b.Sequence, b, now, false
 	if !h.up || changed {
 		c.events.HostReport("host state", b)
 	}
@@ -100,11 +105,13 @@
 
 // newHost notes that another host runs here. Flows of the one before are not
 // ended here, for some of those known may be of the new one already: the host
-// bounces what it does not hold.
+// bounces what it does not hold. The agent saw the new host start only if it saw
+// the one before end; the IDs alone do not prove the order of two hosts.
 func (c *Core) newHost(b fleet.Heartbeat) {
 	h := &c.host
-	sawStart := h.id != "" || h.sawDown
-	*h = host{id: b.HostID, former: h.id, up: h.up, sawDown: h.sawDown, sawStart: sawStart, probedAt: h.probedAt}
+	sawStart := h.sawEnd || !h.left.IsZero() || (h.id == "" && h.sawDown)
+	h.lifetimes.retire(h.id)
+	*h = host{id: b.HostID, lifetimes: h.lifetimes, up: h.up, sawDown: sawStart, sawStart: sawStart, probedAt: h.probedAt}
 	c.events.HostReport("host found", b)
 }
 
@@ -201,6 +208,7 @@
 		return
 	}
 	h.up, h.owesSince = false, time.Time{}
+	h.sawEnd = true
 	c.events.HostReport("host does not listen", h.beat)
 	c.kill(now, "its host has ended")
 	c.announceChange(now)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -104,6 +104,31 @@
 	}
 }
 
+// TestLateMessagesOfEarlierProcesses: none of the last processes at an address
+// displaces the present one, and one that did is displaced by its going on.
+func TestLateMessagesOfEarlierProcesses(t *testing.T) {
+	v := NewView()
+	for epoch := uint64(1); epoch <= 4; epoch++ {
+		require.Equal(t, Joined, v.Announce(start, ip1, announcement(epoch, 5, alpha, Ready)))
+	}
+	for epoch := uint64(1); epoch < 4; epoch++ {
+		require.Equal(t, Stale, v.Announce(start, ip1, announcement(epoch, 99, alpha, Gone)), epoch)
+	}
+
+	now := start
+	fresh := NewView()
+	fresh.Announce(now, ip1, announcement(4, 5, alpha, Ready))
+	require.Equal(t, Joined, fresh.Announce(now, ip1, announcement(1, 99, alpha, Gone)), "not known to be late")
+	for seq := uint32(6); now.Sub(start) <= Quiet+AnnouncePeriod; seq++ {
+		now = now.Add(AnnouncePeriod)
+		fresh.Announce(now, ip1, announcement(4, seq, alpha, Ready))
+		fresh.Beacon(now, ip2, Beacon{Identity: Identity{9, seq}})
+	}
+	host, _ := fresh.Host(ip1)
+	require.Equal(t, Ready, host.State)
+	require.Equal(t, now, host.HeardAt)
+}
+
 func TestServicesFollowTheirHosts(t *testing.T) {
 	v := NewView()
 	v.Announce(start, ip1, announcement(1, 1, alpha, Ready))
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -23,26 +23,34 @@
 	Forget = 20 * time.Second
 )
 
-// order keeps the last message of a process and the epoch before it.
+// formerEpochs is how many earlier processes at an address are remembered.
+const formerEpochs = 4
+
+// order keeps the last message of a process and the epochs before it.
 type order struct {
 	Identity
-	former uint64
+	former [formerEpochs]uint64
 }
 
-// accept tells whether a message is newer than all before it.
-func (o *order) accept(id Identity) bool {
-	switch {
-	case id.Epoch == 0:
+// accept tells whether a message is newer than all before it. A former process
+// is believed again once the present one was silent for a while: what was taken
+// for its successor was a late message of its predecessor.
+func (o *order) accept(id Identity, silent bool) bool {
+	if id.Epoch == 0 {
 		return false
-	case id.Epoch == o.Epoch:
+	}
+	if id.Epoch == o.Epoch {
 		if int32(id.Seq-o.Seq) <= 0 {
 			return false
 		}
-	case id.Epoch == o.former:
+		o.Identity = id
+		return true
+	}
+	if !silent && slices.Contains(o.former[:], id.Epoch) {
 		return false
-	default:
-		o.former = o.Epoch
 	}
+	copy(o.former[1:], o.former[:formerEpochs-1])
+	o.former[0] = o.Epoch
 	o.Identity = id
 	return true
 }
@@ -157,7 +165,7 @@
 		h = &Host{IP: ip}
 	}
 	former := h.Announcement
-	if !h.order.accept(a.Identity) {
+	if !h.order.accept(a.Identity, h.Quiet(now)) {
 		return Stale
 	}
 	v.hosts[ip] = h
@@ -210,7 +218,7 @@
 		p = &Peer{IP: ip}
 	}
 	former := p.Epoch
-	if !p.order.accept(m.Identity) {
+	if !p.order.accept(m.Identity, now.Sub(p.HeardAt) > Quiet) {
 		return Stale
 	}
 	v.peers[ip] = p
