Connections that went silent without a reset cost one call and no descriptor

Cause: after a call had timed out, the clients of the store and of the targets took the next kept connection, silent like the first: one time-out for each. A balancer asked its peers over kept connections. Servers kept a silent connection for ever.

--- a/agent/handover.go
+++ b/agent/handover.go
@@ -90,6 +90,8 @@
 	noReplay(req)
 	resp, err := h.transport.RoundTrip(req)
 	if err != nil {
+		// What silenced this connection may have silenced the kept ones too.
+		h.transport.CloseIdleConnections()
 		return nil, h.failure(req, a.verdict(), err)
 	}
 	if !framed(resp) {
--- a/agent/handover_test.go
+++ b/agent/handover_test.go
@@ -16,12 +16,14 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"github.com/poppywall/poppywall/admission"
 	"github.com/poppywall/poppywall/catalog"
 	"github.com/poppywall/poppywall/route"
+	"github.com/poppywall/poppywall/standin"
 	"github.com/poppywall/poppywall/verdict"
 )
 
@@ -306,3 +308,40 @@
 	copyEndToEnd(dst, http.Header{"Connection": {"X-Private, close"}, "X-Private": {"1"}, "Upgrade": {"x"}, "Accept": {"a"}})
 	require.Equal(t, http.Header{"Accept": {"a"}}, dst)
 }
+
+// TestSilentConnectionsToTargetsAreLeft: one request finds that the connections
+// to its target have gone silent, the next one is served.
+func TestSilentConnectionsToTargetsAreLeft(t *testing.T) {
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(20 * time.Millisecond)
+		_, _ = w.Write([]byte("done"))
+	}))
+	defer target.Close()
+	proxy, err := standin.NewProxy(target.Listener.Addr().String())
+	require.NoError(t, err)
+	defer proxy.Close()
+	h := newHandover()
+	ask := func() error {
+		ctx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
+		defer cancel()
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+proxy.Addr()+"/", nil)
+		require.NoError(t, err)
+		resp, err := h.do(req)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = resp.Body.Close() }()
+		_, err = io.ReadAll(resp.Body)
+		return err
+	}
+	var both sync.WaitGroup
+	for range 3 {
+		both.Add(1)
+		go func() { defer both.Done(); assert.NoError(t, ask()) }()
+	}
+	both.Wait()
+	proxy.Silence()
+	err = ask()
+	require.Equal(t, verdict.Unknown, verdict.Of(err), "it may have run")
+	require.NoError(t, ask())
+}
--- a/balancer/packetfront/front.go
+++ b/balancer/packetfront/front.go
@@ -248,12 +248,16 @@
 
 const pathConfig = "/config"
 
+// peerClient opens a connection for each call: calls are rare, and a kept
+// connection may have gone silent since.
+var peerClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
 func fetchConfig(ctx context.Context, peer netip.AddrPort) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.String()+pathConfig, nil)
 	if err != nil {
 		return nil, err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := peerClient.Do(req)
 	if err != nil {
 		return nil, err
 	}
--- a/balancer/packetfront/front_test.go
+++ b/balancer/packetfront/front_test.go
@@ -147,3 +147,19 @@
 	putVersion(t, s, 1)
 	require.Eventually(t, func() bool { return status() == http.StatusOK }, 5*time.Second, 5*time.Millisecond)
 }
+
+// TestPeersAreAskedOnFreshConnections: an earlier one may have gone silent.
+func TestPeersAreAskedOnFreshConnections(t *testing.T) {
+	peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("c")) }))
+	defer peer.Close()
+	proxy, err := standin.NewProxy(peer.Listener.Addr().String())
+	require.NoError(t, err)
+	defer proxy.Close()
+	for range 3 {
+		ctx, cancel := context.WithTimeout(t.Context(), peerTimeout)
+		_, err = fetchConfig(ctx, netip.MustParseAddrPort(proxy.Addr()))
+		cancel()
+		require.NoError(t, err)
+		proxy.Silence()
+	}
+}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/poppywall/poppywall/route"
+	"github.com/poppywall/poppywall/standin"
 )
 
 var (
@@ -136,3 +137,18 @@
 	require.NoError(t, err)
 	require.ErrorIs(t, server.ReadObject(&echo{}), ErrFrameTooLarge)
 }
+
+// TestSilentConnectionIsLeft: one call finds that the kept connection has gone
+// silent, the next one is answered.
+func TestSilentConnectionIsLeft(t *testing.T) {
+	proxy, err := standin.NewProxy(startServer(t, oldSecret))
+	require.NoError(t, err)
+	defer proxy.Close()
+	c := NewClient([]route.Secret{oldSecret}, &Traffic{}, 300*time.Millisecond, time.Minute)
+	defer c.Close()
+	ask := func() error { return c.Call(t.Context(), proxy.Addr(), "echo", echo{"hello"}, &echo{}) }
+	require.NoError(t, ask())
+	proxy.Silence()
+	require.Error(t, ask())
+	require.NoError(t, ask())
+}
--- a/store/gateway/contract_test.go
+++ b/store/gateway/contract_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/poppywall/poppywall/standin"
 	"github.com/poppywall/poppywall/store/gateway"
 	"github.com/poppywall/poppywall/store/storetest"
@@ -17,3 +20,15 @@
 	defer server.Close()
 	storetest.Run(t, gateway.NewClient(server.URL, time.Second), s)
 }
+
+// TestSilentConnectionsAreLeft: calls at the same time need a connection each.
+func TestSilentConnectionsAreLeft(t *testing.T) {
+	s := standin.NewStore(time.Now)
+	s.SetFaults(standin.Faults{DelayMillis: 20})
+	server := httptest.NewServer(standin.Gateway(s))
+	defer server.Close()
+	proxy, err := standin.NewProxy(strings.TrimPrefix(server.URL, "http://"))
+	require.NoError(t, err)
+	defer proxy.Close()
+	storetest.Silenced(t, gateway.NewClient("http://"+proxy.Addr(), 400*time.Millisecond), proxy.Silence)
+}
--- a/store/gateway/http.go
+++ b/store/gateway/http.go
@@ -29,7 +29,7 @@
 // NewClient returns a client of the service at base, such as
 // "http://127.0.0.1:2379". Each call takes at most timeout.
 func NewClient(base string, timeout time.Duration) *Client {
-	return &Client{base: strings.TrimSuffix(base, "/"), client: &http.Client{Timeout: timeout}}
+	return &Client{base: strings.TrimSuffix(base, "/"), client: &http.Client{Timeout: timeout, Transport: http.DefaultTransport.(*http.Transport).Clone()}}
 }
 
 // Range implements Store.
@@ -102,6 +102,8 @@
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.client.Do(req)
 	if err != nil {
+		// What silenced this connection may have silenced the kept ones too.
+		c.client.CloseIdleConnections()
 		return &verdict.Error{Verdict: verdict.OfCall(err), Reason: "platform-unreachable", Err: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
--- a/store/storetest/contract.go
+++ b/store/storetest/contract.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/poppywall/poppywall/store"
@@ -125,3 +127,22 @@
 	_, ok = read(t, s, "verdict/b")
 	require.False(t, ok)
 }
+
+// Silenced checks that a client whose open connections have gone silent, without
+// a reset, needs one call to notice, however many it keeps.
+func Silenced(t *testing.T, s store.Store, silence func()) {
+	t.Helper()
+	ctx := context.Background()
+	call := func() error {
+		_, err := s.Range(ctx, store.RangeRequest{Key: "silenced/a"})
+		return err
+	}
+	var both conc.WaitGroup
+	for range 4 {
+		both.Go(func() { assert.NoError(t, call()) })
+	}
+	both.Wait()
+	silence()
+	require.Error(t, call(), "the connection is silent")
+	require.NoError(t, call(), "a new connection works")
+}
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -79,7 +79,21 @@
 	listener net.Listener
 }
 
-const headerTimeout = 5 * time.Second
+// timeouts bound what a connection may keep open: one may go silent for good
+// without a reset.
+type timeouts struct {
+	// header bounds a request's header, answer the writing of its answer, idle
+	// the pause between two requests.
+	header, answer, idle time.Duration
+}
+
+// The readers of these servers call each second or so, and answers are at most
+// some megabytes between VMs of one region.
+var serverTimeouts = timeouts{header: 5 * time.Second, answer: 10 * time.Second, idle: 15 * time.Second}
+
+func (t timeouts) server(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: t.header, WriteTimeout: t.answer, IdleTimeout: t.idle}
+}
 
 // Listen opens the endpoint's listener.
 func Listen(address string, reg *prometheus.Registry, health *Health) (*Endpoint, error) {
@@ -90,7 +104,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
 	mux.Handle("GET /healthz", health)
-	return &Endpoint{server: &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, listener: ln}, nil
+	return &Endpoint{server: serverTimeouts.server(mux), listener: ln}, nil
 }
 
 // Addr returns the bound address.
@@ -105,7 +119,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", address)
 	}
-	return serve(ctx, ln, &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout})
+	return serve(ctx, ln, serverTimeouts.server(handler))
 }
 
 // ServeMetrics serves /metrics and /healthz of a process that is healthy as long
