Registry without leases: an entry stays until its node is known to be gone

Cause: entries had leases of 8 s. Renewals would be 6,700 counted reads a second at the size ahead, three times the store's rate, and each start cost a lease, a write and often a second write.

An entry is written once for each start, holds the epoch of its process, and is taken away by an agent whose host has ended or by the first living balancer by address after 20 s of silence, if it is still of that epoch. A keeper that hears fewer nodes than it would strike strikes none; a node looks for its entry each 20 s. Lapsed, Registered, renewals and ends of leases are gone from the agent, the announcements, the store interface and the adapter.

Tests: TestLapsedLeasesKeepFlowsInDoubt is TestALateAgentKeepsItsFlowsInDoubt now, with the store away instead of a lapse (there is nothing left that lapses), as strict. TestLapsedLeasesAreTold and the parts of the adapter's tests that renewed and ended leases went with the code; removals are tested in their place, for both clients. TestAnEntryComesBackAndGoesWithItsNode and TestARestartedNodeFindsItsEntry became TestAnEntryStaysUntilItsNodeLeaves, which lets all leases end and expects the entry to stay.

Tried beside it and left: trusting the view 150 ms after a start, no effect.

--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -72,8 +72,6 @@
 
 	seq          uint32
 	leaving      bool
-	registeredAt time.Time
-	wasAbsent    bool
 	announced    fleet.Announcement
 	announcedAt  time.Time
 	nextAnnounce time.Time
--- a/agent/packetfront/front.go
+++ b/agent/packetfront/front.go
@@ -52,6 +52,7 @@
 	mu    sync.Mutex
 	core  *Core
 	alone fleet.Alone
+	entry *registry.Registry
 }
 
 // NewFront opens the sockets of a front.
@@ -73,6 +74,7 @@
 		Self: f.self, Zone: flow.TagOf(cfg.Zone), Service: flow.TagOf(cfg.Service), Seeds: flow.ParseAddrs(cfg.Seeds),
 		Epoch: rand.Uint64() | 1, HeartbeatPeriod: cfg.HeartbeatEvery.D(), FlowTTL: cfg.FlowTTL.D(),
 	}
+	f.entry = registry.New(f.store, fleet.RoleAgent, f.self, opts.Epoch, log)
 	f.core = New(opts, f, platform.Codec{}, newObserver(log, f.reg))
 	return f, nil
 }
@@ -113,10 +115,7 @@
 	})
 	group.Go(work, "probe", f.probeHost)
 	group.Go(work, "join", f.followRegistry)
-	entry := registry.New(f.store, registry.Agents, f.self, f.log, func(absent bool) {
-		f.locked(func(now time.Time) { f.core.Registered(now, absent) })
-	})
-	group.Go(ctx, "registry", entry.Run)
+	group.Go(ctx, "registry", f.entry.Run)
 	group.Go(work, "heartbeats", func(ctx context.Context) error {
 		return telemetry.ServeHTTP(ctx, f.cfg.Control, platform.HeartbeatHandler(f))
 	})
@@ -124,13 +123,26 @@
 		group.Go(work, "metrics", func(ctx context.Context) error { return telemetry.ServeMetrics(ctx, f.cfg.Metrics, f.reg) })
 	}
 	<-ctx.Done()
-	f.locked(f.core.Stop)
+	f.stop()
 	stop()
 	group.Wait()
 	f.log.Info("stop")
 	return nil
 }
 
+// stop tells the balancers, and takes the agent out of the registry unless its
+// host may live on.
+func (f *Front) stop() {
+	ended := false
+	f.locked(func(now time.Time) {
+		f.core.Stop(now)
+		ended = f.core.HostEnded()
+	})
+	if ended {
+		f.entry.Leave()
+	}
+}
+
 // Reload implements process.Reloader: the seeds are taken over.
 func (f *Front) Reload(cfg Settings) []string {
 	f.locked(func(time.Time) { f.core.SetSeeds(flow.ParseAddrs(cfg.Seeds)) })
@@ -214,12 +226,12 @@
 		if !f.lone() {
 			return
 		}
-		balancers, err := registry.List(ctx, f.store, registry.Balancers)
+		balancers, err := registry.List(ctx, f.store, fleet.RoleBalancer)
 		if err != nil {
 			f.log.Warn("registry not read", zap.Error(err))
 			return
 		}
-		f.locked(func(now time.Time) { f.core.Greet(now, balancers) })
+		f.locked(func(now time.Time) { f.core.Greet(now, fleet.Addresses(balancers)) })
 	})
 }
 
--- /dev/null
+++ b/agent/packetfront/front_test.go
@@ -0,0 +1,71 @@
+package packetfront
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/poppywall/poppywall/fleet"
+	"github.com/poppywall/poppywall/fleet/registry"
+	"github.com/poppywall/poppywall/platform/platformtest"
+	"github.com/poppywall/poppywall/standin"
+)
+
+// startFront runs an agent at 127.0.90.1 before a store; the returned function
+// stops it.
+func startFront(t *testing.T, store string) (f *Front, stop func()) {
+	t.Helper()
+	at := func(port int) string { return fmt.Sprintf("127.0.90.1:%d", port) }
+	cfg := Defaults()
+	cfg.Name, cfg.Zone, cfg.Service, cfg.Store = "a", "z1", "alpha", store
+	cfg.Internal, cfg.Outbound, cfg.Host, cfg.Control, cfg.Data = at(22011), at(22012), at(22013), at(22014), at(22015)
+	f, err := NewFront(cfg, zap.NewNop())
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	wg.Go(func() { _ = f.Run(ctx) })
+	return f, func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
+// TestAStoppedAgentStaysRegisteredBesideALivingHost, and not beside none: its
+// VM goes then.
+func TestAStoppedAgentStaysRegisteredBesideALivingHost(t *testing.T) {
+	s := standin.NewStore(time.Now)
+	server := httptest.NewServer(platformtest.Store(s))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	entries := func() int {
+		got, err := registry.List(context.Background(), s, fleet.RoleAgent)
+		require.NoError(t, err)
+		return len(got)
+	}
+	known := func(f *Front, want fleet.State) func() bool {
+		return func() (yes bool) {
+			f.locked(func(now time.Time) { yes = f.core.announcement(now).State == want })
+			return yes && entries() == 1
+		}
+	}
+	host, err := net.Listen("tcp4", "127.0.90.1:22013")
+	require.NoError(t, err)
+	f, stop := startFront(t, address)
+	require.Eventually(t, known(f, fleet.Ready), 5*time.Second, 5*time.Millisecond)
+	stop()
+	require.Equal(t, 1, entries())
+
+	require.NoError(t, host.Close())
+	f, stop = startFront(t, address)
+	require.Eventually(t, known(f, fleet.Gone), 5*time.Second, 5*time.Millisecond)
+	stop()
+	require.Zero(t, entries())
+}
--- a/agent/packetfront/host.go
+++ b/agent/packetfront/host.go
@@ -126,18 +126,9 @@
 	c.announceChange(now)
 }
 
-// Registered takes that the agent's entry in the registry was written, and
-// whether it was absent before.
-func (c *Core) Registered(now time.Time, absent bool) {
-	c.registeredAt, c.wasAbsent = now, absent
-	c.announceChange(now)
-}
-
-// lapsed tells that leases have lapsed not long ago: this agent was not
-// registered beside a host that was there before it.
-func (c *Core) lapsed(now time.Time) bool {
-	return c.wasAbsent && c.host.up && !c.host.sawStart && now.Sub(c.registeredAt) < fleet.Forget
-}
+// HostEnded tells whether the host has ended for certain, so that no flow can be
+// open here.
+func (c *Core) HostEnded() bool { return !c.host.left.IsZero() || c.host.holdsNothing() }
 
 // kill ends all flows of a host that has ended: each client is told at once.
 func (c *Core) kill(now time.Time, reason string) {
--- a/agent/packetfront/nodes.go
+++ b/agent/packetfront/nodes.go
@@ -65,8 +65,8 @@
 		c.nextExpire = now.Add(time.Second)
 		c.flows.expire(now, c.opts.FlowTTL)
 		_, balancers := c.view.Expire(now)
-		for _, ip := range balancers {
-			c.events.PeerChanged(ip, "forgotten")
+		for _, e := range balancers {
+			c.events.PeerChanged(e.IP, "forgotten")
 		}
 	}
 }
@@ -89,7 +89,7 @@
 func (c *Core) announceChange(now time.Time) {
 	next := c.announcement(now)
 	if next.State != c.announced.State || next.Incarnation != c.announced.Incarnation ||
-		next.Slots != c.announced.Slots || next.Lapsed != c.announced.Lapsed {
+		next.Slots != c.announced.Slots {
 		c.announceAll(now)
 	}
 }
@@ -130,7 +130,6 @@
 		Zone: c.opts.Zone, Service: c.opts.Service,
 		Incarnation:  flow.TagOf(c.host.id),
 		State:        state,
-		Lapsed:       c.lapsed(now),
 		Slots:        uint16(min(c.host.slots(), 1<<16-1)),
 		Busy:         uint16(min(c.flows.busy, 1<<16-1)),
 		Open:         uint16(min(c.flows.open, 1<<16-1)),
--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -75,6 +75,11 @@
 	// fedAt is when the store answered a read or a watch of the configuration.
 	fedAt  time.Time
 	survey survey
+	// balancerRoll is the last reading of the balancers' registry.
+	balancerRoll roll
+	nextRoster   time.Time
+	// departed are dead nodes that are still in the registry.
+	departed []Departed
 	// named are agents that other balancers know and this one has not heard.
 	named        map[flow.IPv4]time.Time
 	limbo        limbo
--- a/balancer/packetfront/front.go
+++ b/balancer/packetfront/front.go
@@ -40,11 +40,11 @@
 // Front is a balancer's packet front: sockets, the store and the lock around a
 // Core.
 type Front struct {
-	cfg      Settings
-	log      *zap.Logger
-	store    store.Watcher
-	registry *registry.Registry
-	reg      *prometheus.Registry
+	cfg   Settings
+	log   *zap.Logger
+	store store.Watcher
+	entry *registry.Registry
+	reg   *prometheus.Registry
 
 	data, internal *relay.Datagrams
 	port           uint16
@@ -74,11 +74,11 @@
 	if f.internal, err = relay.OpenDatagrams(netip.MustParseAddrPort(cfg.Internal)); err != nil {
 		return nil, errors.Wrap(err, "field \"internal\"")
 	}
-	f.registry = registry.New(f.store, registry.Balancers, f.self, log, func(bool) {})
 	opts := Options{
 		Self: f.self, Zone: flow.TagOf(cfg.Zone), Seeds: flow.ParseAddrs(cfg.Seeds), Epoch: rand.Uint64() | 1,
 		Weights: choose.Weights{OtherZone: cfg.OtherZoneCost, Warming: warmingFactor},
 	}
+	f.entry = registry.New(f.store, fleet.RoleBalancer, f.self, opts.Epoch, log)
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	f.core = New(time.Now(), opts, f, platform.Codec{}, newObserver(log, f.reg), rnd)
 	return f, nil
@@ -106,7 +106,7 @@
 	group.Go(work, "data", func(ctx context.Context) error { return f.data.Serve(ctx, f.handleClient) })
 	group.Go(work, "internal", func(ctx context.Context) error { return f.internal.Serve(ctx, f.handleNode) })
 	group.Go(work, "tick", f.tick)
-	group.Go(ctx, "registry", f.registry.Run)
+	group.Go(ctx, "registry", f.entry.Run)
 	group.Go(work, "config", f.source().run)
 	group.Go(work, "peers", f.followPeers)
 	group.Go(work, "survey", f.followRegistry)
@@ -212,6 +212,7 @@
 			f.readRegistry(ctx)
 		}
 		f.surveyAgents(ctx)
+		f.keepRegistry(ctx)
 	}
 	look()
 	return worker.Every(ctx, tickPeriod, look)
@@ -282,12 +283,11 @@
 }
 
 func (f *Front) readRegistry(ctx context.Context) {
-	balancers, err := registry.List(ctx, f.store, registry.Balancers)
-	if err != nil {
-		f.log.Warn("registry not read", zap.Error(err))
+	balancers, ok := f.list(ctx, fleet.RoleBalancer)
+	if !ok {
 		return
 	}
-	f.locked(func(now time.Time) { f.core.Greet(now, balancers, nil) })
+	f.locked(func(now time.Time) { f.core.Greet(now, fleet.Addresses(balancers), nil) })
 }
 
 // surveyAgents reads which agents are registered when the core wants to know.
@@ -297,14 +297,46 @@
 	if !wanted {
 		return
 	}
-	agents, err := registry.List(ctx, f.store, registry.Agents)
-	if err != nil {
-		f.log.Warn("registry not read", zap.Error(err))
+	agents, ok := f.list(ctx, fleet.RoleAgent)
+	if !ok {
 		return
 	}
 	f.locked(func(time.Time) { f.core.Surveyed(began, agents) })
 }
 
+// list reads the entries of a role.
+func (f *Front) list(ctx context.Context, role fleet.Role) ([]fleet.Entry, bool) {
+	entries, err := registry.List(ctx, f.store, role)
+	if err != nil {
+		f.log.Warn("registry not read", zap.String("role", string(role)), zap.Error(err))
+	}
+	return entries, err == nil
+}
+
+// keepRegistry takes dead nodes out of the registry where that is this
+// balancer's duty.
+func (f *Front) keepRegistry(ctx context.Context) {
+	var departed []Departed
+	wanted, began := false, time.Time{}
+	f.locked(func(now time.Time) {
+		departed = f.core.Departed()
+		wanted, began = f.core.WantsRoster(now), now
+	})
+	for _, d := range departed {
+		err := registry.Remove(ctx, f.store, d.Role, d.Entry)
+		f.log.Info("dead node taken out of the registry", zap.String("role", string(d.Role)),
+			zap.Stringer(telemetry.FieldPeer, d.IP), zap.Error(err))
+	}
+	if !wanted {
+		return
+	}
+	balancers, ok := f.list(ctx, fleet.RoleBalancer)
+	agents, ok2 := f.list(ctx, fleet.RoleAgent)
+	if ok && ok2 {
+		f.locked(func(time.Time) { f.core.Roster(began, balancers, agents) })
+	}
+}
+
 func (f *Front) readyHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.PathReady, func(w http.ResponseWriter, _ *http.Request) {
--- a/balancer/packetfront/nodes.go
+++ b/balancer/packetfront/nodes.go
@@ -98,7 +98,7 @@
 		}
 	}
 	for _, ip := range agents {
-		if _, known := c.view.Host(ip); !known {
+		if !c.view.KnowsHost(ip) {
 			c.named[ip] = now
 		}
 	}
@@ -114,7 +114,7 @@
 		}
 	}
 	for _, ip := range agents {
-		if _, known := c.view.Host(ip); !known {
+		if !c.view.KnowsHost(ip) {
 			c.sendBeacon(now, ip, fleet.Beacon{WantPeers: true})
 		}
 	}
@@ -219,13 +219,7 @@
 
 func (c *Core) expire(now time.Time) {
 	c.table.expire(now, c.idle())
-	hosts, balancers := c.view.Expire(now)
-	for _, ip := range hosts {
-		c.events.HostForgotten(ip)
-	}
-	for _, ip := range balancers {
-		c.events.PeerChanged(ip, "forgotten")
-	}
+	c.forget(now)
 }
 
 // sendBeacons tells the other balancers, and the agents if wanted, what this one
--- /dev/null
+++ b/balancer/packetfront/roll_test.go
@@ -0,0 +1,94 @@
+package packetfront
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/poppywall/poppywall/fleet"
+	"github.com/poppywall/poppywall/flow"
+)
+
+func (f *fixture) beacon(ip flow.IPv4) {
+	f.seq++
+	m := fleet.Beacon{Identity: fleet.Identity{Epoch: uint64(ip), Seq: f.seq}, ConfigVersion: 5}
+	f.HandleNode(f.now, ip, m.Append(nil))
+}
+
+// live lets time go by while the named nodes are heard.
+func (f *fixture) live(d time.Duration, agents, balancers []flow.IPv4) {
+	for end := f.now.Add(d); f.now.Before(end); f.Tick(f.now) {
+		f.now = f.now.Add(time.Second)
+		for _, ip := range agents {
+			f.announce(ip, fleet.Ready)
+		}
+		for _, ip := range balancers {
+			f.beacon(ip)
+		}
+	}
+}
+
+const (
+	lower  = flow.IPv4(0x09000001)
+	higher = peer
+)
+
+// TestTheKeeperStrikesDeadNodes: the first living balancer by address does, and
+// only nodes that were unheard for as long as nodes are remembered.
+func TestTheKeeperStrikesDeadNodes(t *testing.T) {
+	agent := func(ip flow.IPv4) Departed { return Departed{fleet.RoleAgent, fleet.Entry{IP: ip, Epoch: uint64(ip)}} }
+	surveyed := func(ip flow.IPv4) Departed { return Departed{fleet.RoleAgent, registered(ip)[0]} }
+	for name, c := range map[string]struct {
+		prepare   func(f *fixture)
+		after     time.Duration
+		agents    []flow.IPv4
+		balancers []flow.IPv4
+		want      []Departed
+	}{
+		"all live":               {agents: []flow.IPv4{hostA, hostB}, balancers: []flow.IPv4{higher}},
+		"an agent died":          {agents: []flow.IPv4{hostA}, balancers: []flow.IPv4{higher}, want: []Departed{agent(hostB)}},
+		"an agent died just now": {agents: []flow.IPv4{hostA}, balancers: []flow.IPv4{higher}, after: fleet.Forget / 2},
+		"another one keeps it":   {agents: []flow.IPv4{hostA}, balancers: []flow.IPv4{lower, higher}},
+		"the other keeper died": {
+			prepare: func(f *fixture) { f.beacon(lower) },
+			agents:  []flow.IPv4{hostA}, balancers: []flow.IPv4{higher},
+			want: []Departed{agent(hostB), {fleet.RoleBalancer, fleet.Entry{IP: lower, Epoch: uint64(lower)}}},
+		},
+		"a registered agent was never heard": {
+			prepare: func(f *fixture) { f.Surveyed(f.now, registered(hostA, hostB, other)) },
+			agents:  []flow.IPv4{hostA, hostB}, balancers: []flow.IPv4{higher},
+			want: []Departed{surveyed(other)},
+		},
+		"a registered balancer was never heard": {
+			prepare: func(f *fixture) { f.Roster(f.now, registered(self, higher, lower), registered(hostA, hostB)) },
+			agents:  []flow.IPv4{hostA, hostB}, balancers: []flow.IPv4{higher},
+			want: []Departed{{fleet.RoleBalancer, registered(lower)[0]}},
+		},
+		"this balancer is cut off": {},
+	} {
+		f := newFixture()
+		if c.prepare != nil {
+			c.prepare(f)
+		}
+		if c.after == 0 {
+			c.after = fleet.Forget + 3*time.Second
+		}
+		f.live(c.after, c.agents, c.balancers)
+		require.ElementsMatch(t, c.want, f.Departed(), name)
+		require.Empty(t, f.Departed(), "%s: each once", name)
+	}
+}
+
+// TestTheRosterIsReadRarely, by the keeper, once it knows who lives.
+func TestTheRosterIsReadRarely(t *testing.T) {
+	f := newFixture()
+	require.False(t, f.WantsRoster(f.startedAt.Add(fleet.Forget-1)))
+	now := f.startedAt.Add(fleet.Forget)
+	require.True(t, f.WantsRoster(now))
+	require.False(t, f.WantsRoster(now.Add(rosterPeriod-1)))
+	require.True(t, f.WantsRoster(now.Add(rosterPeriod)))
+	f.now = now.Add(2 * rosterPeriod)
+	f.beacon(lower)
+	require.False(t, f.WantsRoster(f.now), "another one keeps it")
+}
--- a/balancer/packetfront/survey.go
+++ b/balancer/packetfront/survey.go
@@ -1,7 +1,6 @@
 package packetfront
 
 import (
-	"slices"
 	"time"
 
 	"github.com/poppywall/poppywall/fleet"
@@ -24,7 +23,7 @@
 	// DoubtSurvey: the registry of agents was not read lately.
 	DoubtSurvey Doubt = "no survey"
 	// DoubtRegistry: an agent that is heard is not registered, so others may be
-	// missing there: leases have lapsed, or the store was away.
+	// missing there: the store was away when they started.
 	DoubtRegistry Doubt = "registry incomplete"
 	// DoubtMissing: an agent that the registry or another balancer names was not
 	// heard.
@@ -38,20 +37,21 @@
 	// its joining, a balancer joins by its seeds five times a second, and views
 	// are compared each half second.
 	freshTime = 500 * time.Millisecond
-	// lapsedTime is the same where leases have lapsed, for agents that are down
-	// are not registered then: longer than a process takes to be restarted.
-	lapsedTime = 4 * time.Second
+	// absentTime is how long an agent that is registered and was not heard keeps
+	// flows in doubt: longer than a process takes to be restarted. After that its
+	// VM counts as gone.
+	absentTime = 4 * time.Second
 	// surveyTTL is how long a reading of the registry counts.
 	surveyTTL = 5 * time.Second
 	// surveyPause is the least pause between readings.
 	surveyPause = time.Second
 )
 
-// survey is the last reading of the registry of agents. An agent is registered
-// under a lease that outlives a power loss: so a balancer that has just started
-// learns from it which hosts may hold flows, also when their agents are not back.
+// survey is the last reading of the agents' registry. An agent is registered
+// from its first start on: so a balancer that has just started learns from it
+// which hosts may hold flows, also when their agents are not back.
 type survey struct {
-	agents   []flow.IPv4
+	roll
 	readAt   time.Time
 	wanted   bool
 	wantedAt time.Time
@@ -65,7 +65,7 @@
 		return DoubtHost, 0
 	case env.Generation != c.generation():
 		return DoubtView, 0
-	case now.Sub(c.startedAt) < c.freshFor():
+	case now.Sub(c.startedAt) < freshTime:
 		return DoubtFresh, 0
 	case c.survey.readAt.IsZero() || now.Sub(c.survey.readAt) > surveyTTL:
 		c.survey.wanted = true
@@ -81,26 +81,13 @@
 	return "", 0
 }
 
-// freshFor is how long after its start this balancer takes its view for
-// incomplete: longer when an agent says that leases have lapsed.
-func (c *Core) freshFor() time.Duration {
-	for _, ip := range c.view.Hosts() {
-		if h, _ := c.view.Host(ip); h.Lapsed {
-			return lapsedTime
-		}
-	}
-	return freshTime
-}
-
 // unheard returns a host that may hold flows and could not be asked.
 func (c *Core) unheard(now time.Time) (flow.IPv4, bool) {
-	for _, ip := range c.survey.agents {
-		if _, known := c.view.Host(ip); !known {
-			return ip, true
-		}
+	if ip, missing := c.survey.missing(now, c.view.KnowsHost); missing {
+		return ip, true
 	}
 	for ip, at := range c.named {
-		if _, known := c.view.Host(ip); known || now.Sub(at) > fleet.Forget {
+		if c.view.KnowsHost(ip) || now.Sub(at) > fleet.Forget {
 			delete(c.named, ip)
 			continue
 		}
@@ -117,7 +104,7 @@
 // unregistered returns an agent that is heard and not in the registry.
 func (c *Core) unregistered() (flow.IPv4, bool) {
 	for _, ip := range c.view.Hosts() {
-		if h, _ := c.view.Host(ip); h.State != fleet.Gone && !slices.Contains(c.survey.agents, ip) {
+		if h, _ := c.view.Host(ip); h.State != fleet.Gone && !c.survey.lists(ip) {
 			return ip, true
 		}
 	}
@@ -134,8 +121,9 @@
 	return true
 }
 
-// Surveyed takes a reading of the registry that began at the given time.
-func (c *Core) Surveyed(began time.Time, agents []flow.IPv4) {
-	c.survey.agents, c.survey.readAt, c.survey.wanted = agents, began, false
-	c.Greet(began, nil, agents)
+// Surveyed takes a reading of the agents' registry that began at the given time.
+func (c *Core) Surveyed(began time.Time, agents []fleet.Entry) {
+	c.survey.take(began, agents, c.view.KnowsHost)
+	c.survey.readAt, c.survey.wanted = began, false
+	c.Greet(began, nil, fleet.Addresses(agents))
 }
--- /dev/null
+++ b/fleet/entry.go
@@ -0,0 +1,68 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/poppywall/poppywall/flow"
+)
+
+// Role tells the kinds of nodes apart in the registry.
+type Role string
+
+// The roles.
+const (
+	RoleBalancer Role = "balancers"
+	RoleAgent    Role = "agents"
+)
+
+// Entry is a node in the registry: the store's list of who may be there.
+type Entry struct {
+	IP flow.IPv4
+	// Epoch is that of the process that wrote the entry; zero when it is not
+	// known.
+	Epoch uint64
+	// Revision is the store's, of the entry's last change; zero when it is not
+	// known.
+	Revision int64
+}
+
+// Addresses returns the addresses of entries.
+func Addresses(entries []Entry) []flow.IPv4 {
+	out := make([]flow.IPv4, 0, len(entries))
+	for _, e := range entries {
+		out = append(out, e.IP)
+	}
+	return out
+}
+
+// keeperHeard is how lately a balancer has to be heard to count for a duty: two
+// beacons.
+const keeperHeard = 2200 * time.Millisecond
+
+// Heard counts the nodes that were heard lately.
+func (v *View) Heard(now time.Time) int {
+	count := 0
+	for _, h := range v.hosts {
+		if !h.Quiet(now) {
+			count++
+		}
+	}
+	for _, p := range v.peers {
+		if now.Sub(p.HeardAt) <= keeperHeard {
+			count++
+		}
+	}
+	return count
+}
+
+// Keeper tells whether the balancer self has to take dead nodes out of the
+// registry: of those heard lately it is the first by address. Two that differ on
+// that do the same work twice.
+func (v *View) Keeper(now time.Time, self flow.IPv4) bool {
+	for ip, p := range v.peers {
+		if ip < self && !p.Leaving && now.Sub(p.HeardAt) <= keeperHeard {
+			return false
+		}
+	}
+	return true
+}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -62,10 +62,7 @@
 	State       State
 	// WantPeers asks for the balancers that the receiver knows.
 	WantPeers bool
-	// Lapsed tells that the agent was not registered when it started beside a
-	// host that was there before it: leases have lapsed.
-	Lapsed bool
-	Slots  uint16
+	Slots     uint16
 	// Busy is the number of requests that the host works on or has queued.
 	Busy uint16
 	// Open is the number of open flows.
@@ -98,7 +95,7 @@
 	Epoch                                 uint64
 	Seq                                   uint32
 	Zone, Service, Incarnation            uint32
-	State, WantPeers, Lapsed              uint8
+	State, WantPeers                      uint8
 	Slots, Busy, Open, WarmupMilliseconds uint16
 }
 
@@ -125,7 +122,7 @@
 	return appendFixed(b, announceWire{
 		Epoch: a.Epoch, Seq: a.Seq,
 		Zone: uint32(a.Zone), Service: uint32(a.Service), Incarnation: uint32(a.Incarnation),
-		State: uint8(a.State), WantPeers: bit(a.WantPeers), Lapsed: bit(a.Lapsed),
+		State: uint8(a.State), WantPeers: bit(a.WantPeers),
 		Slots: a.Slots, Busy: a.Busy, Open: a.Open, WarmupMilliseconds: a.WarmupMillis,
 	})
 }
@@ -173,7 +170,7 @@
 	return Announcement{
 		Identity: Identity{w.Epoch, w.Seq},
 		Zone:     flow.Tag(w.Zone), Service: flow.Tag(w.Service), Incarnation: flow.Tag(w.Incarnation),
-		State: State(w.State), WantPeers: w.WantPeers == 1, Lapsed: w.Lapsed == 1,
+		State: State(w.State), WantPeers: w.WantPeers == 1,
 		Slots: w.Slots, Busy: w.Busy, Open: w.Open, WarmupMillis: w.WarmupMilliseconds,
 	}, nil
 }
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -242,19 +242,19 @@
 }
 
 // Expire forgets who was not heard for long and returns them.
-func (v *View) Expire(now time.Time) (hosts, balancers []flow.IPv4) {
+func (v *View) Expire(now time.Time) (hosts, balancers []Entry) {
 	for ip, h := range v.hosts {
 		if now.Sub(h.HeardAt) > Forget {
 			v.unlist(h, h.Service)
 			v.generation++
 			delete(v.hosts, ip)
-			hosts = append(hosts, ip)
+			hosts = append(hosts, Entry{IP: ip, Epoch: h.Epoch})
 		}
 	}
 	for ip, p := range v.peers {
 		if now.Sub(p.HeardAt) > Forget {
 			delete(v.peers, ip)
-			balancers = append(balancers, ip)
+			balancers = append(balancers, Entry{IP: ip, Epoch: p.Epoch})
 		}
 	}
 	return hosts, balancers
@@ -266,5 +266,11 @@
 	return ok
 }
 
+// KnowsHost tells whether a host's agent was heard lately.
+func (v *View) KnowsHost(ip flow.IPv4) bool {
+	_, ok := v.hosts[ip]
+	return ok
+}
+
 // Services returns the tags of the services that have hosts, in a fixed order.
 func (v *View) Services() []flow.Tag { return v.tags }
--- a/standin/gateway.go
+++ b/standin/gateway.go
@@ -81,6 +81,9 @@
 		txn.Compares = append(txn.Compares, cmp)
 	}
 	for _, op := range in.Success {
+		if op.DeleteRange != nil {
+			txn.Removes = append(txn.Removes, string(op.DeleteRange.Key))
+		}
 		if op.Put != nil {
 			txn.Puts = append(txn.Puts, store.Put{
 				Key:   string(op.Put.Key),
--- a/standin/store.go
+++ b/standin/store.go
@@ -195,6 +195,7 @@
 	resp := store.TxnResponse{Succeeded: s.holds(txn.Compares)}
 	if resp.Succeeded {
 		s.put(txn.Puts)
+		s.remove(txn.Removes)
 	}
 	resp.Revision = s.revision
 	if s.faults.LoseAnswers > 0 {
@@ -237,6 +238,17 @@
 	}
 }
 
+// remove removes those keys that exist at one new revision.
+func (s *Store) remove(keys []string) {
+	before := s.revision
+	for _, key := range keys {
+		if _, ok := s.at(key, before); ok {
+			s.revision = before + 1
+			s.history[key] = append(s.history[key], version{revision: s.revision, deleted: true})
+		}
+	}
+}
+
 // Grant implements store.Store.
 func (s *Store) Grant(_ context.Context, ttl time.Duration) (store.LeaseID, error) {
 	s.mu.Lock()
--- a/store/gateway/http.go
+++ b/store/gateway/http.go
@@ -40,6 +40,7 @@
 		Limit:          req.Limit,
 		Revision:       req.Revision,
 		MinModRevision: req.MinModRevision,
+		Serializable:   req.Stale,
 	}
 	var out WireRangeResponse
 	if err := c.call(ctx, PathRange, in, &out); err != nil {
@@ -63,6 +64,9 @@
 	for _, p := range txn.Puts {
 		in.Success = append(in.Success, WireOp{Put: &WirePut{[]byte(p.Key), p.Value, int64(p.Lease)}})
 	}
+	for _, key := range txn.Removes {
+		in.Success = append(in.Success, WireOp{DeleteRange: &WireDeleteRange{[]byte(key)}})
+	}
 	var out WireTxnResponse
 	if err := c.call(ctx, PathTxn, in, &out); err != nil {
 		return store.TxnResponse{}, err
--- a/store/gateway/wire.go
+++ b/store/gateway/wire.go
@@ -24,6 +24,7 @@
 	Limit          int64  `json:"limit,string,omitempty"`
 	Revision       int64  `json:"revision,string,omitempty"`
 	MinModRevision int64  `json:"min_mod_revision,string,omitempty"`
+	Serializable   bool   `json:"serializable,omitempty"`
 }
 
 // WireRangeResponse is etcdserverpb.RangeResponse.
@@ -56,9 +57,15 @@
 	Lease int64  `json:"lease,string,omitempty"`
 }
 
+// WireDeleteRange is etcdserverpb.DeleteRangeRequest.
+type WireDeleteRange struct {
+	Key []byte `json:"key"`
+}
+
 // WireOp is etcdserverpb.RequestOp.
 type WireOp struct {
-	Put *WirePut `json:"request_put,omitempty"`
+	Put         *WirePut         `json:"request_put,omitempty"`
+	DeleteRange *WireDeleteRange `json:"request_delete_range,omitempty"`
 }
 
 // WireTxn is etcdserverpb.TxnRequest.
--- a/store/store.go
+++ b/store/store.go
@@ -25,6 +25,8 @@
 	Revision int64
 	// MinModRevision leaves out pairs changed before it.
 	MinModRevision int64
+	// Stale allows an answer that is some seconds old, at a fraction of the price.
+	Stale bool
 }
 
 // RangeResponse is one answer.
@@ -62,10 +64,12 @@
 	Lease LeaseID
 }
 
-// Txn writes all Puts when all Compares hold, and nothing otherwise.
+// Txn does all Puts and Removes when all Compares hold, and nothing otherwise.
 type Txn struct {
 	Compares []Compare
 	Puts     []Put
+	// Removes are keys to remove, whether they exist or not.
+	Removes []string
 }
 
 // TxnResponse tells the outcome.
@@ -140,15 +144,12 @@
 	Events   []Event
 }
 
-// Watcher is a store that tells of changes by itself and whose leases can be
-// renewed.
+// Watcher is a store that tells of changes by itself.
 type Watcher interface {
 	Store
 	// Watch returns the changes below prefix after a revision, or none after
 	// wait.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Changes, error)
-	Keep(ctx context.Context, id LeaseID) error
-	End(ctx context.Context, id LeaseID) error
 }
 
 // ReasonNoLease is the verdict.Error reason of a call for a lease that has
--- a/store/storetest/contract.go
+++ b/store/storetest/contract.go
@@ -70,6 +70,27 @@
 	require.Empty(t, kv.Value)
 	_, ok = read(t, s, "txn/none")
 	require.False(t, ok)
+	removes(t, s)
+}
+
+// removes takes a key away under a condition.
+func removes(t *testing.T, s store.Store) {
+	ctx := context.Background()
+	first, err := s.Txn(ctx, store.Txn{Puts: []store.Put{put("txn/gone", "1")}})
+	require.NoError(t, err)
+	remove := func(revision int64) bool {
+		same := store.Compare{Key: "txn/gone", Field: store.ModRevision, Equal: revision}
+		resp, err := s.Txn(ctx, store.Txn{Compares: []store.Compare{same}, Removes: []string{"txn/gone", "txn/none"}})
+		require.NoError(t, err)
+		return resp.Succeeded
+	}
+	require.False(t, remove(first.Revision+100))
+	require.True(t, remove(first.Revision))
+	_, ok := read(t, s, "txn/gone")
+	require.False(t, ok)
+	resp, err := s.Range(ctx, store.RangeRequest{Key: "txn/b", Stale: true})
+	require.NoError(t, err)
+	require.Len(t, resp.KVs, 1, "this service's copies are fresh")
 }
 
 // pages writes more keys than one answer holds.
