Watches of the configuration wait as long as the bound allows

The waiting time follows from catchUpWithin, on the platform the span after which a disruption of connections no longer excuses a node: 4 s give 2.6 s, 5 s give 3.6 s. Templates leave out what a deployment does not have. Tests: a change behind connections that went silent is in force within the bound; templates without the optional values are valid.

--- a/balancer/packetfront/configsource.go
+++ b/balancer/packetfront/configsource.go
@@ -15,10 +15,15 @@
 
 // Times of the configuration's watch.
 const (
-	// watchWait is how long the store may hold a watch. It bounds how long a
-	// watch that was lost in silence goes unnoticed, well below the three
-	// seconds in which a change has to be in force.
-	watchWait = 1500 * time.Millisecond
+	// watchMargin is what a balancer has left after it has noticed that a watch was
+	// lost in silence: for a connection, a read, and a watch that starts late.
+	watchMargin = 500 * time.Millisecond
+	// leastWatchWait keeps a balancer from asking without a pause, whatever the
+	// bound is.
+	leastWatchWait = 500 * time.Millisecond
+	// mostWatchWait bounds the waiting time of a watch: the configuration's
+	// freshness is told to others by what it returns.
+	mostWatchWait = 5 * time.Second
 	// storeTimeout bounds a call at the store, which answers in milliseconds.
 	storeTimeout = 900 * time.Millisecond
 	// retryPause is the pause after a failed call; it doubles up to the most.
@@ -29,6 +34,13 @@
 	idlePause = 100 * time.Millisecond
 )
 
+// watchWait is how long the store may hold a watch. One that was lost in silence
+// is noticed after that and the store's time-out. Each watch is a priced call, so
+// it is as long as the bound allows.
+func watchWait(catchUp time.Duration) time.Duration {
+	return min(max(catchUp-storeTimeout-watchMargin, leastWatchWait), mostWatchWait)
+}
+
 // decodeConfig turns the stored bytes into a configuration.
 type decodeConfig func([]byte) (*flow.Config, error)
 
@@ -37,6 +49,8 @@
 	store  store.Watcher
 	key    string
 	decode decodeConfig
+	// wait is how long the store may hold a watch.
+	wait time.Duration
 	// apply takes a configuration and its stored bytes.
 	apply func(c *flow.Config, raw []byte, from string)
 	log   *zap.Logger
@@ -84,7 +98,7 @@
 	if revision == 0 {
 		return s.read(ctx)
 	}
-	changes, err := s.store.Watch(ctx, s.key, revision, watchWait)
+	changes, err := s.store.Watch(ctx, s.key, revision, s.wait)
 	if err != nil {
 		return 0, err
 	}
--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -28,6 +28,9 @@
 	// Epoch is random for each start.
 	Epoch   uint64
 	Weights choose.Weights
+	// FeedTime is how long after an answer of the store a balancer counts as fed:
+	// a watch's waiting time and its time-out.
+	FeedTime time.Duration
 }
 
 // Times of the core, chosen with the bounds of the platform's routers and
@@ -119,10 +122,6 @@
 	return true
 }
 
-// feedTime is how long after an answer of the store a balancer counts as fed: a
-// watch's waiting time and its time-out.
-const feedTime = watchWait + storeTimeout
-
 // Feeds tells whether this balancer has to watch the store.
 func (c *Core) Feeds(now time.Time) bool { return c.view.Feeds(now, c.opts.Self, c.opts.Zone) }
 
@@ -130,7 +129,9 @@
 func (c *Core) Fed(now time.Time) { c.fedAt = now }
 
 // feeding tells the others that a new configuration would come from here.
-func (c *Core) feeding(now time.Time) bool { return now.Sub(c.fedAt) <= feedTime && c.Feeds(now) }
+func (c *Core) feeding(now time.Time) bool {
+	return now.Sub(c.fedAt) <= c.opts.FeedTime && c.Feeds(now)
+}
 
 // ConfigVersion returns the version in force, zero before the first.
 func (c *Core) ConfigVersion() int64 {
--- a/balancer/packetfront/front_test.go
+++ b/balancer/packetfront/front_test.go
@@ -163,3 +163,31 @@
 		proxy.Silence()
 	}
 }
+
+func TestWatchesWaitAsLongAsTheBoundAllows(t *testing.T) {
+	for catchUp, want := range map[time.Duration]time.Duration{
+		0: leastWatchWait, time.Second: leastWatchWait,
+		4 * time.Second: 2600 * time.Millisecond, 5 * time.Second: 3600 * time.Millisecond,
+		time.Minute: mostWatchWait,
+	} {
+		require.Equal(t, want, watchWait(catchUp), catchUp)
+	}
+}
+
+// TestConfigurationIsFollowedAfterConnectionsWentSilent: a change that the watch
+// missed is in force within the bound.
+func TestConfigurationIsFollowedAfterConnectionsWentSilent(t *testing.T) {
+	s := standin.NewStore(time.Now)
+	putVersion(t, s, 3)
+	server := httptest.NewServer(platformtest.Store(s))
+	defer server.Close()
+	proxy, err := standin.NewProxy(server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer proxy.Close()
+	f := startFront(t, 77, proxy.Addr())
+	require.Eventually(t, func() bool { return f.version() == 3 }, 5*time.Second, 5*time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
+	proxy.Silence()
+	putVersion(t, s, 4)
+	require.Eventually(t, func() bool { return f.version() == 4 }, f.cfg.CatchUpWithin.D(), 5*time.Millisecond)
+}
--- a/balancer/packetfront/settings.go
+++ b/balancer/packetfront/settings.go
@@ -31,7 +31,10 @@
 	// LeaveDelay is how long a stopping balancer forwards on while the routers
 	// take it out.
 	LeaveDelay settings.Duration `json:"leaveDelay,omitempty" validate:"gte=0,lte=600000000000"`
-	Log        settings.Log      `json:"log"`
+	// CatchUpWithin is how long a balancer may take to follow the configuration
+	// again after its connections to the store went silent.
+	CatchUpWithin settings.Duration `json:"catchUpWithin,omitempty" validate:"gte=0,lte=3600000000000"`
+	Log           settings.Log      `json:"log"`
 }
 
 // Defaults returns the settings that a file may leave out. The routers miss two
@@ -41,5 +44,6 @@
 	return Settings{
 		OtherZoneCost: 1,
 		LeaveDelay:    settings.Duration(1700 * time.Millisecond),
+		CatchUpWithin: settings.Duration(4 * time.Second),
 	}
 }
--- a/balancer/packetfront/settings_test.go
+++ b/balancer/packetfront/settings_test.go
@@ -17,6 +17,13 @@
 	require.Equal(t, []string{"10.0.0.1:8166", "10.0.0.2:8166"}, cfg.Seeds)
 }
 
+// TestADeploymentMayLeaveValuesOut: the defaults stand then.
+func TestADeploymentMayLeaveValuesOut(t *testing.T) {
+	cfg, err := settings.Parse(settingstest.RenderBare(t, "../../deploy/balancer.json.tmpl"), Defaults())
+	require.NoError(t, err)
+	require.Equal(t, Defaults().CatchUpWithin, cfg.CatchUpWithin)
+}
+
 // TestBadSettingsNameTheField: one clear error each.
 func TestBadSettingsNameTheField(t *testing.T) {
 	for field, text := range map[string]string{
--- a/settings/settingstest/template.go
+++ b/settings/settingstest/template.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"regexp"
 	"strings"
@@ -19,8 +20,12 @@
 	"listen.data-addr": "10.0.0.1:8172", "listen.ready": "10.0.0.1:8167", "listen.outbound": "10.0.0.1:8162",
 	"listen.control": "10.0.0.1:8166", "app": "10.0.0.1:8165", "seeds": []string{"10.0.0.1:8166", "10.0.0.2:8166"},
 	"platform.address": "10.200.1.7:8169", "heartbeat-ms": 1200, "bounds.flow-ttl-s": 60,
+	"bounds.stable-ms": 4000,
 }
 
+// optional are values that a deployment may not have.
+var optional = []string{"seeds", "heartbeat-ms", "bounds.flow-ttl-s", "bounds.stable-ms"}
+
 var (
 	sectionPattern = regexp.MustCompile(`(?s)\{\{#([\w.-]+)\}\}(.*?)\{\{/[\w.-]+\}\}`)
 	valuePattern   = regexp.MustCompile(`\{\{([\w.-]+)(\|json)?\}\}`)
@@ -36,13 +41,31 @@
 	return []byte(text)
 }
 
+// RenderBare fills the template for a deployment without the optional values.
+func RenderBare(t testing.TB, path string) []byte {
+	t.Helper()
+	template, err := os.ReadFile(path)
+	require.NoError(t, err)
+	bare := maps.Clone(values)
+	for _, name := range optional {
+		delete(bare, name)
+	}
+	text, err := renderTemplate(string(template), bare)
+	require.NoError(t, err)
+	return []byte(text)
+}
+
 // renderTemplate fills a template in deploy/ as the platform does, as far as the
-// templates there use it: values, values as JSON, and sections over lists of
-// text.
+// templates there use it: values, values as JSON, sections over lists of text,
+// and sections that stand only where there is a value.
 func renderTemplate(template string, values map[string]any) (string, error) {
 	out := sectionPattern.ReplaceAllStringFunc(template, func(section string) string {
 		m := sectionPattern.FindStringSubmatch(section)
-		list, _ := values[m[1]].([]string)
+		value, present := values[m[1]]
+		list, isList := value.([]string)
+		if present && !isList {
+			return m[2]
+		}
 		parts := make([]string, 0, len(list))
 		for _, item := range list {
 			part := strings.ReplaceAll(m[2], "{{.|json}}", fmt.Sprintf("%q", item))
