Searches no longer flood, and doubt after a power loss ends early

Causes: four VMs, emptied before the power loss, were back for a moment and then taken away. Their agents announced 'absent' before the first probe of their host, wrote registry entries, and 'gone' reached some balancers only; the digests of the others differed for ever, and those that knew named the dead ones for 20 s. While in doubt every packet of every flow was sent along all hosts each 150 ms.

- Hosts that are gone are neither in the digest nor named.
- An agent says nothing before it knows its host, and is registered only while the host may live.
- A flow that every host of the present view has denied is not searched for again; it is reset when the doubt ends.
- One packet of an unknown flow travels, up to 15 others follow its owner, which a fresh agent tells as soon as its host answers.

--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -70,6 +70,8 @@
 	waiting waiting
 	opening []openingFlow
 
+	// known is set once something was heard of the host, or a probe has told.
+	known        bool
 	seq          uint32
 	leaving      bool
 	announced    fleet.Announcement
@@ -249,6 +251,8 @@
 		c.passOn(packet, true)
 		return
 	}
+	// What the host sends on this flow will show that it holds it.
+	c.flows.ensure(now, key).balancer = c.env.Balancer
 	c.toHost(now, key, packet)
 }
 
@@ -290,6 +294,7 @@
 // HandleHost takes a packet that the host sent.
 func (c *Core) HandleHost(now time.Time, h *flow.Header, packet []byte) {
 	c.host.heard(now)
+	c.learned(now)
 	if h.Flags.Has(flow.Bounced) {
 		c.handleBounced(now, h, packet)
 		return
@@ -310,7 +315,7 @@
 	case h.Flags.Has(flow.SYN):
 		c.noteAccepted(now, key, r, h)
 	default:
-		c.noteSent(r, h)
+		c.noteSent(key, r, h)
 	}
 }
 
@@ -322,6 +327,11 @@
 	}
 	c.flows.setStage(r, halfOpen)
 	r.hostSeq, r.clientFin, r.hostFin = h.Seq, false, false
+	c.tellFound(key, r)
+}
+
+// tellFound tells the balancer that looked for a flow that it is held here.
+func (c *Core) tellFound(key flow.Key, r *record) {
 	if r.balancer != 0 {
 		c.tellOwner(key, r.balancer, 1)
 		r.balancer = 0
@@ -329,7 +339,8 @@
 }
 
 // noteSent notes a packet after the handshake: the flow is open here.
-func (c *Core) noteSent(r *record, h *flow.Header) {
+func (c *Core) noteSent(key flow.Key, r *record, h *flow.Header) {
+	c.tellFound(key, r)
 	r.hostSeq = h.Seq + uint32(h.Len)
 	if h.Len > 0 {
 		c.flows.answered(r)
--- a/agent/packetfront/core_test.go
+++ b/agent/packetfront/core_test.go
@@ -127,6 +127,17 @@
 	f.HandleHost(f.now, &h, p)
 }
 
+// owners are the balancers that were told that a flow is held here.
+func (f *fixture) owners() []flow.IPv4 {
+	var out []flow.IPv4
+	for _, s := range f.port.nodes {
+		if s.kind == envelope.Owner {
+			out = append(out, s.to)
+		}
+	}
+	return out
+}
+
 func TestNewFlowsGoToTheHostThatTakesThem(t *testing.T) {
 	for name, c := range map[string]struct {
 		prepare func(f *fixture)
@@ -215,6 +226,53 @@
 	}
 }
 
+// TestNothingIsSaidBeforeTheHostIsKnown: an agent that has just started and is
+// taken away again must not leave its ignorance behind.
+func TestNothingIsSaidBeforeTheHostIsKnown(t *testing.T) {
+	for name, c := range map[string]struct {
+		learn func(f *fixture)
+		want  fleet.State
+	}{
+		"nothing listens": {func(f *fixture) { f.Probed(f.now, ProbeRefused) }, fleet.Gone},
+		"no answer":       {func(f *fixture) { f.Probed(f.now, ProbeSilent) }, fleet.Absent},
+		"it listens":      {func(f *fixture) { f.Probed(f.now, ProbeAccepted) }, fleet.Ready},
+		"it reports":      {func(f *fixture) { f.beat(true) }, fleet.Draining},
+		"it sends":        {func(f *fixture) { f.hostSends(1, flow.ACK, 500, 10) }, fleet.Ready},
+	} {
+		f := newFixture()
+		f.opts.Seeds = []flow.IPv4{nextIP}
+		f.Core = New(f.opts, f.port, f.codec, f.events)
+		f.HandleNode(f.now, balancerIP, (&fleet.Beacon{Identity: fleet.Identity{Epoch: 4, Seq: 1}}).Append(nil))
+		f.pass(fleet.AnnouncePeriod)
+		require.Empty(t, f.port.nodes, name)
+		c.learn(f)
+		a, err := fleet.DecodeAnnouncement(f.port.last().raw)
+		require.NoError(t, err, name)
+		require.Equal(t, c.want, a.State, name)
+	}
+}
+
+// TestTheRegistryFollowsTheHost: an entry comes with the host, and goes some time
+// after its end.
+func TestTheRegistryFollowsTheHost(t *testing.T) {
+	f := newFixture()
+	f.Core = New(f.opts, f.port, f.codec, f.events)
+	require.Equal(t, fleet.PresenceUnknown, f.Presence(f.now))
+	f.Probed(f.now, ProbeRefused)
+	require.Equal(t, fleet.PresenceUnknown, f.Presence(f.now), "it may be about to start")
+	f.now = f.now.Add(endedTime + 1)
+	f.Probed(f.now, ProbeRefused)
+	require.Equal(t, fleet.PresenceEnded, f.Presence(f.now))
+	f.Probed(f.now, ProbeAccepted)
+	require.Equal(t, fleet.PresenceHere, f.Presence(f.now))
+	f.Probed(f.now, ProbeSilent)
+	require.Equal(t, fleet.PresenceHere, f.Presence(f.now), "silence proves nothing")
+	f.beat(false)
+	f.Leave(f.now, "i-1")
+	require.Equal(t, fleet.PresenceUnknown, f.Presence(f.now))
+	require.Equal(t, fleet.PresenceEnded, f.Presence(f.now.Add(endedTime+1)))
+}
+
 func TestABouncedPacketGoesOnUnmarked(t *testing.T) {
 	f := newFixture()
 	e := envelope.Envelope{Service: service}
@@ -417,3 +475,16 @@
 		}
 	})
 }
+
+// TestAFreshAgentTellsTheOwnerOnceItsHostAnswers: it does not know the flow, its
+// host does.
+func TestAFreshAgentTellsTheOwnerOnceItsHostAnswers(t *testing.T) {
+	f := freshAgent()
+	f.deliver(envelope.Envelope{Flags: envelope.Search}, packet(keyOf(1), flow.ACK, 500, ""))
+	require.Len(t, f.port.host, 1)
+	require.Empty(t, f.owners())
+	f.hostSends(1, flow.ACK, 500, 10)
+	require.Equal(t, []flow.IPv4{balancerIP}, f.owners())
+	f.hostSends(1, flow.ACK, 510, 10)
+	require.Len(t, f.owners(), 1, "told once")
+}
--- a/agent/packetfront/front.go
+++ b/agent/packetfront/front.go
@@ -110,8 +110,8 @@
 	group.Go(work, "internal", func(ctx context.Context) error { return f.internal.Serve(ctx, f.handleNode) })
 	group.Go(work, "outbound", func(ctx context.Context) error { return f.outbound.Serve(ctx, f.handleHost) })
 	group.Go(work, "tick", func(ctx context.Context) error {
-		f.locked(f.core.Tick)
-		return worker.Every(ctx, tickPeriod, func() { f.locked(f.core.Tick) })
+		f.tick()
+		return worker.Every(ctx, tickPeriod, f.tick)
 	})
 	group.Go(work, "probe", f.probeHost)
 	group.Go(work, "join", f.followRegistry)
@@ -130,6 +130,17 @@
 	return nil
 }
 
+func (f *Front) tick() {
+	presence := fleet.PresenceUnknown
+	f.locked(func(now time.Time) {
+		f.core.Tick(now)
+		presence = f.core.Presence(now)
+	})
+	if presence != fleet.PresenceUnknown {
+		f.entry.Want(presence)
+	}
+}
+
 // stop tells the balancers, and takes the agent out of the registry unless its
 // host may live on.
 func (f *Front) stop() {
--- a/agent/packetfront/host.go
+++ b/agent/packetfront/host.go
@@ -30,6 +30,9 @@
 	sawDown, sawStart bool
 	// sawEnd is set when a probe was refused since the host reported last.
 	sawEnd bool
+	// downSince is when a probe was refused first since the host was there last;
+	// zero while it is there or nothing is known.
+	downSince time.Time
 	// owesSince is when the oldest packet was delivered since the host was heard.
 	owesSince time.Time
 	probedAt  time.Time
@@ -79,7 +82,7 @@
 func (h *host) heard(now time.Time) {
 	h.owesSince = time.Time{}
 	if h.left.IsZero() {
-		h.up, h.killed = true, false
+		h.up, h.killed, h.downSince = true, false, time.Time{}
 	}
 }
 
@@ -100,6 +103,7 @@
 		c.events.HostReport("host state", b)
 	}
 	h.heard(now)
+	c.learned(now)
 	c.announceChange(now)
 }
 
@@ -126,10 +130,29 @@
 	c.announceChange(now)
 }
 
+// endedTime is how long a host has to be away before its agent's entry in the
+// registry goes: one that is back soon costs no writes.
+const endedTime = 2 * time.Second
+
 // HostEnded tells whether the host has ended for certain, so that no flow can be
 // open here.
 func (c *Core) HostEnded() bool { return !c.host.left.IsZero() || c.host.holdsNothing() }
 
+// Presence tells what the agent's entry in the registry is to show: it is there
+// while the host may live.
+func (c *Core) Presence(now time.Time) fleet.Presence {
+	h := &c.host
+	switch {
+	case h.up && h.left.IsZero():
+		return fleet.PresenceHere
+	case c.HostEnded() && now.Sub(h.downSince) > endedTime && now.Sub(h.left) > endedTime:
+		// The one of the two times that is not set is long ago.
+		return fleet.PresenceEnded
+	default:
+		return fleet.PresenceUnknown
+	}
+}
+
 // kill ends all flows of a host that has ended: each client is told at once.
 func (c *Core) kill(now time.Time, reason string) {
 	if c.host.killed {
@@ -177,9 +200,10 @@
 func (c *Core) Probed(now time.Time, p Probe) {
 	h := &c.host
 	h.probedAt = now
+	defer c.learned(now)
 	switch {
 	case p == ProbeAccepted && !h.up:
-		h.up, h.killed = true, false
+		h.up, h.killed, h.downSince = true, false, time.Time{}
 		h.beat = fleet.Heartbeat{Slots: h.beat.Slots}
 		h.sawStart = h.sawDown
 		c.events.HostReport("host listens", h.beat)
@@ -195,6 +219,9 @@
 func (c *Core) refused(now time.Time) {
 	h := &c.host
 	h.sawDown = true
+	if h.downSince.IsZero() {
+		h.downSince = now
+	}
 	if !h.up {
 		return
 	}
--- a/agent/packetfront/nodes.go
+++ b/agent/packetfront/nodes.go
@@ -49,7 +49,7 @@
 
 // Tick does what is due.
 func (c *Core) Tick(now time.Time) {
-	if len(c.view.Balancers()) == 0 && !now.Before(c.nextJoin) {
+	if c.known && len(c.view.Balancers()) == 0 && !now.Before(c.nextJoin) {
 		c.nextJoin = now.Add(joinPeriod)
 		for _, ip := range c.opts.Seeds {
 			c.announceTo(now, ip, true)
@@ -137,7 +137,21 @@
 	}
 }
 
+// learned notes that something is known of the host: now the balancers may hear
+// of it. What an agent said before that would only be its own ignorance, and would
+// stand for long if it was the last thing that a balancer heard.
+func (c *Core) learned(now time.Time) {
+	if !c.known {
+		c.known = true
+		c.Tick(now)
+		c.announceAll(now)
+	}
+}
+
 func (c *Core) announceTo(now time.Time, to flow.IPv4, wantPeers bool) {
+	if !c.known {
+		return
+	}
 	a := c.announcement(now)
 	c.seq++
 	a.Identity = fleet.Identity{Epoch: c.opts.Epoch, Seq: c.seq}
--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -189,13 +189,16 @@
 		return
 	}
 	if host, ok := c.table.get(now, key); ok {
-		c.limbo.drop(key)
 		c.direct(key, host, packet)
+		c.release(key, host)
+		return
+	}
+	if c.limbo.follow(key, packet, c.generation()) {
 		return
 	}
 	switch c.search(now, key, packet, quest{}) {
 	case searchGoesOn:
-		c.limbo.asked(now, key)
+		c.limbo.ask(now, key, packet)
 	case searchNoRoute:
 		c.limbo.drop(key)
 		c.events.Dropped(DropNoRoute)
--- a/balancer/packetfront/front.go
+++ b/balancer/packetfront/front.go
@@ -107,6 +107,7 @@
 	group.Go(work, "data", func(ctx context.Context) error { return f.data.Serve(ctx, f.handleClient) })
 	group.Go(work, "internal", func(ctx context.Context) error { return f.internal.Serve(ctx, f.handleNode) })
 	group.Go(work, "tick", f.tick)
+	f.entry.Want(fleet.PresenceHere)
 	group.Go(ctx, "registry", f.entry.Run)
 	group.Go(work, "config", f.source().run)
 	group.Go(work, "peers", f.followPeers)
--- a/balancer/packetfront/limbo.go
+++ b/balancer/packetfront/limbo.go
@@ -8,8 +8,12 @@
 
 // Limits of the packets that are kept because their way is not known yet.
 const (
-	// maxLimbo bounds them: 600 kB.
-	maxLimbo = 512
+	// maxLimboFlows and maxLimboPackets bound them: 1.2 MB.
+	maxLimboFlows   = 512
+	maxLimboPackets = 1024
+	// maxFollowers bounds the packets of one flow that wait for the outcome of its
+	// search: an end has at most 16 in flight.
+	maxFollowers = 15
 	// limboTTL is how long a packet of an open flow is kept. Its client sends the
 	// next copy within 1.6 s.
 	limboTTL = 1500 * time.Millisecond
@@ -23,52 +27,106 @@
 	parkPause  = 20 * time.Millisecond
 )
 
-// limbo keeps one packet of each flow whose way is not known yet: no host was
-// found to hold the flow and that is not certain, or the balancer has just
-// started and knows no configuration or no host. That is typical right after a
-// restart of everything. The packet is tried again, for the client's next
-// retransmission may be seconds away.
+// limbo keeps the packets of flows whose way is not known yet: a search for the
+// flow is under way, or no host was found to hold it and that is not certain, or
+// the balancer has just started and knows no configuration or no host.
+//
+// The first packet of a flow is the one that is sent along the hosts, again
+// after a pause, for the client's next retransmission may be seconds away. Those
+// that come meanwhile follow it once its host is known: a search visits up to
+// all hosts of a service, so one for each packet would be most of the traffic
+// after a restart of everything.
 type limbo struct {
-	packets map[flow.Key]keptPacket
+	flows map[flow.Key]*keptFlow
+	// packets counts all that are kept.
+	packets int
 }
 
-type keptPacket struct {
-	packet        []byte
+type keptFlow struct {
+	first     []byte
+	followers [][]byte
+	// next is when the first packet is tried again, expires when all are given up.
 	next, expires time.Time
-	// pause is the time between tries.
-	pause time.Duration
+	// asking tells that hosts are being asked for the flow.
+	asking bool
+	// denied tells that every known host has said a certain no, in the given
+	// generation of the view: as long as that is the view, only hosts that are not
+	// known can hold the flow, and nobody is asked again.
+	denied     bool
+	generation uint32
 }
 
-func newLimbo() limbo { return limbo{packets: map[flow.Key]keptPacket{}} }
+// deniedIn tells whether all hosts of a generation of the view have denied the
+// flow.
+func (k *keptFlow) deniedIn(generation uint32) bool { return k.denied && k.generation == generation }
 
-// keep stores a packet to be tried again after each pause until its time is
-// over, and tells whether it is the first of its flow. A full store leaves it to
-// the client's retransmission.
-func (l *limbo) keep(now time.Time, key flow.Key, packet []byte, pause, ttl time.Duration) (first bool) {
-	p, known := l.packets[key]
+func newLimbo() limbo { return limbo{flows: map[flow.Key]*keptFlow{}} }
+
+// keep stores a flow's first packet, to be tried again at next until its time is
+// over, and tells whether it is new. A full store leaves it to the client's
+// retransmission.
+func (l *limbo) keep(now time.Time, key flow.Key, packet []byte, next time.Time, ttl time.Duration) (isNew bool) {
+	k, known := l.flows[key]
 	if !known {
-		if len(l.packets) >= maxLimbo {
+		if len(l.flows) >= maxLimboFlows || l.packets >= maxLimboPackets {
 			return false
 		}
-		p.expires = now.Add(ttl)
-		p.packet = append([]byte(nil), packet...)
+		k = &keptFlow{first: append([]byte(nil), packet...), expires: now.Add(ttl)}
+		l.flows[key] = k
+		l.packets++
 	}
-	p.pause, p.next = pause, now.Add(pause)
-	l.packets[key] = p
+	k.next, k.asking = next, false
 	return !known
 }
 
-// drop forgets a flow's packet.
-func (l *limbo) drop(key flow.Key) { delete(l.packets, key) }
+// ask notes that hosts are asked for a flow by the given packet.
+func (l *limbo) ask(now time.Time, key flow.Key, packet []byte) {
+	l.keep(now, key, packet, now.Add(limboPause), limboTTL)
+	if k, known := l.flows[key]; known {
+		k.asking = true
+	}
+}
+
+// denied notes that every host of a generation of the view has denied a flow.
+func (l *limbo) denied(key flow.Key, generation uint32) {
+	if k, known := l.flows[key]; known {
+		k.denied, k.generation = true, generation
+	}
+}
+
+// follow keeps a packet of a flow for which hosts are being asked, or of one that
+// all hosts of the present view have denied, and tells whether it is one.
+func (l *limbo) follow(key flow.Key, packet []byte, generation uint32) bool {
+	k, known := l.flows[key]
+	if !known || (!k.asking && !k.deniedIn(generation)) {
+		return false
+	}
+	if len(k.followers) < maxFollowers && l.packets < maxLimboPackets {
+		k.followers = append(k.followers, append([]byte(nil), packet...))
+		l.packets++
+	}
+	return true
+}
+
+// drop forgets a flow and returns the packets that follow its first one.
+func (l *limbo) drop(key flow.Key) (followers [][]byte) {
+	k, known := l.flows[key]
+	if !known {
+		return nil
+	}
+	delete(l.flows, key)
+	l.packets -= 1 + len(k.followers)
+	return k.followers
+}
 
-// due returns the flows whose packets are to be tried again, in an order that
-// repeats, and forgets those whose time is over.
+// due returns the flows that are to be tried again, in an order that repeats,
+// and forgets those whose time is over.
 func (l *limbo) due(now time.Time) (keys []flow.Key, expired int) {
-	for key, p := range l.packets {
-		if now.After(p.expires) {
-			delete(l.packets, key)
+	for key, k := range l.flows {
+		if now.After(k.expires) {
+			l.drop(key)
 			expired++
-		} else if !now.Before(p.next) {
+		} else if !now.Before(k.next) {
 			keys = append(keys, key)
 		}
 	}
@@ -76,45 +134,49 @@
 	return keys, expired
 }
 
-// asked notes that hosts were asked for a kept packet's flow: their answers take
-// a while.
-func (l *limbo) asked(now time.Time, key flow.Key) {
-	if p, known := l.packets[key]; known {
-		p.pause, p.next = limboPause, now.Add(limboPause)
-		l.packets[key] = p
-	}
-}
-
 // park keeps a packet that came before the balancer knew its way.
 func (c *Core) park(now time.Time, key flow.Key, h *flow.Header, packet []byte, reason Keep) {
 	ttl := limboTTL
 	if h.IsOpening() {
 		ttl = parkTTL
 	}
-	if c.limbo.keep(now, key, packet, parkPause, ttl) {
+	if c.limbo.keep(now, key, packet, now.Add(parkPause), ttl) {
 		c.events.Kept(key, reason)
 	}
 }
 
+// release sends the packets that waited for a flow's host.
+func (c *Core) release(key flow.Key, host flow.IPv4) {
+	for _, packet := range c.limbo.drop(key) {
+		c.direct(key, host, packet)
+	}
+}
+
 // retryKept tries the packets that are due once more.
 func (c *Core) retryKept(now time.Time) {
-	if len(c.limbo.packets) == 0 {
+	if len(c.limbo.flows) == 0 {
 		return
 	}
 	keys, expired := c.limbo.due(now)
 	for range expired {
 		c.events.Dropped(DropExpired)
 	}
+	doubt, missing := c.incomplete(now)
 	for _, key := range keys {
-		p := c.limbo.packets[key]
-		p.next = now.Add(p.pause)
-		c.limbo.packets[key] = p
-		h, err := c.codec.Decode(p.packet)
-		if err != nil {
+		k := c.limbo.flows[key]
+		k.asking = false
+		h, err := c.codec.Decode(k.first)
+		switch {
+		case err != nil:
 			// It was decoded when it came; a packet that is none is of no use.
 			c.limbo.drop(key)
-			continue
+		case !k.deniedIn(c.generation()):
+			c.route(now, key, &h, k.first)
+		case doubt == "":
+			c.events.Lost(key, 0, doubt, missing)
+			c.over(key, &h)
+		default:
+			k.next = now.Add(limboPause)
 		}
-		c.route(now, key, &h, p.packet)
 	}
 }
--- a/balancer/packetfront/nodes.go
+++ b/balancer/packetfront/nodes.go
@@ -131,7 +131,7 @@
 	}
 	c.events.OwnerFound(key, from, int(c.env.Hops))
 	c.table.put(now, key, from)
-	c.limbo.drop(key)
+	c.release(key, from)
 	return nil
 }
 
@@ -169,10 +169,19 @@
 func (c *Core) giveUp(now time.Time, key flow.Key, h *flow.Header, packet []byte, env *envelope.Envelope) {
 	doubt, missing := c.doubt(now, env)
 	c.events.Lost(key, int(env.Hops), doubt, missing)
-	if doubt != "" {
-		c.limbo.keep(now, key, packet, limboPause, limboTTL)
-		return
+	switch doubt {
+	case "":
+		c.over(key, h)
+	case DoubtHost, DoubtView:
+		c.limbo.keep(now, key, packet, now.Add(limboPause), limboTTL)
+	default:
+		c.limbo.keep(now, key, packet, now.Add(limboPause), limboTTL)
+		c.limbo.denied(key, env.Generation)
 	}
+}
+
+// over ends a flow that is certainly over.
+func (c *Core) over(key flow.Key, h *flow.Header) {
 	c.limbo.drop(key)
 	if !h.Flags.Has(flow.RST) {
 		c.port.Reset(key, h.Ack)
@@ -249,5 +258,5 @@
 
 func (c *Core) sendPeers(to flow.IPv4) {
 	balancers := append(c.view.Balancers(), c.opts.Self)
-	fleet.AppendPeers(c.buf[:0], balancers, c.view.Hosts(), func(msg []byte) { c.port.ToNode(to, msg, nil) })
+	fleet.AppendPeers(c.buf[:0], balancers, c.view.Holders(), func(msg []byte) { c.port.ToNode(to, msg, nil) })
 }
--- a/balancer/packetfront/survey.go
+++ b/balancer/packetfront/survey.go
@@ -65,6 +65,14 @@
 		return DoubtHost, 0
 	case env.Generation != c.generation():
 		return DoubtView, 0
+	}
+	return c.incomplete(now)
+}
+
+// incomplete tells why there may be hosts that this balancer does not know, and
+// one of them if that is known.
+func (c *Core) incomplete(now time.Time) (Doubt, flow.IPv4) {
+	switch {
 	case now.Sub(c.startedAt) < freshTime:
 		return DoubtFresh, 0
 	case c.survey.readAt.IsZero() || now.Sub(c.survey.readAt) > surveyTTL:
--- a/e2e/packets/packets_test.go
+++ b/e2e/packets/packets_test.go
@@ -264,6 +264,39 @@
 	require.Equal(t, refused, c.state)
 }
 
+// TestAHostThatWasTakenAwayIsNotWaitedFor: after a power loss its VM is back for a
+// moment, tells some balancers that its host is gone, and is taken away before
+// the others start.
+func TestAHostThatWasTakenAwayIsNotWaitedFor(t *testing.T) {
+	w := newWorld(11)
+	deployment(w)
+	w.run(3 * time.Second)
+	gone := sortedAgents(w)[0]
+	gone.core.Leave(w.now, gone.host.id)
+	gone.host = nil
+	w.run(time.Second)
+	for range 20 {
+		w.addClient("z1", frontA)
+	}
+	w.run(time.Second)
+	blackout(w, 500*time.Millisecond, 500*time.Millisecond)
+	last := w.balancers[w.balancerIPs()[2]]
+	last.restart(2500 * time.Millisecond)
+	w.run(1200 * time.Millisecond)
+	gone.core.Stop(w.now)
+	gone.stop()
+	delete(w.registry, gone.ip)
+	w.run(2500 * time.Millisecond)
+	require.NotContains(t, last.core.View().Hosts(), gone.ip)
+	for _, c := range w.clients {
+		c.request()
+	}
+	w.run(time.Second)
+	for _, c := range w.clients {
+		require.Equal(t, refused, c.state)
+	}
+}
+
 // TestBlackoutOfTheSystemAloneResetsNothing: hosts that live keep their flows.
 func TestBlackoutOfTheSystemAloneResetsNothing(t *testing.T) {
 	for seed := range uint64(10) {
--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -26,6 +26,19 @@
 	Revision int64
 }
 
+// Presence is what the registry is to show of a node.
+type Presence uint8
+
+// The presences.
+const (
+	// PresenceUnknown: what the registry shows stays as it is.
+	PresenceUnknown Presence = iota
+	// PresenceHere: the entry is to be there.
+	PresenceHere
+	// PresenceEnded: it is not, whichever process wrote it.
+	PresenceEnded
+)
+
 // Addresses returns the addresses of entries.
 func Addresses(entries []Entry) []flow.IPv4 {
 	out := make([]flow.IPv4, 0, len(entries))
--- a/fleet/registry/registry.go
+++ b/fleet/registry/registry.go
@@ -4,10 +4,11 @@
 //
 // Entries are not leased. A lease would lapse while the store is away or its
 // holder is stopped, just when the list is needed, and renewals grow with the
-// fleet. An entry is written once for each start, taken away by an agent whose
-// host has ended, and otherwise by a balancer that has not heard the node for
-// long (fleet.View.Keeper). Its writer looks for it now and then: a node that
-// was only cut off may have been taken for dead.
+// fleet. An entry is written once for each start, by an agent once it has seen
+// its host; it is taken away by an agent whose host has ended, and otherwise by a
+// balancer that has not heard the node for long (fleet.View.Keeper). Its writer
+// looks for it now and then: a node that was only cut off may have been taken for
+// dead.
 package registry
 
 import (
@@ -15,6 +16,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -53,42 +55,105 @@
 	self  flow.IPv4
 	epoch uint64
 	log   *zap.Logger
+
+	// mu guards wanted; nothing else is locked under it.
+	mu     sync.Mutex
+	wanted fleet.Presence
+	// changed wakes Run when wanted has changed.
+	changed chan struct{}
 }
 
 // New returns a registry for the process of the given epoch at an address.
 func New(s store.Store, role fleet.Role, self flow.IPv4, epoch uint64, log *zap.Logger) *Registry {
-	return &Registry{store: s, role: role, self: self, epoch: epoch, log: log}
+	return &Registry{store: s, role: role, self: self, epoch: epoch, log: log, changed: make(chan struct{}, 1)}
+}
+
+// Want tells what the registry is to show from now on.
+func (r *Registry) Want(p fleet.Presence) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.wanted == p {
+		return
+	}
+	r.wanted = p
+	select {
+	case r.changed <- struct{}{}:
+	default:
+		// Run has not looked since the last change; it will see this one too.
+	}
+}
+
+func (r *Registry) want() fleet.Presence {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.wanted
 }
 
-// Run writes the entry and keeps it there until ctx ends.
+// Run brings the entry in line with what is wanted until ctx ends.
 func (r *Registry) Run(ctx context.Context) error {
-	r.enter(ctx)
+	done, pause := fleet.PresenceUnknown, retryPause
 	for ctx.Err() == nil {
-		worker.Sleep(ctx, worker.Jitter(checkPeriod))
-		if ctx.Err() == nil && r.missing(ctx) {
-			r.log.Warn("registry entry was taken away, written again")
-			r.enter(ctx)
+		want := r.want()
+		if want != done {
+			if err := r.tell(ctx, want); err != nil {
+				r.log.Warn("registry entry not changed", zap.String("reason", reason(err)))
+				r.wait(ctx, pause)
+				pause = min(2*pause, mostRetryWait)
+				continue
+			}
+			done, pause = want, retryPause
+		}
+		r.wait(ctx, checkPeriod)
+		if done == fleet.PresenceHere && r.missing(ctx) {
+			r.log.Warn("registry entry was taken away")
+			done = fleet.PresenceUnknown
 		}
 	}
 	return nil
 }
 
-// enter writes the entry, again until the store has taken it.
-func (r *Registry) enter(ctx context.Context) {
-	put := store.Put{Key: keyOf(r.role, r.self), Value: encodeEpoch(r.epoch)}
-	for pause := retryPause; ctx.Err() == nil; pause = min(2*pause, mostRetryWait) {
-		_, err := r.store.Txn(ctx, store.Txn{Puts: []store.Put{put}})
-		if err == nil {
-			return
-		}
-		r.log.Warn("registry entry not written", zap.String("reason", reason(err)))
-		worker.Sleep(ctx, worker.Jitter(pause))
+// wait returns after about d, or when something else is wanted or ctx ends.
+func (r *Registry) wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(worker.Jitter(d))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.changed:
+	case <-ctx.Done():
 	}
 }
 
-// missing tells whether the entry is certainly not there; any copy of the store
-// may answer, for a node that just wrote it does not ask.
+// tell writes or removes the entry.
+func (r *Registry) tell(ctx context.Context, p fleet.Presence) error {
+	switch p {
+	case fleet.PresenceHere:
+		return r.enter(ctx)
+	case fleet.PresenceEnded:
+		return r.remove(ctx)
+	default:
+		return nil
+	}
+}
+
+// enter writes the entry.
+func (r *Registry) enter(ctx context.Context) error {
+	put := store.Put{Key: keyOf(r.role, r.self), Value: encodeEpoch(r.epoch)}
+	_, err := r.store.Txn(ctx, store.Txn{Puts: []store.Put{put}})
+	return err
+}
+
+// remove takes the entry away, whichever process wrote it.
+func (r *Registry) remove(ctx context.Context) error {
+	_, err := r.store.Txn(ctx, store.Txn{Removes: []string{keyOf(r.role, r.self)}})
+	return err
+}
+
+// missing tells whether the entry is certainly not there. Any copy of the store
+// may answer: an entry that is younger than its answers is written once more.
 func (r *Registry) missing(ctx context.Context) bool {
+	if ctx.Err() != nil || r.want() != fleet.PresenceHere {
+		return false
+	}
 	resp, err := r.store.Range(ctx, store.RangeRequest{Key: keyOf(r.role, r.self), Stale: true})
 	if err != nil {
 		r.log.Debug("registry entry not looked for", zap.String("reason", reason(err)))
@@ -101,7 +166,7 @@
 func (r *Registry) Leave() {
 	ctx, cancel := context.WithTimeout(context.Background(), removeTimeout)
 	defer cancel()
-	if _, err := r.store.Txn(ctx, store.Txn{Removes: []string{keyOf(r.role, r.self)}}); err != nil {
+	if err := r.remove(ctx); err != nil {
 		r.log.Info("registry entry left to the balancers", zap.String("reason", reason(err)))
 	}
 }
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -121,15 +121,23 @@
 // Generation changes whenever a host joins, leaves or becomes another one.
 func (v *View) Generation() uint32 { return v.generation }
 
+// Holders returns the addresses of the hosts that may hold flows.
+func (v *View) Holders() []flow.IPv4 {
+	return slices.DeleteFunc(v.Hosts(), func(ip flow.IPv4) bool { return v.hosts[ip].State == Gone })
+}
+
 // Digest tells two views of the same nodes from others, whatever their order.
-// self is the address of the view's owner.
+// self is the address of the view's owner. Hosts that are gone do not count: they
+// hold nothing, and who has not heard of them yet never will.
 func (v *View) Digest(self flow.IPv4) uint32 {
 	sum := member(self, true)
 	for ip := range v.peers {
 		sum ^= member(ip, true)
 	}
-	for ip := range v.hosts {
-		sum ^= member(ip, false)
+	for ip, h := range v.hosts {
+		if h.State != Gone {
+			sum ^= member(ip, false)
+		}
 	}
 	return sum
 }
