--- /dev/null
+++ b/agent/packetfront/acks.go
@@ -0,0 +1,78 @@
+package packetfront
+
+import (
+	"time"
+
+	"github.com/poppywall/poppywall/fleet"
+	"github.com/poppywall/poppywall/flow"
+)
+
+// Repetition of announcements that a balancer has not acknowledged.
+const (
+	// ackPause is how long an agent waits for the acknowledgement of a change of
+	// its host's state: far more than a round trip.
+	ackPause = 50 * time.Millisecond
+	// ackTries bounds the repetitions; the periodic announcement follows.
+	ackTries = 5
+)
+
+// acks tells which balancers know of the last change of the host's state. One
+// that does not would send the host's flows elsewhere and take them for over.
+type acks struct {
+	// change is the sequence number of the first announcement of that state.
+	change uint32
+	peers  map[flow.IPv4]*ack
+}
+
+type ack struct {
+	// heard is the last of this process's announcements that the balancer has.
+	heard uint32
+	tries int
+	next  time.Time
+}
+
+func newAcks() acks { return acks{peers: map[flow.IPv4]*ack{}} }
+
+// changed notes that the announcements from seq on tell another state.
+func (a *acks) changed(seq uint32) {
+	a.change = seq
+	for _, p := range a.peers {
+		p.tries = 0
+	}
+}
+
+// sent notes an announcement to a balancer.
+func (a *acks) sent(now time.Time, to flow.IPv4) {
+	p, known := a.peers[to]
+	if !known {
+		p = &ack{}
+		a.peers[to] = p
+	}
+	p.next = now.Add(ackPause)
+}
+
+// heard notes what a balancer has of this process, whose epoch is given.
+func (a *acks) heard(from flow.IPv4, epoch uint64, m *fleet.Beacon) {
+	if p, known := a.peers[from]; known && m.Heard.Epoch == epoch {
+		p.heard = m.Heard.Seq
+	}
+}
+
+// wants tells whether a balancer has not acknowledged the last change.
+func (a *acks) wants(ip flow.IPv4) bool {
+	p, known := a.peers[ip]
+	return !known || int32(p.heard-a.change) < 0
+}
+
+// due tells whether a balancer has to be told again.
+func (a *acks) due(now time.Time, ip flow.IPv4) bool {
+	p, known := a.peers[ip]
+	if !known || !a.wants(ip) || p.tries >= ackTries || now.Before(p.next) {
+		return false
+	}
+	p.tries++
+	return true
+}
+
+// forget drops a balancer.
+func (a *acks) forget(ip flow.IPv4) { delete(a.peers, ip) }
--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -67,11 +67,15 @@
 	notes *notes
 	host  host
 
+	acks    acks
 	waiting waiting
 	opening []openingFlow
 
-	// known is set once something was heard of the host, or a probe has told.
-	known        bool
+	// known is set once something was heard of the host, or a probe has told;
+	// registered while the agent is in the registry.
+	known, registered bool
+	// introduced is set once the balancers may hear of the agent.
+	introduced   bool
 	seq          uint32
 	leaving      bool
 	announced    fleet.Announcement
@@ -89,7 +93,7 @@
 func New(opts Options, port Port, codec flow.Codec, events Events) *Core {
 	return &Core{
 		opts: opts, port: port, codec: codec, events: events,
-		view: fleet.NewView(), flows: newFlows(), notes: newNotes(),
+		view: fleet.NewView(), flows: newFlows(), notes: newNotes(), acks: newAcks(),
 		buf: make([]byte, 0, 2048),
 	}
 }
--- a/agent/packetfront/core_test.go
+++ b/agent/packetfront/core_test.go
@@ -73,6 +73,7 @@
 	f.Core = New(Options{Self: 9, Service: service, Epoch: 1, HeartbeatPeriod: time.Second, FlowTTL: time.Minute}, f.port, platform.Codec{}, quiet{})
 	f.Probed(f.now, ProbeRefused)
 	f.Probed(f.now, ProbeAccepted)
+	f.Registered(f.now)
 	f.beat(false)
 	return f
 }
@@ -87,6 +88,14 @@
 	f.Tick(f.now)
 }
 
+// beacon lets a balancer say that it has the agent's announcements up to a
+// sequence number.
+func (f *fixture) beacon(ip flow.IPv4, zone flow.Tag, heard uint32) {
+	f.seq++
+	m := fleet.Beacon{Identity: fleet.Identity{Epoch: 4, Seq: uint32(f.seq)}, Zone: zone, Heard: fleet.Identity{Epoch: f.opts.Epoch, Seq: heard}}
+	f.HandleNode(f.now, ip, m.Append(nil))
+}
+
 func keyOf(client int) flow.Key {
 	return flow.Key{ClientIP: flow.IPv4(0x64400000 + client), ClientPort: 1024, FrontIP: 7, FrontPort: 80}
 }
@@ -190,8 +199,8 @@
 func TestLoadIsAnnouncedEarlyInTheOwnZone(t *testing.T) {
 	f := newFixture()
 	for ip, zone := range map[flow.IPv4]flow.Tag{balancerIP: f.opts.Zone, nextIP: f.opts.Zone + 1} {
-		m := fleet.Beacon{Identity: fleet.Identity{Epoch: 4, Seq: 1}, Zone: zone}
-		f.HandleNode(f.now, ip, m.Append(nil))
+		f.beacon(ip, zone, 0)
+		f.beacon(ip, zone, f.Core.seq)
 	}
 	f.pass(fleet.AnnouncePeriod)
 	f.port.nodes = nil
@@ -246,12 +255,28 @@
 		f.pass(fleet.AnnouncePeriod)
 		require.Empty(t, f.port.nodes, name)
 		c.learn(f)
+		if f.host.up {
+			require.Empty(t, f.port.nodes, "%s: not in the registry yet", name)
+			f.Registered(f.now)
+		}
 		a, err := fleet.DecodeAnnouncement(f.port.last().raw)
 		require.NoError(t, err, name)
 		require.Equal(t, c.want, a.State, name)
 	}
 }
 
+// TestAnAgentDoesNotWaitForTheRegistryForLong: the store may be away.
+func TestAnAgentDoesNotWaitForTheRegistryForLong(t *testing.T) {
+	f := newFixture()
+	f.opts.Seeds = []flow.IPv4{nextIP}
+	f.Core = New(f.opts, f.port, f.codec, f.events)
+	f.Probed(f.now, ProbeAccepted)
+	f.pass(registerPatience - 1)
+	require.Empty(t, f.port.nodes)
+	f.pass(1)
+	require.NotEmpty(t, f.port.nodes)
+}
+
 // TestTheRegistryFollowsTheHost: an entry comes with the host, and goes some time
 // after its end.
 func TestTheRegistryFollowsTheHost(t *testing.T) {
--- a/agent/packetfront/front.go
+++ b/agent/packetfront/front.go
@@ -74,7 +74,7 @@
 		Self: f.self, Zone: flow.TagOf(cfg.Zone), Service: flow.TagOf(cfg.Service), Seeds: flow.ParseAddrs(cfg.Seeds),
 		Epoch: rand.Uint64() | 1, HeartbeatPeriod: cfg.HeartbeatEvery.D(), FlowTTL: cfg.FlowTTL.D(),
 	}
-	f.entry = registry.New(f.store, fleet.RoleAgent, f.self, opts.Epoch, log)
+	f.entry = registry.New(f.store, fleet.RoleAgent, f.self, opts.Epoch, log, func() { f.locked(f.core.Registered) })
 	f.core = New(opts, f, platform.Codec{}, newObserver(log, f.reg))
 	return f, nil
 }
@@ -131,11 +131,14 @@
 }
 
 func (f *Front) tick() {
+	f.locked(f.core.Tick)
+	f.showPresence()
+}
+
+// showPresence keeps the agent's entry in the registry as its host is.
+func (f *Front) showPresence() {
 	presence := fleet.PresenceUnknown
-	f.locked(func(now time.Time) {
-		f.core.Tick(now)
-		presence = f.core.Presence(now)
-	})
+	f.locked(func(now time.Time) { presence = f.core.Presence(now) })
 	if presence != fleet.PresenceUnknown {
 		f.entry.Want(presence)
 	}
@@ -207,6 +210,7 @@
 		if wanted {
 			p := probe(ctx, f.host)
 			f.locked(func(now time.Time) { f.core.Probed(now, p) })
+			f.showPresence()
 		}
 		if wanted && tries < quickProbes {
 			worker.Sleep(ctx, probePause)
--- a/agent/packetfront/host.go
+++ b/agent/packetfront/host.go
@@ -30,9 +30,9 @@
 	sawDown, sawStart bool
 	// sawEnd is set when a probe was refused since the host reported last.
 	sawEnd bool
-	// downSince is when a probe was refused first since the host was there last;
-	// zero while it is there or nothing is known.
-	downSince time.Time
+	// upSince is when the host was found to be there, downSince when a probe was
+	// refused first since it was there last; zero when that does not apply.
+	upSince, downSince time.Time
 	// owesSince is when the oldest packet was delivered since the host was heard.
 	owesSince time.Time
 	probedAt  time.Time
@@ -82,10 +82,18 @@
 func (h *host) heard(now time.Time) {
 	h.owesSince = time.Time{}
 	if h.left.IsZero() {
-		h.up, h.killed, h.downSince = true, false, time.Time{}
+		h.cameUp(now)
 	}
 }
 
+// cameUp notes that the host is there.
+func (h *host) cameUp(now time.Time) {
+	if !h.up {
+		h.upSince = now
+	}
+	h.up, h.killed, h.downSince = true, false, time.Time{}
+}
+
 // Heartbeat takes a report of the host. When it returns, a draining host gets no
 // further new flow.
 func (c *Core) Heartbeat(now time.Time, b fleet.Heartbeat) {
@@ -115,7 +123,7 @@
 	h := &c.host
 	sawStart := h.sawEnd || !h.left.IsZero() || (h.id == "" && h.sawDown)
 	h.lifetimes.retire(h.id)
-	*h = host{id: b.HostID, lifetimes: h.lifetimes, up: h.up, sawDown: sawStart, sawStart: sawStart, probedAt: h.probedAt}
+	*h = host{id: b.HostID, lifetimes: h.lifetimes, up: h.up, upSince: h.upSince, sawDown: sawStart, sawStart: sawStart, probedAt: h.probedAt}
 	c.events.HostReport("host found", b)
 }
 
@@ -147,6 +155,7 @@
 		return fleet.PresenceHere
 	case c.HostEnded() && now.Sub(h.downSince) > endedTime && now.Sub(h.left) > endedTime:
 		// The one of the two times that is not set is long ago.
+		c.registered = false
 		return fleet.PresenceEnded
 	default:
 		return fleet.PresenceUnknown
@@ -203,7 +212,7 @@
 	defer c.learned(now)
 	switch {
 	case p == ProbeAccepted && !h.up:
-		h.up, h.killed, h.downSince = true, false, time.Time{}
+		h.cameUp(now)
 		h.beat = fleet.Heartbeat{Slots: h.beat.Slots}
 		h.sawStart = h.sawDown
 		c.events.HostReport("host listens", h.beat)
--- a/agent/packetfront/nodes.go
+++ b/agent/packetfront/nodes.go
@@ -14,6 +14,7 @@
 		return err
 	}
 	change := c.view.Beacon(now, from, m)
+	c.acks.heard(from, c.opts.Epoch, &m)
 	if change == fleet.Joined {
 		c.events.PeerChanged(from, "joined")
 	}
@@ -25,12 +26,12 @@
 
 // handlePeers announces the host to balancers that are not known yet.
 func (c *Core) handlePeers(now time.Time, datagram []byte) error {
-	balancers, _, err := fleet.DecodePeers(datagram)
+	names, err := fleet.DecodeNames(datagram)
 	if err != nil {
 		return err
 	}
 	// Their answers must not name peers again: each answer would be answered.
-	c.greet(now, balancers, false)
+	c.greet(now, names.Balancers, false)
 	return nil
 }
 
@@ -49,7 +50,8 @@
 
 // Tick does what is due.
 func (c *Core) Tick(now time.Time) {
-	if c.known && len(c.view.Balancers()) == 0 && !now.Before(c.nextJoin) {
+	c.introduce(now)
+	if c.introduced && len(c.view.Balancers()) == 0 && !now.Before(c.nextJoin) {
 		c.nextJoin = now.Add(joinPeriod)
 		for _, ip := range c.opts.Seeds {
 			c.announceTo(now, ip, true)
@@ -66,6 +68,7 @@
 		c.flows.expire(now, c.opts.FlowTTL)
 		_, balancers := c.view.Expire(now)
 		for _, e := range balancers {
+			c.acks.forget(e.IP)
 			c.events.PeerChanged(e.IP, "forgotten")
 		}
 	}
@@ -75,6 +78,11 @@
 // the balancers of the own zone hear of it earlier: they send most of it, and
 // bytes between zones are dear.
 func (c *Core) announceDue(now time.Time) {
+	for _, ip := range c.view.Balancers() {
+		if c.acks.due(now, ip) {
+			c.announceTo(now, ip, false)
+		}
+	}
 	if !now.Before(c.nextAnnounce) {
 		c.announceAll(now)
 		return
@@ -90,6 +98,7 @@
 	next := c.announcement(now)
 	if next.State != c.announced.State || next.Incarnation != c.announced.Incarnation ||
 		next.Slots != c.announced.Slots {
+		c.acks.changed(c.seq + 1)
 		c.announceAll(now)
 	}
 }
@@ -119,7 +128,7 @@
 
 func (c *Core) announcement(now time.Time) fleet.Announcement {
 	state := c.host.state()
-	if c.host.holdsNothing() {
+	if c.host.holdsNothing() || (c.host.sawStart && c.awaitsRegistry(now)) {
 		// Balancers need not ask here for open flows.
 		state = fleet.Gone
 	}
@@ -137,24 +146,53 @@
 	}
 }
 
-// learned notes that something is known of the host: now the balancers may hear
-// of it. What an agent said before that would only be its own ignorance, and would
-// stand for long if it was the last thing that a balancer heard.
+// registerPatience is how long an agent with a host waits for its entry in the
+// registry before it offers the host all the same: the store answers in
+// milliseconds, and may be away for long.
+const registerPatience = 250 * time.Millisecond
+
+// learned notes that something is known of the host.
 func (c *Core) learned(now time.Time) {
-	if !c.known {
-		c.known = true
-		c.Tick(now)
-		c.announceAll(now)
+	c.known = true
+	c.introduce(now)
+}
+
+// Registered notes that the agent is in the registry.
+func (c *Core) Registered(now time.Time) {
+	c.registered = true
+	c.introduce(now)
+	c.announceChange(now)
+}
+
+// awaitsRegistry tells that the host is there and the agent is not registered
+// yet: a host takes no flow before balancers that have not heard of it can find
+// it in the registry.
+func (c *Core) awaitsRegistry(now time.Time) bool {
+	return c.host.up && !c.registered && now.Sub(c.host.upSince) < registerPatience
+}
+
+// introduce lets the balancers hear of the agent once it knows its host. What it
+// said before would only be its own ignorance, and would stand for long if it was
+// the last thing that a balancer heard.
+func (c *Core) introduce(now time.Time) {
+	if c.introduced || !c.known || c.awaitsRegistry(now) {
+		return
 	}
+	c.introduced = true
+	c.acks.changed(c.seq + 1)
+	c.Tick(now)
+	c.announceAll(now)
 }
 
 func (c *Core) announceTo(now time.Time, to flow.IPv4, wantPeers bool) {
-	if !c.known {
+	if !c.introduced {
 		return
 	}
 	a := c.announcement(now)
 	c.seq++
 	a.Identity = fleet.Identity{Epoch: c.opts.Epoch, Seq: c.seq}
 	a.WantPeers = wantPeers
+	a.WantReply = c.acks.wants(to)
+	c.acks.sent(now, to)
 	c.port.ToNode(to, a.Append(c.buf[:0]), nil)
 }
--- a/balancer/packetfront/core_test.go
+++ b/balancer/packetfront/core_test.go
@@ -93,7 +93,7 @@
 	f.now = f.now.Add(settleTime + time.Second)
 	f.announce(hostA, fleet.Ready)
 	f.announce(hostB, fleet.Ready)
-	f.Surveyed(f.now, registered(hostA, hostB))
+	f.Surveyed(f.now, f.now, registered(hostA, hostB))
 	f.port.nodes = nil
 	return f
 }
@@ -261,33 +261,41 @@
 		"just started":        {prepare: func(f *fixture) { f.startedAt = f.now }, want: DoubtFresh},
 		"an agent was missing for a while": {
 			prepare: func(f *fixture) {
-				f.Surveyed(f.now, registered(hostA, hostB, other))
+				f.Surveyed(f.now, f.now, registered(hostA, hostB, other))
 				f.wait(absentTime - time.Millisecond)
 			},
 			want: DoubtMissing,
 		},
 		"an agent was missing for long": {
 			prepare: func(f *fixture) {
-				f.Surveyed(f.now, registered(hostA, hostB, other))
+				f.Surveyed(f.now, f.now, registered(hostA, hostB, other))
 				f.wait(absentTime)
+				f.survey.readAt = f.now
 			},
 			want: "",
 		},
 		"an agent is missing still": {
 			prepare: func(f *fixture) {
-				f.Surveyed(f.now, registered(hostA, hostB, other))
+				f.Surveyed(f.now, f.now, registered(hostA, hostB, other))
 				f.wait(absentTime)
-				f.Surveyed(f.now, registered(hostA, hostB, other))
+				f.Surveyed(f.now, f.now, registered(hostA, hostB, other))
 			},
 			want: "",
 		},
+		"one that said it is gone is registered": {
+			prepare: func(f *fixture) {
+				f.announce(other, fleet.Gone)
+				f.Surveyed(f.now, f.now, registered(hostA, hostB, other))
+			},
+			want: DoubtMissing,
+		},
 		"registry not read":          {prepare: func(f *fixture) { f.survey.readAt = time.Time{} }, want: DoubtSurvey},
-		"registry read long ago":     {prepare: func(f *fixture) { f.survey.readAt = f.now.Add(-surveyTTL - 1) }, want: DoubtSurvey},
-		"an agent is missing":        {prepare: func(f *fixture) { f.Surveyed(f.now, registered(hostA, hostB, other)) }, want: DoubtMissing},
-		"an agent is not registered": {prepare: func(f *fixture) { f.Surveyed(f.now, registered(hostA)) }, want: DoubtRegistry},
+		"registry read before":       {prepare: func(f *fixture) { f.survey.readAt = f.now.Add(-surveyTTL - 1) }, want: DoubtSurvey},
+		"an agent is missing":        {prepare: func(f *fixture) { f.Surveyed(f.now, f.now, registered(hostA, hostB, other)) }, want: DoubtMissing},
+		"an agent is not registered": {prepare: func(f *fixture) { f.Surveyed(f.now, f.now, registered(hostA)) }, want: DoubtRegistry},
 		"another balancer names one": {
 			prepare: func(f *fixture) {
-				fleet.AppendPeers(nil, nil, []flow.IPv4{other}, func(msg []byte) { f.HandleNode(f.now, peer, msg) })
+				fleet.Names{Holders: []flow.IPv4{other}}.Append(nil, func(msg []byte) { f.HandleNode(f.now, peer, msg) })
 			},
 			want: DoubtMissing,
 		},
@@ -300,6 +308,7 @@
 				f.announce(hostB, fleet.Gone)
 				f.now = f.now.Add(fleet.Quiet + time.Second)
 				f.announce(hostA, fleet.Ready)
+				f.survey.readAt = f.now
 			},
 			want: "",
 		},
@@ -333,8 +342,7 @@
 		searches := 1
 		if changes {
 			f.announce(other, fleet.Ready)
-			f.Surveyed(f.now, registered(hostA, hostB, other))
-			f.pass(limboPause)
+			f.Surveyed(f.now, f.now, registered(hostA, hostB, other))
 			searches++
 			require.Len(t, f.port.delivered(), searches, name)
 			f.answer(hostB, envelope.Searched, packet(false, 9))
@@ -352,7 +360,7 @@
 // flow costs one search.
 func TestAFlowIsNotSearchedForOverAndOverInDoubt(t *testing.T) {
 	f := newFixture()
-	f.Surveyed(f.now, registered(hostA, hostB, other))
+	f.Surveyed(f.now, f.now, registered(hostA, hostB, other))
 	f.client(packet(false, 9))
 	f.answer(hostB, envelope.Searched, packet(false, 9))
 	require.Equal(t, DoubtMissing, f.doubt)
@@ -361,21 +369,60 @@
 	require.Empty(t, f.port.resets)
 }
 
-// TestHostsThatAreGoneAreNotNamed: who has not heard of one never will, and would
-// wait for it.
-func TestHostsThatAreGoneAreNotNamed(t *testing.T) {
+// TestTheRegistryIsReadLessOftenWhileDoubtLasts: each reading is a priced call.
+func TestTheRegistryIsReadLessOftenWhileDoubtLasts(t *testing.T) {
 	f := newFixture()
-	digest := f.View().Digest(self)
-	f.announce(other, fleet.Gone)
-	require.Equal(t, digest, f.View().Digest(self), "views that differ in such a host do not differ")
-	f.HandleNode(f.now, peer, (&fleet.Beacon{Identity: fleet.Identity{Epoch: 4, Seq: 1}, WantPeers: true}).Append(nil))
-	for _, s := range f.port.nodes {
-		if s.kind == envelope.Peers {
-			_, agents, err := fleet.DecodePeers(s.raw)
-			require.NoError(t, err)
-			require.ElementsMatch(t, []flow.IPv4{hostA, hostB}, agents)
+	var readings []time.Duration
+	begin := f.now
+	for f.now.Sub(begin) < 10*time.Second {
+		f.now = f.now.Add(100 * time.Millisecond)
+		f.survey.wanted = true
+		if f.WantsSurvey(f.now) {
+			readings = append(readings, f.now.Sub(begin))
 		}
 	}
+	require.Equal(t, []time.Duration{100 * time.Millisecond, 500 * time.Millisecond, 1300 * time.Millisecond}, readings[:3])
+	require.Len(t, readings, 8)
+	f.now = f.now.Add(2*mostSurveyPause + 1)
+	require.True(t, f.WantsSurvey(f.now))
+	f.now = f.now.Add(surveyPause)
+	require.True(t, f.WantsSurvey(f.now), "calm again meanwhile")
+}
+
+// TestHostsThatAreGoneAreGreetedAndNotWaitedFor: an agent whose host has not
+// started yet has to be known to everybody before it does, and who has not heard
+// of one that was taken away never will.
+func TestHostsThatAreGoneAreGreetedAndNotWaitedFor(t *testing.T) {
+	names := func(f *fixture) (n fleet.Names) {
+		f.port.nodes = nil
+		f.seq++
+		ask := fleet.Beacon{Identity: fleet.Identity{Epoch: 4, Seq: f.seq}, WantPeers: true}
+		f.HandleNode(f.now, peer, ask.Append(nil))
+		for _, s := range f.port.nodes {
+			if s.kind == envelope.Peers {
+				var err error
+				n, err = fleet.DecodeNames(s.raw)
+				require.NoError(t, err)
+			}
+		}
+		return n
+	}
+	f := newFixture()
+	digest := f.View().Digest(f.now, self)
+	f.announce(other, fleet.Gone)
+	require.Equal(t, []flow.IPv4{other}, names(f).Idle)
+	require.ElementsMatch(t, []flow.IPv4{hostA, hostB}, names(f).Holders)
+	require.NotEqual(t, digest, f.View().Digest(f.now, self), "others are to hear of it")
+	f.wait(fleet.Quiet + time.Second)
+	require.Empty(t, names(f).Idle)
+	f.View().Expire(f.now)
+
+	fresh := newFixture()
+	fleet.Names{Idle: []flow.IPv4{other}}.Append(nil, func(msg []byte) { fresh.HandleNode(fresh.now, peer, msg) })
+	require.Equal(t, other, fresh.port.nodes[0].to, "greeted")
+	fresh.client(packet(false, 9))
+	fresh.answer(hostB, envelope.Searched, packet(false, 9))
+	require.Len(t, fresh.port.resets, 1)
 }
 
 // TestSearchesCoverLargeServicesInRounds: each round asks other hosts, and only
@@ -388,7 +435,7 @@
 		f.announce(0x0a020000+i, fleet.Ready)
 	}
 	agents = f.View().Hosts()
-	f.Surveyed(f.now, registered(agents...))
+	f.Surveyed(f.now, f.now, registered(agents...))
 	f.client(packet(false, 9))
 	asked := map[flow.IPv4]bool{}
 	for f.port.resets == nil {
--- a/balancer/packetfront/front.go
+++ b/balancer/packetfront/front.go
@@ -79,7 +79,7 @@
 		Weights:  choose.Weights{OtherZone: cfg.OtherZoneCost, Warming: warmingFactor},
 		FeedTime: watchWait(cfg.CatchUpWithin.D()) + storeTimeout,
 	}
-	f.entry = registry.New(f.store, fleet.RoleBalancer, f.self, opts.Epoch, log)
+	f.entry = registry.New(f.store, fleet.RoleBalancer, f.self, opts.Epoch, log, func() {})
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	f.core = New(time.Now(), opts, f, platform.Codec{}, newObserver(log, f.reg), rnd)
 	return f, nil
@@ -304,7 +304,7 @@
 	if !ok {
 		return
 	}
-	f.locked(func(time.Time) { f.core.Surveyed(began, agents) })
+	f.locked(func(now time.Time) { f.core.Surveyed(now, began, agents) })
 }
 
 // list reads the entries of a role.
@@ -336,7 +336,7 @@
 	balancers, ok := f.list(ctx, fleet.RoleBalancer)
 	agents, ok2 := f.list(ctx, fleet.RoleAgent)
 	if ok && ok2 {
-		f.locked(func(time.Time) { f.core.Roster(began, balancers, agents) })
+		f.locked(func(now time.Time) { f.core.Roster(now, began, balancers, agents) })
 	}
 }
 
--- a/balancer/packetfront/limbo.go
+++ b/balancer/packetfront/limbo.go
@@ -45,8 +45,9 @@
 type keptFlow struct {
 	first     []byte
 	followers [][]byte
-	// next is when the first packet is tried again, expires when all are given up.
-	next, expires time.Time
+	// since is when the first packet came, next when it is tried again, expires
+	// when all are given up.
+	since, next, expires time.Time
 	// asking tells that hosts are being asked for the flow.
 	asking bool
 	// denied tells that every known host has said a certain no, in the given
@@ -71,7 +72,7 @@
 		if len(l.flows) >= maxLimboFlows || l.packets >= maxLimboPackets {
 			return false
 		}
-		k = &keptFlow{first: append([]byte(nil), packet...), expires: now.Add(ttl)}
+		k = &keptFlow{first: append([]byte(nil), packet...), since: now, expires: now.Add(ttl)}
 		l.flows[key] = k
 		l.packets++
 	}
@@ -87,6 +88,23 @@
 	}
 }
 
+// since is when the first packet of a flow came; now for one that is not kept.
+func (l *limbo) since(now time.Time, key flow.Key) time.Time {
+	if k, known := l.flows[key]; known {
+		return k.since
+	}
+	return now
+}
+
+// wake lets the flows that all hosts have denied be looked at again.
+func (l *limbo) wake(now time.Time) {
+	for _, k := range l.flows {
+		if k.denied {
+			k.next = now
+		}
+	}
+}
+
 // denied notes that every host of a generation of the view has denied a flow.
 func (l *limbo) denied(key flow.Key, generation uint32) {
 	if k, known := l.flows[key]; known {
@@ -172,7 +190,7 @@
 			c.limbo.drop(key)
 		case !k.deniedIn(c.generation()):
 			c.route(now, key, &h, k.first)
-		case doubt == "":
+		case doubt == "" && c.unsurveyed(k.since) == "":
 			c.events.Lost(key, 0, doubt, missing)
 			c.over(key, &h)
 		default:
--- a/balancer/packetfront/nodes.go
+++ b/balancer/packetfront/nodes.go
@@ -44,11 +44,11 @@
 		host, _ := c.view.Host(from)
 		c.events.HostChanged(host, change)
 	}
-	if change == fleet.Joined || (change != fleet.Stale && a.WantPeers) {
+	if change == fleet.Joined || (change != fleet.Stale && (a.WantPeers || a.WantReply)) {
 		c.sendBeacon(now, from, fleet.Beacon{Reply: true})
 	}
 	if change != fleet.Stale && a.WantPeers {
-		c.sendPeers(from)
+		c.sendPeers(now, from)
 	}
 	return nil
 }
@@ -69,7 +69,7 @@
 		c.sendBeacon(now, from, fleet.Beacon{Reply: true})
 	}
 	if m.WantPeers {
-		c.sendPeers(from)
+		c.sendPeers(now, from)
 	}
 	c.compare(now, from, m.Digest)
 	return nil
@@ -78,7 +78,7 @@
 // compare asks a balancer for the nodes that it knows when its view differs from
 // this one's: any message about a node may have been lost.
 func (c *Core) compare(now time.Time, peer flow.IPv4, digest uint32) {
-	if digest == c.view.Digest(c.opts.Self) || now.Before(c.nextCompare) {
+	if digest == c.view.Digest(now, c.opts.Self) || now.Before(c.nextCompare) {
 		return
 	}
 	c.nextCompare = now.Add(comparePeriod)
@@ -88,21 +88,22 @@
 // handlePeers greets nodes that are not known yet; agents answer with their
 // announcement, balancers with their beacon.
 func (c *Core) handlePeers(now time.Time, datagram []byte) error {
-	balancers, agents, err := fleet.DecodePeers(datagram)
+	names, err := fleet.DecodeNames(datagram)
 	if err != nil {
 		return err
 	}
-	for _, ip := range balancers {
+	for _, ip := range names.Balancers {
 		if ip != c.opts.Self && !c.view.KnowsBalancer(ip) {
 			c.sendBeacon(now, ip, fleet.Beacon{})
 		}
 	}
-	for _, ip := range agents {
+	for _, ip := range names.Holders {
 		if !c.view.KnowsHost(ip) {
 			c.named[ip] = now
 		}
 	}
-	c.Greet(now, nil, agents)
+	c.Greet(now, nil, names.Holders)
+	c.Greet(now, nil, names.Idle)
 	return nil
 }
 
@@ -167,7 +168,7 @@
 // at once when the flow is certainly over; while that is not certain, the search
 // is repeated.
 func (c *Core) giveUp(now time.Time, key flow.Key, h *flow.Header, packet []byte, env *envelope.Envelope) {
-	doubt, missing := c.doubt(now, env)
+	doubt, missing := c.doubt(now, env, c.limbo.since(now, key))
 	c.events.Lost(key, int(env.Hops), doubt, missing)
 	switch doubt {
 	case "":
@@ -249,14 +250,18 @@
 	c.seq++
 	m.Identity = fleet.Identity{Epoch: c.opts.Epoch, Seq: c.seq}
 	m.Zone = c.opts.Zone
+	if h, known := c.view.Host(to); known {
+		m.Heard = h.Identity
+	}
 	m.ConfigVersion = c.ConfigVersion()
-	m.Digest = c.view.Digest(c.opts.Self)
+	m.Digest = c.view.Digest(now, c.opts.Self)
 	m.Leaving = c.leaving
 	m.Feeding = c.feeding(now)
 	c.port.ToNode(to, m.Append(c.buf[:0]), nil)
 }
 
-func (c *Core) sendPeers(to flow.IPv4) {
-	balancers := append(c.view.Balancers(), c.opts.Self)
-	fleet.AppendPeers(c.buf[:0], balancers, c.view.Holders(), func(msg []byte) { c.port.ToNode(to, msg, nil) })
+func (c *Core) sendPeers(now time.Time, to flow.IPv4) {
+	names := c.view.Names(now)
+	names.Balancers = append(names.Balancers, c.opts.Self)
+	names.Append(c.buf[:0], func(msg []byte) { c.port.ToNode(to, msg, nil) })
 }
--- a/balancer/packetfront/roll.go
+++ b/balancer/packetfront/roll.go
@@ -15,8 +15,8 @@
 	unheard map[flow.IPv4]time.Time
 }
 
-// take replaces the list by a newer reading. A node that was unheard before
-// stays so since then.
+// take replaces the list by a newer reading; heard tells which nodes need not be
+// waited for. One that was unheard before stays so since then.
 func (r *roll) take(now time.Time, entries []fleet.Entry, heard func(flow.IPv4) bool) {
 	unheard := map[flow.IPv4]time.Time{}
 	for _, e := range entries {
@@ -85,10 +85,10 @@
 }
 
 // Roster takes a reading of the whole registry that began at the given time.
-func (c *Core) Roster(began time.Time, balancers, agents []fleet.Entry) {
+func (c *Core) Roster(now, began time.Time, balancers, agents []fleet.Entry) {
 	balancers = slices.DeleteFunc(balancers, func(e fleet.Entry) bool { return e.IP == c.opts.Self })
 	c.balancerRoll.take(began, balancers, c.view.KnowsBalancer)
-	c.Surveyed(began, agents)
+	c.Surveyed(now, began, agents)
 }
 
 // Departed returns the dead nodes that this balancer has to take out of the
--- a/balancer/packetfront/roll_test.go
+++ b/balancer/packetfront/roll_test.go
@@ -56,12 +56,12 @@
 			want: []Departed{agent(hostB), {fleet.RoleBalancer, fleet.Entry{IP: lower, Epoch: uint64(lower)}}},
 		},
 		"a registered agent was never heard": {
-			prepare: func(f *fixture) { f.Surveyed(f.now, registered(hostA, hostB, other)) },
+			prepare: func(f *fixture) { f.Surveyed(f.now, f.now, registered(hostA, hostB, other)) },
 			agents:  []flow.IPv4{hostA, hostB}, balancers: []flow.IPv4{higher},
 			want: []Departed{surveyed(other)},
 		},
 		"a registered balancer was never heard": {
-			prepare: func(f *fixture) { f.Roster(f.now, registered(self, higher, lower), registered(hostA, hostB)) },
+			prepare: func(f *fixture) { f.Roster(f.now, f.now, registered(self, higher, lower), registered(hostA, hostB)) },
 			agents:  []flow.IPv4{hostA, hostB}, balancers: []flow.IPv4{higher},
 			want: []Departed{{fleet.RoleBalancer, registered(lower)[0]}},
 		},
--- a/balancer/packetfront/survey.go
+++ b/balancer/packetfront/survey.go
@@ -20,7 +20,9 @@
 	DoubtView Doubt = "the view changed"
 	// DoubtFresh: the balancer has just started; agents have not found it yet.
 	DoubtFresh Doubt = "just started"
-	// DoubtSurvey: the registry of agents was not read lately.
+	// DoubtSurvey: the registry of agents was not read shortly before the packet
+	// came or since. An agent is registered before its host takes its first flow,
+	// so a reading that began later lists the flow's host.
 	DoubtSurvey Doubt = "no survey"
 	// DoubtRegistry: an agent that is heard is not registered, so others may be
 	// missing there: the store was away when they started.
@@ -41,10 +43,14 @@
 	// flows in doubt: longer than a process takes to be restarted. After that its
 	// VM counts as gone.
 	absentTime = 4 * time.Second
-	// surveyTTL is how long a reading of the registry counts.
-	surveyTTL = 5 * time.Second
-	// surveyPause is the least pause between readings.
-	surveyPause = time.Second
+	// surveyTTL is how old a reading of the registry may be when a packet comes. An
+	// agent that has registered since has told this balancer, again until that
+	// was acknowledged.
+	surveyTTL = 2 * time.Second
+	// surveyPause is the least pause between readings of the registry, each a
+	// priced call. While doubt lasts the pause doubles up to the most.
+	surveyPause     = 400 * time.Millisecond
+	mostSurveyPause = 1600 * time.Millisecond
 )
 
 // survey is the last reading of the agents' registry. An agent is registered
@@ -52,21 +58,38 @@
 // which hosts may hold flows, also when their agents are not back.
 type survey struct {
 	roll
-	readAt   time.Time
-	wanted   bool
-	wantedAt time.Time
+	readAt time.Time
+	wanted bool
+	// startedAt is when the last reading was asked for, pause how long the next one
+	// has to wait from then on.
+	startedAt time.Time
+	pause     time.Duration
 }
 
 // doubt tells whether a flow for which every candidate was asked may live, and
-// the host that it may live at if that is known.
-func (c *Core) doubt(now time.Time, env *envelope.Envelope) (Doubt, flow.IPv4) {
+// the host that it may live at if that is known. since is when the first packet
+// came that it was searched for by.
+func (c *Core) doubt(now time.Time, env *envelope.Envelope, since time.Time) (Doubt, flow.IPv4) {
 	switch {
 	case env.Flags&envelope.Unsure != 0:
 		return DoubtHost, 0
 	case env.Generation != c.generation():
 		return DoubtView, 0
 	}
-	return c.incomplete(now)
+	if doubt, missing := c.incomplete(now); doubt != "" {
+		return doubt, missing
+	}
+	return c.unsurveyed(since), 0
+}
+
+// unsurveyed tells whether the registry was not read shortly before a packet came
+// or since.
+func (c *Core) unsurveyed(since time.Time) Doubt {
+	if !c.survey.readAt.Before(since.Add(-surveyTTL)) {
+		return ""
+	}
+	c.survey.wanted = true
+	return DoubtSurvey
 }
 
 // incomplete tells why there may be hosts that this balancer does not know, and
@@ -75,7 +98,7 @@
 	switch {
 	case now.Sub(c.startedAt) < freshTime:
 		return DoubtFresh, 0
-	case c.survey.readAt.IsZero() || now.Sub(c.survey.readAt) > surveyTTL:
+	case c.survey.readAt.IsZero():
 		c.survey.wanted = true
 		return DoubtSurvey, 0
 	}
@@ -91,7 +114,9 @@
 
 // unheard returns a host that may hold flows and could not be asked.
 func (c *Core) unheard(now time.Time) (flow.IPv4, bool) {
-	if ip, missing := c.survey.missing(now, c.view.KnowsHost); missing {
+	if ip, missing := c.survey.missing(now, c.askable); missing {
+		// It may have been taken out of the registry since.
+		c.survey.wanted = true
 		return ip, true
 	}
 	for ip, at := range c.named {
@@ -109,6 +134,13 @@
 	return 0, false
 }
 
+// askable tells whether a search asks a host. One that is registered and said last
+// that it holds nothing may have started since, unheard.
+func (c *Core) askable(ip flow.IPv4) bool {
+	h, known := c.view.Host(ip)
+	return known && h.State != fleet.Gone
+}
+
 // unregistered returns an agent that is heard and not in the registry.
 func (c *Core) unregistered() (flow.IPv4, bool) {
 	for _, ip := range c.view.Hosts() {
@@ -122,16 +154,26 @@
 // WantsSurvey tells whether the registry of agents is to be read: right after
 // the start, and when a flow seems to be over.
 func (c *Core) WantsSurvey(now time.Time) bool {
-	if now.Sub(c.survey.wantedAt) < surveyPause || (!c.survey.wanted && !c.survey.readAt.IsZero()) {
+	s := &c.survey
+	since := now.Sub(s.startedAt)
+	if since < s.pause || (!s.wanted && !s.readAt.IsZero()) {
 		return false
 	}
-	c.survey.wantedAt = now
+	if since > 2*mostSurveyPause {
+		s.pause = surveyPause
+	} else {
+		s.pause = min(2*s.pause, mostSurveyPause)
+	}
+	s.startedAt = now
 	return true
 }
 
 // Surveyed takes a reading of the agents' registry that began at the given time.
-func (c *Core) Surveyed(began time.Time, agents []fleet.Entry) {
-	c.survey.take(began, agents, c.view.KnowsHost)
+// Flows that waited for it are looked at again.
+func (c *Core) Surveyed(now, began time.Time, agents []fleet.Entry) {
+	c.survey.take(began, agents, c.askable)
 	c.survey.readAt, c.survey.wanted = began, false
-	c.Greet(began, nil, fleet.Addresses(agents))
+	c.Greet(now, nil, fleet.Addresses(agents))
+	c.limbo.wake(now)
+	c.retryKept(now)
 }
--- a/e2e/packets/nodes_test.go
+++ b/e2e/packets/nodes_test.go
@@ -55,7 +55,7 @@
 		if b.up && b.life == life {
 			b.core.Tick(w.now)
 			if b.core.WantsSurvey(w.now) {
-				b.core.Surveyed(w.now, w.registered())
+				b.core.Surveyed(w.now, w.now, w.registered())
 			}
 			b.keepRegistry()
 		}
@@ -102,6 +102,7 @@
 		delete(w.registry, a.ip)
 		if want == fleet.PresenceHere {
 			w.registry[a.ip] = fleet.Entry{IP: a.ip, Epoch: epoch}
+			a.core.Registered(w.now)
 		}
 		return true
 	})
--- a/e2e/packets/packets_test.go
+++ b/e2e/packets/packets_test.go
@@ -297,6 +297,36 @@
 	}
 }
 
+// TestAHostThatStartsLateIsNotOverlooked: a balancer that started after the agent,
+// while that had no host, knows the host as soon as others do, also when the first
+// message about it is lost. Otherwise it would take the host's first flows for
+// over. (Found on a day of the platform's bench.)
+func TestAHostThatStartsLateIsNotOverlooked(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(seed)
+		deployment(w)
+		w.run(3 * time.Second)
+		a := &agentNode{w: w, ip: w.ip(), zone: "z1", service: serviceA}
+		w.agents[a.ip] = a
+		a.start()
+		w.run(500 * time.Millisecond)
+		fresh := w.addBalancer("z1")
+		w.run(800 * time.Millisecond)
+		lost := seed%2 == 0
+		w.cut = func(from, to flow.IPv4) bool {
+			cut := lost && from == a.ip && to == fresh.ip
+			lost = lost && !cut
+			return cut
+		}
+		a.startHost()
+		w.run(4 * hostTick)
+		require.Contains(t, w.registry, a.ip)
+		known, ok := fresh.core.View().Host(a.ip)
+		require.True(t, ok, "seed %d", seed)
+		require.Equal(t, fleet.Ready, known.State, "seed %d", seed)
+	}
+}
+
 // TestBlackoutOfTheSystemAloneResetsNothing: hosts that live keep their flows.
 func TestBlackoutOfTheSystemAloneResetsNothing(t *testing.T) {
 	for seed := range uint64(10) {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -29,11 +29,11 @@
 
 func TestMessagesSurviveTheWire(t *testing.T) {
 	a := announcement(7, 8, alpha, Draining)
-	a.Zone, a.WantPeers, a.Busy, a.Open, a.WarmupMillis = 3, true, 4, 5, 600
+	a.Zone, a.WantPeers, a.WantReply, a.Busy, a.Open, a.WarmupMillis = 3, true, true, 4, 5, 600
 	gotA, err := DecodeAnnouncement(a.Append(nil))
 	require.NoError(t, err)
 	require.Equal(t, a, gotA)
-	b := Beacon{Identity: Identity{1, 2}, Zone: 3, ConfigVersion: 1 << 40, Digest: 5, Leaving: true, Feeding: true, Reply: true}
+	b := Beacon{Identity: Identity{1, 2}, Zone: 3, ConfigVersion: 1 << 40, Digest: 5, Leaving: true, Feeding: true, Reply: true, Heard: Identity{8, 9}}
 	gotB, err := DecodeBeacon(b.Append(nil))
 	require.NoError(t, err)
 	require.Equal(t, b, gotB)
@@ -54,25 +54,25 @@
 	require.ErrorIs(t, err, ErrMalformed, "unknown state")
 }
 
-func TestPeersTravelInBoundedMessages(t *testing.T) {
+func TestNamesTravelInBoundedMessages(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var balancers, agents, gotB, gotA []flow.IPv4
-		for i := range rapid.IntRange(0, 600).Draw(t, "balancers") {
-			balancers = append(balancers, flow.IPv4(i))
+		var sent, got Names
+		for i, list := range []*[]flow.IPv4{&sent.Balancers, &sent.Holders, &sent.Idle} {
+			for j := range rapid.IntRange(0, 600).Draw(t, "nodes") {
+				*list = append(*list, flow.IPv4(10_000*i+j))
+			}
 		}
-		for i := range rapid.IntRange(0, 600).Draw(t, "agents") {
-			agents = append(agents, flow.IPv4(10_000+i))
-		}
-		AppendPeers(nil, balancers, agents, func(msg []byte) {
+		sent.Append(nil, func(msg []byte) {
 			require.LessOrEqual(t, len(msg), 1100)
-			b, a, err := DecodePeers(msg)
+			n, err := DecodeNames(msg)
 			require.NoError(t, err)
-			gotB, gotA = append(gotB, b...), append(gotA, a...)
-			_, _, err = DecodePeers(msg[:len(msg)-1])
+			got.Balancers = append(got.Balancers, n.Balancers...)
+			got.Holders = append(got.Holders, n.Holders...)
+			got.Idle = append(got.Idle, n.Idle...)
+			_, err = DecodeNames(msg[:len(msg)-1])
 			require.ErrorIs(t, err, ErrMalformed)
 		})
-		require.Equal(t, balancers, gotB)
-		require.Equal(t, agents, gotA)
+		require.Equal(t, sent, got)
 	})
 }
 
@@ -160,11 +160,15 @@
 	a, b := NewView(), NewView()
 	a.Beacon(start, ip2, Beacon{Identity: Identity{1, 1}})
 	b.Beacon(start, ip1, Beacon{Identity: Identity{2, 1}})
-	require.Equal(t, a.Digest(ip1), b.Digest(ip2), "they know each other")
+	require.Equal(t, a.Digest(start, ip1), b.Digest(start, ip2), "they know each other")
 	a.Announce(start, 77, announcement(3, 1, alpha, Ready))
-	require.NotEqual(t, a.Digest(ip1), b.Digest(ip2))
+	require.NotEqual(t, a.Digest(start, ip1), b.Digest(start, ip2))
 	b.Announce(start, 77, announcement(3, 2, alpha, Ready))
-	require.Equal(t, a.Digest(ip1), b.Digest(ip2))
+	require.Equal(t, a.Digest(start, ip1), b.Digest(start, ip2))
+	a.Announce(start, 78, announcement(4, 1, alpha, Gone))
+	require.NotEqual(t, a.Digest(start, ip1), b.Digest(start, ip2), "it is there")
+	later := start.Add(Quiet + 1)
+	require.Equal(t, a.Digest(later, ip1), b.Digest(later, ip2), "it is not heard any more")
 }
 
 func TestGenerationRisesWithWhoMayHoldFlows(t *testing.T) {
@@ -228,6 +232,6 @@
 			require.LessOrEqual(t, got.State, Gone)
 		}
 		_, _ = DecodeBeacon(b)
-		_, _, _ = DecodePeers(b)
+		_, _ = DecodeNames(b)
 	})
 }
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -60,9 +60,10 @@
 	// Incarnation is the tag of the host's ID; zero while it is not known.
 	Incarnation flow.Tag
 	State       State
-	// WantPeers asks for the balancers that the receiver knows.
-	WantPeers bool
-	Slots     uint16
+	// WantPeers asks for the balancers that the receiver knows, WantReply for a
+	// beacon.
+	WantPeers, WantReply bool
+	Slots                uint16
 	// Busy is the number of requests that the host works on or has queued.
 	Busy uint16
 	// Open is the number of open flows.
@@ -88,6 +89,9 @@
 	WantPeers bool
 	// Reply marks the answer to a beacon; it is not answered again.
 	Reply bool
+	// Heard is the last announcement that the sender has of the receiver; zero to
+	// another balancer.
+	Heard Identity
 }
 
 // announceWire and beaconWire are the fixed layouts, encoded big-endian.
@@ -95,7 +99,7 @@
 	Epoch                                 uint64
 	Seq                                   uint32
 	Zone, Service, Incarnation            uint32
-	State, WantPeers                      uint8
+	State, WantPeers, WantReply           uint8
 	Slots, Busy, Open, WarmupMilliseconds uint16
 }
 
@@ -107,6 +111,8 @@
 	Digest           uint32
 	Leaving, Feeding uint8
 	WantPeers, Reply uint8
+	HeardEpoch       uint64
+	HeardSeq         uint32
 }
 
 func bit(b bool) uint8 {
@@ -122,7 +128,7 @@
 	return appendFixed(b, announceWire{
 		Epoch: a.Epoch, Seq: a.Seq,
 		Zone: uint32(a.Zone), Service: uint32(a.Service), Incarnation: uint32(a.Incarnation),
-		State: uint8(a.State), WantPeers: bit(a.WantPeers),
+		State: uint8(a.State), WantPeers: bit(a.WantPeers), WantReply: bit(a.WantReply),
 		Slots: a.Slots, Busy: a.Busy, Open: a.Open, WarmupMilliseconds: a.WarmupMillis,
 	})
 }
@@ -133,6 +139,7 @@
 	return appendFixed(b, beaconWire{
 		Epoch: m.Epoch, Seq: m.Seq, Zone: uint32(m.Zone), ConfigVersion: m.ConfigVersion, Digest: m.Digest,
 		Leaving: bit(m.Leaving), Feeding: bit(m.Feeding), WantPeers: bit(m.WantPeers), Reply: bit(m.Reply),
+		HeardEpoch: m.Heard.Epoch, HeardSeq: m.Heard.Seq,
 	})
 }
 
@@ -170,7 +177,7 @@
 	return Announcement{
 		Identity: Identity{w.Epoch, w.Seq},
 		Zone:     flow.Tag(w.Zone), Service: flow.Tag(w.Service), Incarnation: flow.Tag(w.Incarnation),
-		State: State(w.State), WantPeers: w.WantPeers == 1,
+		State: State(w.State), WantPeers: w.WantPeers == 1, WantReply: w.WantReply == 1,
 		Slots: w.Slots, Busy: w.Busy, Open: w.Open, WarmupMillis: w.WarmupMilliseconds,
 	}, nil
 }
@@ -184,24 +191,42 @@
 	return Beacon{
 		Identity: Identity{w.Epoch, w.Seq}, Zone: flow.Tag(w.Zone), ConfigVersion: w.ConfigVersion, Digest: w.Digest,
 		Leaving: w.Leaving == 1, Feeding: w.Feeding == 1, WantPeers: w.WantPeers == 1, Reply: w.Reply == 1,
+		Heard: Identity{w.HeardEpoch, w.HeardSeq},
 	}, nil
 }
 
+// Names are the nodes that a balancer knows.
+type Names struct {
+	Balancers []flow.IPv4
+	// Holders are agents whose hosts may hold flows, Idle those whose hosts cannot
+	// at present: to be greeted, not to be waited for.
+	Holders, Idle []flow.IPv4
+}
+
 // maxPeers bounds the addresses of one Peers message: 1,000 bytes.
 const maxPeers = 250
 
-// AppendPeers appends messages that name balancers and agents; each is handed
-// to send when it is full.
-func AppendPeers(b []byte, balancers, agents []flow.IPv4, send func([]byte)) {
-	for len(balancers)+len(agents) > 0 {
-		nb := min(len(balancers), maxPeers)
-		na := min(len(agents), maxPeers-nb)
+// Append appends messages that name all nodes; each is handed to send when it is
+// full.
+func (n Names) Append(b []byte, send func([]byte)) {
+	for len(n.Balancers)+len(n.Holders)+len(n.Idle) > 0 {
+		room := maxPeers
+		take := func(list *[]flow.IPv4) []flow.IPv4 {
+			count := min(len(*list), room)
+			part := (*list)[:count]
+			*list = (*list)[count:]
+			room -= count
+			return part
+		}
+		parts := [...][]flow.IPv4{take(&n.Balancers), take(&n.Holders), take(&n.Idle)}
 		msg := envelope.AppendPrefix(b[:0], envelope.Peers)
-		msg = append(msg, byte(nb), byte(na))
-		msg = appendIPs(msg, balancers[:nb])
-		msg = appendIPs(msg, agents[:na])
+		for _, part := range parts {
+			msg = append(msg, byte(len(part)))
+		}
+		for _, part := range parts {
+			msg = appendIPs(msg, part)
+		}
 		send(msg)
-		balancers, agents = balancers[nb:], agents[na:]
 	}
 }
 
@@ -212,23 +237,31 @@
 	return b
 }
 
-// DecodePeers reads one Peers message.
-func DecodePeers(b []byte) (balancers, agents []flow.IPv4, err error) {
-	if k, err := envelope.KindOf(b); err != nil || k != envelope.Peers || len(b) < envelope.PrefixLen+2 {
-		return nil, nil, ErrMalformed
+// DecodeNames reads one Peers message.
+func DecodeNames(b []byte) (Names, error) {
+	const counts = 3
+	if k, err := envelope.KindOf(b); err != nil || k != envelope.Peers || len(b) < envelope.PrefixLen+counts {
+		return Names{}, ErrMalformed
 	}
 	b = b[envelope.PrefixLen:]
-	nb, na := int(b[0]), int(b[1])
-	b = b[2:]
-	if len(b) != 4*(nb+na) {
-		return nil, nil, ErrMalformed
+	nb, nh, ni := int(b[0]), int(b[1]), int(b[2])
+	b = b[counts:]
+	if len(b) != ipLen*(nb+nh+ni) {
+		return Names{}, ErrMalformed
 	}
-	return decodeIPs(b[:4*nb]), decodeIPs(b[4*nb:]), nil
+	return Names{
+		Balancers: decodeIPs(b[:ipLen*nb]),
+		Holders:   decodeIPs(b[ipLen*nb : ipLen*(nb+nh)]),
+		Idle:      decodeIPs(b[ipLen*(nb+nh):]),
+	}, nil
 }
 
+// ipLen is the length of an encoded address.
+const ipLen = 4
+
 func decodeIPs(b []byte) []flow.IPv4 {
-	out := make([]flow.IPv4, 0, len(b)/4)
-	for ; len(b) >= 4; b = b[4:] {
+	out := make([]flow.IPv4, 0, len(b)/ipLen)
+	for ; len(b) >= ipLen; b = b[ipLen:] {
 		out = append(out, flow.IPv4(binary.BigEndian.Uint32(b)))
 	}
 	return out
--- a/fleet/registry/registry.go
+++ b/fleet/registry/registry.go
@@ -55,6 +55,8 @@
 	self  flow.IPv4
 	epoch uint64
 	log   *zap.Logger
+	// entered hears of each time that the entry was written.
+	entered func()
 
 	// mu guards wanted; nothing else is locked under it.
 	mu     sync.Mutex
@@ -63,9 +65,10 @@
 	changed chan struct{}
 }
 
-// New returns a registry for the process of the given epoch at an address.
-func New(s store.Store, role fleet.Role, self flow.IPv4, epoch uint64, log *zap.Logger) *Registry {
-	return &Registry{store: s, role: role, self: self, epoch: epoch, log: log, changed: make(chan struct{}, 1)}
+// New returns a registry for the process of the given epoch at an address;
+// entered is called each time that its entry was written.
+func New(s store.Store, role fleet.Role, self flow.IPv4, epoch uint64, log *zap.Logger, entered func()) *Registry {
+	return &Registry{store: s, role: role, self: self, epoch: epoch, log: log, entered: entered, changed: make(chan struct{}, 1)}
 }
 
 // Want tells what the registry is to show from now on.
@@ -139,6 +142,9 @@
 func (r *Registry) enter(ctx context.Context) error {
 	put := store.Put{Key: keyOf(r.role, r.self), Value: encodeEpoch(r.epoch)}
 	_, err := r.store.Txn(ctx, store.Txn{Puts: []store.Put{put}})
+	if err == nil {
+		r.entered()
+	}
 	return err
 }
 
--- a/fleet/registry/registry_test.go
+++ b/fleet/registry/registry_test.go
@@ -35,7 +35,7 @@
 
 // run starts a registry; the returned function stops it.
 func run(s store.Store, epoch uint64) (r *Registry, stop func()) {
-	r = New(s, fleet.RoleAgent, self, epoch, zap.NewNop())
+	r = New(s, fleet.RoleAgent, self, epoch, zap.NewNop(), func() {})
 	r.Want(fleet.PresenceHere)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
@@ -69,7 +69,7 @@
 // TestTheEntryFollowsWhatIsWanted, also what an earlier process has left.
 func TestTheEntryFollowsWhatIsWanted(t *testing.T) {
 	s := standin.NewStore(time.Now)
-	require.NoError(t, New(s, fleet.RoleAgent, self, 6, zap.NewNop()).enter(context.Background()))
+	require.NoError(t, New(s, fleet.RoleAgent, self, 6, zap.NewNop(), func() {}).enter(context.Background()))
 	r, stop := run(s, 7)
 	defer stop()
 	listed(t, s, 7)
@@ -94,7 +94,7 @@
 func TestAnEntryThatWasTakenAwayIsMissed(t *testing.T) {
 	ctx := context.Background()
 	s := standin.NewStore(time.Now)
-	r := New(s, fleet.RoleAgent, self, 7, zap.NewNop())
+	r := New(s, fleet.RoleAgent, self, 7, zap.NewNop(), func() {})
 	r.Want(fleet.PresenceHere)
 	require.NoError(t, r.enter(ctx))
 	require.False(t, r.missing(ctx))
@@ -123,7 +123,7 @@
 		"nothing is known about it": {func(e fleet.Entry) fleet.Entry { return fleet.Entry{IP: self} }, false},
 	} {
 		s := standin.NewStore(time.Now)
-		require.NoError(t, New(s, fleet.RoleAgent, self, 7, zap.NewNop()).enter(ctx))
+		require.NoError(t, New(s, fleet.RoleAgent, self, 7, zap.NewNop(), func() {}).enter(ctx))
 		found := list(t, s)[0]
 		require.NoError(t, Remove(ctx, s, fleet.RoleAgent, c.dead(found)), name)
 		require.Equal(t, c.removed, len(list(t, s)) == 0, name)
@@ -145,8 +145,8 @@
 func TestARemovalLosesAgainstANewEntry(t *testing.T) {
 	ctx := context.Background()
 	s := standin.NewStore(time.Now)
-	require.NoError(t, New(s, fleet.RoleAgent, self, 7, zap.NewNop()).enter(ctx))
-	r := racing{s, func() { require.NoError(t, New(s, fleet.RoleAgent, self, 8, zap.NewNop()).enter(ctx)) }}
+	require.NoError(t, New(s, fleet.RoleAgent, self, 7, zap.NewNop(), func() {}).enter(ctx))
+	r := racing{s, func() { require.NoError(t, New(s, fleet.RoleAgent, self, 8, zap.NewNop(), func() {}).enter(ctx)) }}
 	require.NoError(t, Remove(ctx, r, fleet.RoleAgent, fleet.Entry{IP: self, Epoch: 7}))
 	require.Len(t, list(t, s), 1)
 }
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -121,21 +121,30 @@
 // Generation changes whenever a host joins, leaves or becomes another one.
 func (v *View) Generation() uint32 { return v.generation }
 
-// Holders returns the addresses of the hosts that may hold flows.
-func (v *View) Holders() []flow.IPv4 {
-	return slices.DeleteFunc(v.Hosts(), func(ip flow.IPv4) bool { return v.hosts[ip].State == Gone })
+// Names returns the nodes known, but for agents without a host that are not heard
+// any more: nobody needs them.
+func (v *View) Names(now time.Time) Names {
+	n := Names{Balancers: v.Balancers()}
+	for _, ip := range v.Hosts() {
+		switch h := v.hosts[ip]; {
+		case h.State != Gone:
+			n.Holders = append(n.Holders, ip)
+		case !h.Quiet(now):
+			n.Idle = append(n.Idle, ip)
+		}
+	}
+	return n
 }
 
-// Digest tells two views of the same nodes from others, whatever their order.
-// self is the address of the view's owner. Hosts that are gone do not count: they
-// hold nothing, and who has not heard of them yet never will.
-func (v *View) Digest(self flow.IPv4) uint32 {
+// Digest tells two views that name the same nodes from others, whatever their
+// order. self is the address of the view's owner.
+func (v *View) Digest(now time.Time, self flow.IPv4) uint32 {
 	sum := member(self, true)
 	for ip := range v.peers {
 		sum ^= member(ip, true)
 	}
 	for ip, h := range v.hosts {
-		if h.State != Gone {
+		if h.State != Gone || !h.Quiet(now) {
 			sum ^= member(ip, false)
 		}
 	}
