--- a/balancer/packetfront/core_test.go
+++ b/balancer/packetfront/core_test.go
@@ -408,6 +408,7 @@
 		return n
 	}
 	f := newFixture()
+	require.Empty(t, names(f).Idle)
 	digest := f.View().Digest(f.now, self)
 	f.announce(other, fleet.Gone)
 	require.Equal(t, []flow.IPv4{other}, names(f).Idle)
