Hosts that fail their requests are ejected by their agents

Cause: the packet front knew a host as up or down and by its load.

The agent reads the status of each answer in the platform's adapter and counts a status of 500 or above, or a reset while a request waits, as a failure. Ruled out: counting silence, for a client that gives up in the middle of an upload looks the same, and a host that hangs fills its limit anyway. Ejections are heeded while they concern at most a third of a service's hosts.

--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -68,6 +68,7 @@
 	host  host
 
 	acks    acks
+	health  health
 	waiting waiting
 	opening []openingFlow
 
@@ -93,7 +94,7 @@
 func New(opts Options, port Port, codec flow.Codec, events Events) *Core {
 	return &Core{
 		opts: opts, port: port, codec: codec, events: events,
-		view: fleet.NewView(), flows: newFlows(), notes: newNotes(), acks: newAcks(),
+		view: fleet.NewView(), flows: newFlows(), notes: newNotes(), acks: newAcks(), health: newHealth(),
 		buf: make([]byte, 0, 2048),
 	}
 }
@@ -150,6 +151,9 @@
 func (c *Core) deliverOpening(now time.Time, h *flow.Header, packet []byte) {
 	key := h.FromClient()
 	reason, ok := c.refusal()
+	if ok && c.health.ejected && c.env.Count > 0 {
+		reason, ok = "host ejected", false
+	}
 	if ok && c.full() && c.flows.get(key) == nil {
 		if c.env.Count == 0 {
 			c.events.Waiting(key, c.flows.busy, c.limit())
@@ -304,21 +308,27 @@
 		return
 	}
 	key := h.FromHost()
-	c.noteHost(now, key, h)
+	c.noteHost(now, key, h, packet)
 	c.admitWaiting(now)
 	c.port.ToClient(key.ClientIP, packet)
 }
 
 // noteHost keeps what a host's packet says of its flow.
-func (c *Core) noteHost(now time.Time, key flow.Key, h *flow.Header) {
+func (c *Core) noteHost(now time.Time, key flow.Key, h *flow.Header, packet []byte) {
 	r := c.flows.ensure(now, key)
 	switch {
 	case h.Flags.Has(flow.RST):
+		if r.awaited() {
+			c.outcome(now, true)
+		}
 		c.flows.answered(r)
 		c.flows.setStage(r, closed)
 	case h.Flags.Has(flow.SYN):
 		c.noteAccepted(now, key, r, h)
 	default:
+		if h.Len > 0 && r.awaited() {
+			c.outcome(now, c.codec.Failed(packet))
+		}
 		c.noteSent(key, r, h)
 	}
 }
--- a/agent/packetfront/core_test.go
+++ b/agent/packetfront/core_test.go
@@ -58,6 +58,8 @@
 func (quiet) Reset(flow.Key, string)             {}
 func (quiet) Dropped(Drop)                       {}
 func (quiet) HostReport(string, fleet.Heartbeat) {}
+func (quiet) Failed()                            {}
+func (quiet) Ejected(bool, int, int)             {}
 func (quiet) PeerChanged(flow.IPv4, string)      {}
 
 // fixture is a core with a host of four slots that the agent saw start.
@@ -122,7 +124,7 @@
 // hostSends hands a packet of the host to the agent.
 func (f *fixture) hostSends(client int, flags flow.Flags, seq uint32, length int) {
 	k := keyOf(client)
-	f.HandleHost(f.now, &flow.Header{Src: k.FrontIP, SrcPort: k.FrontPort, Dst: k.ClientIP, DstPort: k.ClientPort, Flags: flags, Seq: seq, Len: length}, nil)
+	f.HandleHost(f.now, &flow.Header{Src: k.FrontIP, SrcPort: k.FrontPort, Dst: k.ClientIP, DstPort: k.ClientPort, Flags: flags, Seq: seq, Len: length}, make([]byte, platform.HeadLen+length))
 }
 
 // bounce returns the last packet that the host got.
--- a/agent/packetfront/events.go
+++ b/agent/packetfront/events.go
@@ -31,5 +31,10 @@
 	Reset(key flow.Key, reason string)
 	Dropped(reason Drop)
 	HostReport(what string, b fleet.Heartbeat)
+	// Failed is a request that the host answered with a failure or a reset.
+	Failed()
+	// Ejected tells that the host gets no new flows because it fails, or that this
+	// has ended; trials and failures are those of the time before.
+	Ejected(ejected bool, trials, failures int)
 	PeerChanged(ip flow.IPv4, what string)
 }
--- a/agent/packetfront/flows.go
+++ b/agent/packetfront/flows.go
@@ -59,6 +59,9 @@
 	return r.stage != offered && flow.SameFlow(h.Ack, r.hostSeq)
 }
 
+// awaited tells that a request on the open flow has no answer yet.
+func (r *record) awaited() bool { return r.stage == open && !r.pendingAt.IsZero() }
+
 // flows is the table of an agent.
 type flows struct {
 	byKey map[flow.Key]*record
--- /dev/null
+++ b/agent/packetfront/health.go
@@ -0,0 +1,64 @@
+package packetfront
+
+import (
+	"time"
+
+	"github.com/poppywall/poppywall/outlier"
+)
+
+// comebackTime is how long a host counts as warming after an ejection, so that it
+// gets its share back gradually.
+const comebackTime = 2 * time.Second
+
+// hostTarget names the one host in its detector.
+const hostTarget = "host"
+
+// health judges the host by the outcomes of its requests: answers that say that it
+// has failed, and resets. A host that fails quickly looks idle, and would draw more
+// work than any other. One that is slow or does not answer needs no judge: what it
+// owes counts as load, and the limit of its load keeps new flows away.
+//
+// The agent sees one host only, so the judgement is against what a healthy service
+// shows (outlier.Binomial's prior). When most hosts of a service fail alike the
+// balancers pay no heed to it (ejectable).
+type health struct {
+	detector *outlier.Detector
+	ejected  bool
+	// backAt is when the last ejection ended.
+	backAt time.Time
+}
+
+func newHealth() health {
+	return health{detector: outlier.New(outlier.Defaults(), outlier.DefaultJudge())}
+}
+
+// outcome takes the outcome of a request.
+func (c *Core) outcome(now time.Time, failed bool) {
+	if failed {
+		c.events.Failed()
+	}
+	before := c.health.detector.Counts(now, hostTarget)
+	if !c.health.detector.Report(now, hostTarget, failed) {
+		return
+	}
+	c.health.ejected = true
+	c.events.Ejected(true, int(before.Trials)+1, int(before.Failures)+1)
+	c.announceChange(now)
+}
+
+// checkHealth ends an ejection whose time is over.
+func (c *Core) checkHealth(now time.Time) {
+	if !c.health.ejected || c.health.detector.Ejected(now, hostTarget) {
+		return
+	}
+	c.health.ejected, c.health.backAt = false, now
+	c.events.Ejected(false, 0, 0)
+	c.announceChange(now)
+}
+
+// warmup is how long the host is to get less than its share: it says so itself
+// after its start, or comes back from an ejection.
+func (c *Core) warmup(now time.Time) time.Duration {
+	comeback := c.health.backAt.Add(comebackTime).Sub(now)
+	return max(c.host.warmup(now), comeback, 0)
+}
--- /dev/null
+++ b/agent/packetfront/health_test.go
@@ -0,0 +1,110 @@
+package packetfront
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/poppywall/poppywall/fleet"
+	"github.com/poppywall/poppywall/flow"
+	"github.com/poppywall/poppywall/flow/envelope"
+)
+
+// answers are what a host may do with a request.
+type answer func(f *fixture, client int)
+
+func says(data string) answer {
+	return func(f *fixture, client int) {
+		k := keyOf(client)
+		p := packet(flow.Key{ClientIP: k.FrontIP, ClientPort: k.FrontPort, FrontIP: k.ClientIP, FrontPort: k.ClientPort}, flow.ACK, 0, data)
+		h, err := f.codec.Decode(p)
+		if err != nil {
+			panic(err)
+		}
+		h.Seq = 500
+		f.HandleHost(f.now, &h, p)
+	}
+}
+
+func resets(f *fixture, client int) { f.hostSends(client, flow.RST, 500, 0) }
+
+// request opens a flow, asks on it, and lets the host answer.
+func (f *fixture) request(client int, a answer) {
+	f.syn(client, 0, 0)
+	f.hostSends(client, flow.SYN|flow.ACK, 500, 0)
+	f.deliver(envelope.Envelope{}, packet(keyOf(client), flow.ACK, 500, "GET"))
+	f.hostSends(client, flow.ACK, 500, 0)
+	if a != nil {
+		a(f, client)
+	}
+}
+
+// TestAHostThatFailsIsEjected, by what it answers and by resets, and not for
+// answers that are its clients' own fault or for resets that nobody waits for.
+func TestAHostThatFailsIsEjected(t *testing.T) {
+	const requests = 40
+	for name, c := range map[string]struct {
+		good, bad answer
+		// oneIn is how many of the requests go badly: each so many-th.
+		oneIn int
+		want  bool
+	}{
+		"all fail":          {bad: says("HTTP/1.1 500 Internal"), oneIn: 1, want: true},
+		"all are shed":      {bad: says("HTTP/1.1 503 Busy"), oneIn: 1, want: true},
+		"half fail":         {good: says("HTTP/1.1 200 OK"), bad: says("HTTP/1.1 500 Internal"), oneIn: 2, want: true},
+		"half are reset":    {good: says("HTTP/1.1 200 OK"), bad: resets, oneIn: 2, want: true},
+		"one in ten fails":  {good: says("HTTP/1.1 200 OK"), bad: says("HTTP/1.1 500 Internal"), oneIn: 10, want: false},
+		"clients' faults":   {bad: says("HTTP/1.1 404 Not Found"), oneIn: 1, want: false},
+		"refused as others": {bad: says("HTTP/1.1 421 Misdirected"), oneIn: 1, want: false},
+		"not HTTP":          {bad: says("5"), oneIn: 1, want: false},
+	} {
+		f := newFixture()
+		for i := range requests {
+			do := c.bad
+			if i%c.oneIn != 0 {
+				do = c.good
+			}
+			f.request(i, do)
+			f.now = f.now.Add(30 * time.Millisecond)
+		}
+		require.Equal(t, c.want, f.health.ejected, name)
+		require.Equal(t, c.want, f.announcement(f.now).Ejected, name)
+	}
+}
+
+// TestResetsThatNobodyWaitsForAreNoFailures: a host resets what belongs to flows
+// that it has ended.
+func TestResetsThatNobodyWaitsForAreNoFailures(t *testing.T) {
+	f := newFixture()
+	for i := range 40 {
+		f.request(i, says("HTTP/1.1 200 OK"))
+		resets(f, i)
+	}
+	require.False(t, f.health.ejected)
+}
+
+// TestAnEjectedHostComesBack after a while, slowly, and meanwhile takes new flows
+// only when no other host does.
+func TestAnEjectedHostComesBack(t *testing.T) {
+	f := newFixture()
+	for i := range 10 {
+		f.request(i, says("HTTP/1.1 500 Internal"))
+	}
+	require.True(t, f.health.ejected)
+	before := len(f.port.host)
+	e := envelope.Envelope{Service: service}
+	e.SetCandidates([]flow.Candidate{{Host: nextIP, Service: service}})
+	f.deliver(e, packet(keyOf(100), flow.SYN, 0, ""))
+	require.Len(t, f.port.host, before)
+	require.Equal(t, nextIP, f.port.last().to)
+	f.syn(101, 0, 0)
+	require.Len(t, f.port.host, before+1, "nobody else has it")
+	f.pass(10 * time.Second)
+	a := f.announcement(f.now)
+	require.False(t, a.Ejected)
+	require.Equal(t, fleet.Ready, a.State)
+	require.EqualValues(t, comebackTime.Milliseconds(), a.WarmupMillis)
+	f.pass(comebackTime)
+	require.Zero(t, f.announcement(f.now).WarmupMillis)
+}
--- a/agent/packetfront/nodes.go
+++ b/agent/packetfront/nodes.go
@@ -60,6 +60,7 @@
 	if left := c.host.left; !left.IsZero() && now.Sub(left) > leaveGrace {
 		c.kill(now, "its host has left")
 	}
+	c.checkHealth(now)
 	c.expireOpening(now)
 	c.admitWaiting(now)
 	c.announceDue(now)
@@ -97,7 +98,7 @@
 func (c *Core) announceChange(now time.Time) {
 	next := c.announcement(now)
 	if next.State != c.announced.State || next.Incarnation != c.announced.Incarnation ||
-		next.Slots != c.announced.Slots {
+		next.Slots != c.announced.Slots || next.Ejected != c.announced.Ejected {
 		c.acks.changed(c.seq + 1)
 		c.announceAll(now)
 	}
@@ -142,7 +143,8 @@
 		Slots:        uint16(min(c.host.slots(), 1<<16-1)),
 		Busy:         uint16(min(c.flows.busy, 1<<16-1)),
 		Open:         uint16(min(c.flows.open, 1<<16-1)),
-		WarmupMillis: uint16(min(c.host.warmup(now).Milliseconds(), 1<<16-1)),
+		WarmupMillis: uint16(min(c.warmup(now).Milliseconds(), 1<<16-1)),
+		Ejected:      c.health.ejected,
 	}
 }
 
--- a/agent/packetfront/observer.go
+++ b/agent/packetfront/observer.go
@@ -38,6 +38,7 @@
 	requests, passes, other telemetry.Budget
 
 	delivered, requested, waited, passedOn, bounced, resets prometheus.Counter
+	failed, ejections                                       prometheus.Counter
 	drops                                                   map[Drop]prometheus.Counter
 	load                                                    prometheus.Histogram
 }
@@ -55,6 +56,8 @@
 		passedOn:  c.Counter("passed_on_packets_total", "Packets that the agent did not hand to the host."),
 		bounced:   c.Counter("bounced_packets_total", "Packets that the host did not take."),
 		resets:    c.Counter("reset_flows_total", "Flows reset because their host has ended."),
+		failed:    c.Counter("failed_requests_total", "Requests that the host answered with a failure or a reset."),
+		ejections: c.Counter("ejections_total", "Times that the host was taken out because it fails."),
 		drops:     telemetry.ByReason(c, "dropped_packets_total", "Packets dropped, by reason.", Drops),
 		load: c.Histogram("load_at_request",
 			"Requests that the host works on or has queued when another one comes.", []float64{0, 1, 2, 4, 8, 16, 32, 64}),
@@ -109,6 +112,19 @@
 		zap.Duration("warmup", b.WarmupLeft), zap.Uint64("sequence", b.Sequence))
 }
 
+// Failed implements Events.
+func (o *observer) Failed() { o.failed.Inc() }
+
+// Ejected implements Events.
+func (o *observer) Ejected(ejected bool, trials, failures int) {
+	if !ejected {
+		o.Log.Info("host back after ejection")
+		return
+	}
+	o.ejections.Inc()
+	o.Log.Warn("host ejected", zap.Int("trials", trials), zap.Int("failures", failures))
+}
+
 // PeerChanged implements Events.
 func (o *observer) PeerChanged(ip flow.IPv4, what string) {
 	o.Log.Info("balancer "+what, zap.Stringer(telemetry.FieldPeer, ip))
--- a/balancer/packetfront/core_test.go
+++ b/balancer/packetfront/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -180,6 +181,40 @@
 	require.Len(t, f.port.resets, 1, "no host of the service")
 }
 
+// TestEjectedHostsGetNoNewFlowsWhileTheOthersCanCarryThem.
+func TestEjectedHostsGetNoNewFlowsWhileTheOthersCanCarryThem(t *testing.T) {
+	for name, c := range map[string]struct {
+		ejected []flow.IPv4
+		avoided bool
+	}{
+		"one of four":   {[]flow.IPv4{hostA}, true},
+		"two of four":   {[]flow.IPv4{hostA, hostB}, false},
+		"all":           {[]flow.IPv4{hostA, hostB, other, other + 1}, false},
+		"none is taken": {nil, false},
+	} {
+		f := newFixture()
+		f.announce(other, fleet.Ready)
+		f.announce(other+1, fleet.Ready)
+		for _, ip := range c.ejected {
+			f.seq++
+			a := fleet.Announcement{Identity: fleet.Identity{Epoch: uint64(ip), Seq: f.seq}, Service: alpha, State: fleet.Ready, Slots: 4, Ejected: true}
+			f.HandleNode(f.now, ip, a.Append(nil))
+		}
+		offered := false
+		for range 20 {
+			f.client(packet(true, 0))
+			sent := f.port.delivered()
+			last := sent[len(sent)-1]
+			hosts := []flow.IPv4{last.to}
+			for _, candidate := range last.env.Candidates[:last.env.Count] {
+				hosts = append(hosts, candidate.Host)
+			}
+			offered = offered || slices.Contains(hosts, hostA)
+		}
+		require.Equal(t, !c.avoided, offered, name)
+	}
+}
+
 func TestRefusalsAreToldToFirstCopiesAtOnce(t *testing.T) {
 	for name, c := range map[string]struct {
 		copies byte
--- a/balancer/packetfront/plan.go
+++ b/balancer/packetfront/plan.go
@@ -60,8 +60,10 @@
 func (c *Core) openCandidates(now time.Time, hash uint64, service flow.Tag) []flow.Candidate {
 	p := &c.plan
 	p.reset()
-	for _, h := range c.view.Service(service) {
-		if h.State != fleet.Ready {
+	hosts := c.view.Service(service)
+	ejectable := ejectable(hosts)
+	for _, h := range hosts {
+		if h.State != fleet.Ready || (ejectable && h.Ejected) {
 			continue
 		}
 		ranking := p.openFar
@@ -85,6 +87,26 @@
 
 func first(list []flow.Candidate, n int) []flow.Candidate { return list[:min(n, len(list))] }
 
+// mostEjected is the share of a service's hosts beyond which ejections are not
+// heeded: when most fail alike the cause is not a host, and the others could not
+// carry their load.
+const mostEjected = 1.0 / 3
+
+// ejectable tells whether ejections among the hosts of a service are heeded.
+func ejectable(hosts []*fleet.Host) bool {
+	ready, ejected := 0, 0
+	for _, h := range hosts {
+		if h.State != fleet.Ready {
+			continue
+		}
+		ready++
+		if h.Ejected {
+			ejected++
+		}
+	}
+	return float64(ejected) <= mostEjected*float64(ready)
+}
+
 // offer adds hosts to the offers of a choice.
 func (c *Core) offer(now time.Time, list []flow.Candidate) {
 	for _, item := range list {
--- a/e2e/packets/nodes_test.go
+++ b/e2e/packets/nodes_test.go
@@ -219,4 +219,6 @@
 func (quietAgent) Reset(flow.Key, string)             {}
 func (quietAgent) Dropped(agentfront.Drop)            {}
 func (quietAgent) HostReport(string, fleet.Heartbeat) {}
+func (quietAgent) Failed()                            {}
+func (quietAgent) Ejected(bool, int, int)             {}
 func (quietAgent) PeerChanged(flow.IPv4, string)      {}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -30,6 +30,7 @@
 func TestMessagesSurviveTheWire(t *testing.T) {
 	a := announcement(7, 8, alpha, Draining)
 	a.Zone, a.WantPeers, a.WantReply, a.Busy, a.Open, a.WarmupMillis = 3, true, true, 4, 5, 600
+	a.Ejected = true
 	gotA, err := DecodeAnnouncement(a.Append(nil))
 	require.NoError(t, err)
 	require.Equal(t, a, gotA)
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -70,6 +70,8 @@
 	Open uint16
 	// WarmupMillis is how long the host stays slow after its start.
 	WarmupMillis uint16
+	// Ejected hosts fail their requests.
+	Ejected bool
 }
 
 // Beacon is a balancer's message about itself.
@@ -101,6 +103,7 @@
 	Zone, Service, Incarnation            uint32
 	State, WantPeers, WantReply           uint8
 	Slots, Busy, Open, WarmupMilliseconds uint16
+	Ejected                               uint8
 }
 
 type beaconWire struct {
@@ -130,6 +133,7 @@
 		Zone: uint32(a.Zone), Service: uint32(a.Service), Incarnation: uint32(a.Incarnation),
 		State: uint8(a.State), WantPeers: bit(a.WantPeers), WantReply: bit(a.WantReply),
 		Slots: a.Slots, Busy: a.Busy, Open: a.Open, WarmupMilliseconds: a.WarmupMillis,
+		Ejected: bit(a.Ejected),
 	})
 }
 
@@ -179,6 +183,7 @@
 		Zone:     flow.Tag(w.Zone), Service: flow.Tag(w.Service), Incarnation: flow.Tag(w.Incarnation),
 		State: State(w.State), WantPeers: w.WantPeers == 1, WantReply: w.WantReply == 1,
 		Slots: w.Slots, Busy: w.Busy, Open: w.Open, WarmupMillis: w.WarmupMilliseconds,
+		Ejected: w.Ejected == 1,
 	}, nil
 }
 
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -167,4 +167,7 @@
 	SetEcho(packet []byte, echo uint32)
 	// RequestID returns the ID in the first bytes of a packet's data, or nil.
 	RequestID(packet []byte) []byte
+	// Failed tells whether a packet's data begins an answer by which the host says
+	// that it has failed.
+	Failed(packet []byte) bool
 }
--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -163,6 +163,16 @@
 	w.counts = nil
 }
 
+// Counts returns the outcomes of a target in its window.
+func (d *Detector) Counts(now time.Time, target string) Counts {
+	w, ok := d.targets[target]
+	if !ok {
+		return Counts{}
+	}
+	w.advance(d.bucket(now), d.opts.Buckets)
+	return w.sum()
+}
+
 // Ejected tells whether the target gets no new work.
 func (d *Detector) Ejected(now time.Time, target string) bool {
 	w, ok := d.targets[target]
