The registry entry is looked for when its time has come, not at once

Cause: Want is called before Run, its signal was still there after the first write, and the node looked for its entry right away, by a read that may be seconds old: it found none and wrote it again. Two calls more for each start of a process. TestAStartCostsOneCall is red on the code before.

--- a/fleet/registry/registry.go
+++ b/fleet/registry/registry.go
@@ -106,8 +106,7 @@
 			}
 			done, pause = want, retryPause
 		}
-		r.wait(ctx, checkPeriod)
-		if done == fleet.PresenceHere && r.missing(ctx) {
+		if r.wait(ctx, checkPeriod) && done == fleet.PresenceHere && r.missing(ctx) {
 			r.log.Warn("registry entry was taken away")
 			done = fleet.PresenceUnknown
 		}
@@ -115,15 +114,18 @@
 	return nil
 }
 
-// wait returns after about d, or when something else is wanted or ctx ends.
-func (r *Registry) wait(ctx context.Context, d time.Duration) {
+// wait tells whether about d has passed; it returns before that when something
+// else is wanted or ctx ends.
+func (r *Registry) wait(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(worker.Jitter(d))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+		return true
 	case <-r.changed:
 	case <-ctx.Done():
 	}
+	return false
 }
 
 // tell writes or removes the entry.
@@ -157,7 +159,7 @@
 // missing tells whether the entry is certainly not there. Any copy of the store
 // may answer: an entry that is younger than its answers is written once more.
 func (r *Registry) missing(ctx context.Context) bool {
-	if ctx.Err() != nil || r.want() != fleet.PresenceHere {
+	if r.want() != fleet.PresenceHere {
 		return false
 	}
 	resp, err := r.store.Range(ctx, store.RangeRequest{Key: keyOf(r.role, r.self), Stale: true})
--- a/fleet/registry/registry_test.go
+++ b/fleet/registry/registry_test.go
@@ -89,6 +89,17 @@
 	listed(t, s, 7)
 }
 
+// TestAStartCostsOneCall: whatever is wanted before Run looks.
+func TestAStartCostsOneCall(t *testing.T) {
+	s := standin.NewStore(time.Now)
+	_, stop := run(s, 7)
+	listed(t, s, 7)
+	before := s.Calls()
+	time.Sleep(50 * time.Millisecond)
+	require.Equal(t, before, s.Calls())
+	stop()
+}
+
 // TestAnEntryThatWasTakenAwayIsMissed: by its writer, not by one that gets no
 // answer.
 func TestAnEntryThatWasTakenAwayIsMissed(t *testing.T) {
