--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,10 @@
 mutants:
 	tools/mutants.sh
 
-# Longer stateful fuzzing with fresh seeds; the seed of a failure is printed.
+# Longer stateful fuzzing with fresh seeds; the seed of a failure is printed. Not
+# twice at the same time: two runs of one target share Go's corpus cache, and one
+# that reads a file which the other is writing ends with "cannot unmarshal empty
+# string".
 FUZZ_PACKAGES := ./e2e/packets ./flow ./flow/envelope ./fleet ./platform ./route ./relay/encap ./choose ./directory ./catalog ./change ./forward ./returnpath ./admission ./outlier ./agent
 fuzz:
 	POPPYWALL_SEED=0 POPPYWALL_CHECKS=5000 go test -count=1 -timeout 30m $(FUZZ_PACKAGES)
