A packet's cost at a balancer against a bare relay, measured; one encoder of test packets

The packets of tests are written by platformtest alone: four copies before, two of which shared the adapter's own writer.

--- a/agent/packetfront/core_test.go
+++ b/agent/packetfront/core_test.go
@@ -11,6 +11,7 @@
 	"github.com/poppywall/poppywall/flow"
 	"github.com/poppywall/poppywall/flow/envelope"
 	"github.com/poppywall/poppywall/platform"
+	"github.com/poppywall/poppywall/platform/platformtest"
 )
 
 const (
@@ -104,11 +105,7 @@
 
 // packet writes a client's packet.
 func packet(k flow.Key, flags flow.Flags, ack uint32, data string) []byte {
-	b := platform.AppendReset(nil, flow.Key{ClientIP: k.FrontIP, ClientPort: k.FrontPort, FrontIP: k.ClientIP, FrontPort: k.ClientPort}, 1)
-	b[10] = map[flow.Flags]byte{flow.SYN: 16, flow.ACK: 128}[flags]
-	b[9] = byte(len(data))
-	b[4], b[5], b[6], b[7] = byte(ack>>24), byte(ack>>16), byte(ack>>8), byte(ack)
-	return append(b, data...)
+	return platformtest.FromClient(k, flags, 0, ack, []byte(data))
 }
 
 // deliver hands a packet to the agent as a balancer would.
@@ -130,7 +127,7 @@
 // bounce returns the last packet that the host got.
 func (f *fixture) bounce() {
 	p := append([]byte(nil), f.port.host[len(f.port.host)-1]...)
-	p[10] |= 32
+	platformtest.Bounce(p)
 	h, err := platform.DecodePacket(p)
 	if err != nil {
 		panic(err)
--- a/agent/packetfront/health_test.go
+++ b/agent/packetfront/health_test.go
@@ -9,6 +9,7 @@
 	"github.com/poppywall/poppywall/fleet"
 	"github.com/poppywall/poppywall/flow"
 	"github.com/poppywall/poppywall/flow/envelope"
+	"github.com/poppywall/poppywall/platform/platformtest"
 )
 
 // answers are what a host may do with a request.
@@ -16,13 +17,11 @@
 
 func says(data string) answer {
 	return func(f *fixture, client int) {
-		k := keyOf(client)
-		p := packet(flow.Key{ClientIP: k.FrontIP, ClientPort: k.FrontPort, FrontIP: k.ClientIP, FrontPort: k.ClientPort}, flow.ACK, 0, data)
+		p := platformtest.FromHost(keyOf(client), flow.ACK, 500, 0, []byte(data))
 		h, err := f.codec.Decode(p)
 		if err != nil {
 			panic(err)
 		}
-		h.Seq = 500
 		f.HandleHost(f.now, &h, p)
 	}
 }
--- a/balancer/packetfront/core_test.go
+++ b/balancer/packetfront/core_test.go
@@ -13,6 +13,7 @@
 	"github.com/poppywall/poppywall/flow"
 	"github.com/poppywall/poppywall/flow/envelope"
 	"github.com/poppywall/poppywall/platform"
+	"github.com/poppywall/poppywall/platform/platformtest"
 )
 
 const (
@@ -124,13 +125,11 @@
 
 // packet writes a client's packet.
 func packet(syn bool, ack byte) []byte {
-	b := platform.AppendReset(nil, flow.Key{ClientIP: key.FrontIP, ClientPort: key.FrontPort, FrontIP: key.ClientIP, FrontPort: key.ClientPort}, 1)
-	b[10] = 128
+	flags := flow.ACK
 	if syn {
-		b[10] = 16
+		flags = flow.SYN
 	}
-	b[7] = ack
-	return b
+	return platformtest.FromClient(key, flags, 0, uint32(ack), nil)
 }
 
 func (f *fixture) client(p []byte) {
--- a/balancer/packetfront/front.go
+++ b/balancer/packetfront/front.go
@@ -340,12 +340,22 @@
 	}
 }
 
+// Ready tells whether clients' packets may come.
+func (f *Front) Ready() (ready bool) {
+	f.locked(func(now time.Time) { ready = f.core.Ready(now) })
+	return ready
+}
+
+// Hosts is the number of hosts known.
+func (f *Front) Hosts() (count int) {
+	f.locked(func(time.Time) { count = len(f.core.view.Hosts()) })
+	return count
+}
+
 func (f *Front) readyHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.PathReady, func(w http.ResponseWriter, _ *http.Request) {
-		ready := false
-		f.locked(func(now time.Time) { ready = f.core.Ready(now) })
-		if !ready {
+		if !f.Ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/binaries/poppywall-measure/main.go
+++ b/binaries/poppywall-measure/main.go
@@ -28,6 +28,7 @@
 	add("ejection", "Judges for the ejection of failing targets.", measure.PrintEjection)
 	add("costs", "Memory and processor time of a balancer's state (part of capacity).", measure.PrintCosts)
 	add("relay", "Datagrams a second through a balancer against a bare relay.", measure.PrintRelay)
+	add("packets", "Packets a second through the packet front against a bare relay.", measure.PrintPackets)
 	fleet := add("fleet", "Cost of control and time to agree of real balancers (part of capacity).", measure.PrintFleet)
 	add("capacity", "Costs of control over the size of the fleet.", measure.PrintCapacity)
 	fleet.Int(&only, "n", "balancers", "Only this number of balancers.")
--- a/e2e/packets/client_test.go
+++ b/e2e/packets/client_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/poppywall/poppywall/flow"
 	"github.com/poppywall/poppywall/platform"
+	"github.com/poppywall/poppywall/platform/platformtest"
 )
 
 // client is one flow of a client, as the protocol describes its end.
@@ -69,7 +70,7 @@
 		return
 	}
 	b := up[w.rnd.IntN(len(up))]
-	packet := encode(c.key.ClientIP, c.key.FrontIP, c.key.ClientPort, c.key.FrontPort, flags, seq, ack, data)
+	packet := platformtest.FromClient(c.key, flags, seq, ack, data)
 	w.send(func(p []byte) {
 		if !b.up {
 			return
--- a/e2e/packets/host_test.go
+++ b/e2e/packets/host_test.go
@@ -1,13 +1,13 @@
 package packets
 
 import (
-	"encoding/binary"
 	"fmt"
 	"time"
 
 	"github.com/poppywall/poppywall/fleet"
 	"github.com/poppywall/poppywall/flow"
 	"github.com/poppywall/poppywall/platform"
+	"github.com/poppywall/poppywall/platform/platformtest"
 )
 
 // host is the oracle: what the program beside an agent does.
@@ -127,7 +127,7 @@
 }
 
 func (a *agentNode) hostSends(key flow.Key, flags flow.Flags, seq, ack uint32, data []byte) {
-	a.toAgent(encode(key.FrontIP, key.ClientIP, key.FrontPort, key.ClientPort, flags, seq, ack, data))
+	a.toAgent(platformtest.FromHost(key, flags, seq, ack, data))
 }
 
 func (a *agentNode) toAgent(packet []byte) {
@@ -143,22 +143,3 @@
 		a.core.HandleHost(a.w.now, &head, packet)
 	})
 }
-
-// encode writes a packet as an end would.
-func encode(src, dst flow.IPv4, sport, dport uint16, flags flow.Flags, seq, ack uint32, data []byte) []byte {
-	b := make([]byte, platform.HeadLen, platform.HeadLen+len(data))
-	binary.BigEndian.PutUint32(b[0:], seq)
-	binary.BigEndian.PutUint32(b[4:], ack)
-	binary.BigEndian.PutUint16(b[8:], uint16(len(data)))
-	for f, bit := range map[flow.Flags]byte{flow.SYN: 16, flow.ACK: 128, flow.FIN: 64, flow.RST: 2} {
-		if flags.Has(f) {
-			b[10] |= bit
-		}
-	}
-	binary.BigEndian.PutUint16(b[12:], dport)
-	binary.BigEndian.PutUint32(b[14:], uint32(dst))
-	binary.BigEndian.PutUint32(b[18:], uint32(src))
-	binary.BigEndian.PutUint16(b[22:], sport)
-	binary.BigEndian.PutUint32(b[24:], 0xfeed)
-	return append(b, data...)
-}
--- a/measure/capacity.go
+++ b/measure/capacity.go
@@ -4,7 +4,7 @@
 
 // PrintCapacity prints every table that docs/CAPACITY.md uses.
 func PrintCapacity(w io.Writer) error {
-	return printAll(w, PrintCosts, PrintRelay, PrintFleet)
+	return printAll(w, PrintCosts, PrintRelay, PrintPackets, PrintFleet)
 }
 
 // PrintCosts prints the memory and the processor time of a balancer's state
--- /dev/null
+++ b/measure/packetbench.go
@@ -0,0 +1,184 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/poppywall/poppywall/balancer/packetfront"
+	fleetnet "github.com/poppywall/poppywall/fleet"
+	"github.com/poppywall/poppywall/flow"
+	"github.com/poppywall/poppywall/platform"
+	"github.com/poppywall/poppywall/platform/platformtest"
+	"github.com/poppywall/poppywall/relay"
+	"github.com/poppywall/poppywall/settings"
+	"github.com/poppywall/poppywall/standin"
+)
+
+// Addresses of the packet front's measurement.
+const (
+	packetBalancer = "127.0.60.1"
+	packetAgent    = "127.0.60.2"
+	packetData     = 22021
+	packetInternal = 22022
+	packetReady    = 22023
+)
+
+// benchFront is the entrance of the measured service.
+var benchFront = flow.Front{IP: 0xc6120001, Port: 443}
+
+// PrintPackets compares the packet front's packets a second with those of a bare
+// relay of the same socket calls, in turns within one run.
+func PrintPackets(w io.Writer) error {
+	agent, err := newPacketSink()
+	if err != nil {
+		return err
+	}
+	defer agent.stop()
+	stop, err := startPacketFront(agent)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	bare, err := startBareDatagrams(agent.socket.Addr())
+	if err != nil {
+		return err
+	}
+	defer bare.stop()
+	data := at(packetBalancer, packetData)
+	payload := benchPacket(false)
+	sums := [2]float64{}
+	for range relayRounds {
+		sums[0] += agent.rate(bare.socket.Addr(), payload)
+		sums[1] += agent.rate(data, payload)
+	}
+	_, err = fmt.Fprintf(w, "bare relay %.0f packets/s, packet front %.0f packets/s, ratio %.2f (%d bytes, an open flow, one call for each datagram, %d rounds in turns)\n",
+		sums[0]/relayRounds, sums[1]/relayRounds, sums[1]/sums[0], len(payload), relayRounds)
+	return err
+}
+
+func at(ip string, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr(ip), port)
+}
+
+// benchPacket is a client's SYN or a full packet of its open flow.
+func benchPacket(syn bool) []byte {
+	key := flow.Key{ClientIP: 0x64400001, ClientPort: 1024, FrontIP: benchFront.IP, FrontPort: benchFront.Port}
+	if syn {
+		return platformtest.FromClient(key, flow.SYN, 1, 0, nil)
+	}
+	return platformtest.FromClient(key, flow.ACK, 2, 2, make([]byte, platform.MaxData))
+}
+
+// packetSink stands for an agent: it counts what is delivered.
+type packetSink struct {
+	socket *relay.Datagrams
+	count  atomic.Int64
+	stop   func()
+}
+
+func newPacketSink() (*packetSink, error) {
+	socket, err := relay.OpenDatagrams(at(packetAgent, packetInternal))
+	if err != nil {
+		return nil, err
+	}
+	s := &packetSink{socket: socket}
+	s.stop = serveDatagrams(socket, func(_ netip.AddrPort, b []byte) {
+		if len(b) > platform.MaxData {
+			s.count.Add(1)
+		}
+	})
+	return s, nil
+}
+
+func serveDatagrams(socket *relay.Datagrams, handle func(netip.AddrPort, []byte)) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	wg.Go(func() { _ = socket.Serve(ctx, handle) })
+	return func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
+// rate offers packets to an address and returns how many a second arrive.
+func (s *packetSink) rate(to netip.AddrPort, payload []byte) float64 {
+	ctx, cancel := context.WithTimeout(context.Background(), relayRun)
+	defer cancel()
+	for range relaySenders {
+		go blast(ctx, to, payload)
+	}
+	time.Sleep(relayRun / 6)
+	before, start := s.count.Load(), time.Now()
+	<-ctx.Done()
+	got := float64(s.count.Load()-before) / time.Since(start).Seconds()
+	time.Sleep(relayRun / 6)
+	return got
+}
+
+// startPacketFront runs a balancer that knows the sink as its one host and has
+// opened the measured flow there.
+func startPacketFront(agent *packetSink) (stop func(), err error) {
+	store := standin.NewStore(time.Now)
+	server := httptest.NewServer(platformtest.Store(store))
+	config := &flow.Config{Version: 1, IdleTimeout: time.Minute, Routes: map[flow.Front]*flow.Route{
+		benchFront: {Name: "bench", Backends: []flow.Backend{{Name: "bench"}}},
+	}}
+	if err := platformtest.PutConfig(store, config); err != nil {
+		return nil, err
+	}
+	cfg := packetfront.Defaults()
+	cfg.Name, cfg.Zone, cfg.Store, cfg.LeaveDelay = "b", "z1", server.Listener.Addr().String(), settings.Duration(0)
+	cfg.Data, cfg.Internal, cfg.Ready = at(packetBalancer, packetData).String(), at(packetBalancer, packetInternal).String(), at(packetBalancer, packetReady).String()
+	f, err := packetfront.NewFront(cfg, zap.NewNop())
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	wg.Go(func() { _ = f.Run(ctx) })
+	wg.Go(func() { announce(ctx, agent.socket) })
+	if err := waitUntil(func() bool { return f.Ready() && f.Hosts() > 0 }); err != nil {
+		cancel()
+		return nil, err
+	}
+	err = agent.socket.Send(at(packetBalancer, packetData), nil, benchPacket(true))
+	return func() {
+		cancel()
+		wg.Wait()
+		server.Close()
+	}, err
+}
+
+// announce keeps the balancer informed of the sink.
+func announce(ctx context.Context, socket *relay.Datagrams) {
+	a := fleetnet.Announcement{Service: flow.TagOf("bench"), Zone: flow.TagOf("z1"), State: fleetnet.Ready, Slots: 8}
+	a.Epoch = 1
+	for ctx.Err() == nil {
+		a.Seq++
+		// What is lost is sent again.
+		_ = socket.Send(at(packetBalancer, packetInternal), nil, a.Append(nil))
+		select {
+		case <-ctx.Done():
+		case <-time.After(fleetnet.AnnouncePeriod / 4):
+		}
+	}
+}
+
+// startBareDatagrams forwards every datagram as it is, by the same socket calls.
+func startBareDatagrams(to netip.AddrPort) (*packetSink, error) {
+	in, err := relay.OpenDatagrams(netip.MustParseAddrPort(loopbackAny))
+	if err != nil {
+		return nil, err
+	}
+	s := &packetSink{socket: in}
+	s.stop = serveDatagrams(in, func(_ netip.AddrPort, b []byte) { _ = in.Send(to, nil, b) })
+	return s, nil
+}
