--- a/soak/faults.go
+++ b/soak/faults.go
@@ -39,6 +39,24 @@
 	{"store slow", storeFault(standin.Faults{DelayMillis: 700})},
 	{"store answers lost", storeFault(standin.Faults{LoseAnswers: 4})},
 	{"store lapses and drops its history", lapse},
+	{"a way to the store goes silent", wayFault(func(p *standin.Proxy) func() { p.Silence(); return nil })},
+	{"a way to the store is cut in one direction", wayFault(func(p *standin.Proxy) func() { p.Cut(standin.FromTarget); return nil })},
+	{"a way to the store is reset", wayFault(func(p *standin.Proxy) func() { p.Reset(); return nil })},
+	{"a way to the store is closed", wayFault(func(p *standin.Proxy) func() {
+		p.Refuse(true)
+		p.Reset()
+		return func() { p.Refuse(false) }
+	})},
+	{"a way to the store is slow", wayFault(func(p *standin.Proxy) func() {
+		p.Delay(slowWay)
+		return func() { p.Delay(0) }
+	})},
+	{"all connections to the store go silent", func(s *site, _ *rand.Rand, _ *recorder) func() {
+		for _, n := range s.nodes() {
+			n.way.Silence()
+		}
+		return nil
+	}},
 	{"configuration changes", func(s *site, _ *rand.Rand, rec *recorder) func() {
 		if err := s.putConfig(); err != nil {
 			rec.violate("configuration: %v", err)
@@ -48,6 +66,19 @@
 	{"all processes killed", blackout},
 }
 
+// slowWay is the delay of a slow way to the store, in each direction: calls at it
+// take longer than the programs wait for some of them.
+const slowWay = 350 * time.Millisecond
+
+// wayFault does something to one node's way to the store.
+func wayFault(do func(*standin.Proxy) func()) func(*site, *rand.Rand, *recorder) func() {
+	return func(s *site, rnd *rand.Rand, rec *recorder) func() {
+		n := pick(s.nodes(), rnd)
+		rec.note("%s's way to the store", n.name)
+		return do(n.way)
+	}
+}
+
 func pick(list []*node, rnd *rand.Rand) *node { return list[rnd.IntN(len(list))] }
 
 // inject lets the faults come one after the other; some overlap.
@@ -83,7 +114,7 @@
 
 // checkProcesses finds processes that ended by themselves.
 func (s *site) checkProcesses(rec *recorder) {
-	for _, n := range append(append([]*node{}, s.balancers...), s.agents...) {
+	for _, n := range s.nodes() {
 		if n.running() || n.asked {
 			continue
 		}
@@ -127,7 +158,7 @@
 }
 
 func reload(s *site, rnd *rand.Rand, _ *recorder) func() {
-	n := pick(append(append([]*node{}, s.balancers...), s.agents...), rnd)
+	n := pick(s.nodes(), rnd)
 	if n.free() && time.Since(n.started) > signalAge {
 		n.signal(syscall.SIGHUP)
 	}
@@ -149,14 +180,21 @@
 	}
 }
 
+// crashHost ends a host without a word; a heartbeat of it arrives after its
+// successor's first.
 func crashHost(s *site, rnd *rand.Rand, rec *recorder) func() {
 	n := pick(s.agents, rnd)
-	if n.current() == nil || lastOfService(s, n) {
+	former := n.current()
+	if former == nil || lastOfService(s, n) {
 		return nil
 	}
 	rec.note("host beside %s crashes", n.name)
 	n.crashHost()
-	return func() { startAgain(s, n, rec) }
+	return func() {
+		startAgain(s, n, rec)
+		rec.note("a heartbeat of %s arrives late", former.ID)
+		former.DelayedBeat()
+	}
 }
 
 // drainHost lets a host drain, crash late and come back.
@@ -224,7 +262,7 @@
 // blackout ends all processes of the system at once; the hosts live on.
 func blackout(s *site, rnd *rand.Rand, rec *recorder) func() {
 	var ends []func()
-	for _, n := range append(append([]*node{}, s.balancers...), s.agents...) {
+	for _, n := range s.nodes() {
 		if end := restart(n, syscall.SIGKILL, rec); end != nil {
 			ends = append(ends, end)
 		}
--- a/soak/site.go
+++ b/soak/site.go
@@ -109,6 +109,8 @@
 	zone string
 	// service is the index of the service of an agent's host.
 	service int
+	// way is the node's way to the store.
+	way *standin.Proxy
 
 	// mu guards host.
 	mu   sync.Mutex
@@ -155,6 +157,9 @@
 	for i := range cfg.Balancers {
 		n := &node{addr: s.address(kindBalancer, i), zone: zones[i%len(zones)]}
 		s.balancers = append(s.balancers, n)
+		if err := s.connect(n); err != nil {
+			return nil, err
+		}
 		if err := s.prepare(n, "poppywall-balancer", fmt.Sprintf("balancer-%d", i), s.balancerSettings(n)); err != nil {
 			return nil, err
 		}
@@ -162,6 +167,9 @@
 	for i := range cfg.Agents {
 		n := &node{addr: s.address(kindAgent, i), zone: zones[i%len(zones)], service: i % len(services)}
 		s.agents = append(s.agents, n)
+		if err := s.connect(n); err != nil {
+			return nil, err
+		}
 		if err := s.prepare(n, "poppywall-agent", fmt.Sprintf("agent-%d", i), s.agentSettings(n)); err != nil {
 			return nil, err
 		}
@@ -180,6 +188,15 @@
 	return s, err
 }
 
+// connect makes a node's own way to the store.
+func (s *site) connect(n *node) (err error) {
+	n.way, err = standin.NewProxy(s.storeHTTP.Listener.Addr().String())
+	return err
+}
+
+// nodes returns all nodes.
+func (s *site) nodes() []*node { return append(append([]*node{}, s.balancers...), s.agents...) }
+
 // prepare writes a node's settings and starts it.
 func (s *site) prepare(n *node, binary, name string, settings map[string]any) error {
 	path := filepath.Join(s.cfg.Dir, name+".json")
@@ -210,7 +227,7 @@
 func (s *site) balancerSettings(n *node) map[string]any {
 	return map[string]any{
 		"name": "balancer", "zone": n.zone, "data": at(n.addr, portData), "internal": at(n.addr, portInternal),
-		"ready": at(n.addr, portReady), "seeds": s.seeds(), "store": s.storeHTTP.Listener.Addr().String(), "log": map[string]any{"level": "info"},
+		"ready": at(n.addr, portReady), "seeds": s.seeds(), "store": n.way.Addr(), "log": map[string]any{"level": "info"},
 	}
 }
 
@@ -218,7 +235,7 @@
 	return map[string]any{
 		"name": "agent", "zone": n.zone, "service": services[n.service], "data": at(n.addr, portData),
 		"internal": at(n.addr, portInternal), "outbound": at(n.addr, portOutbound), "host": at(n.addr, portApp),
-		"control": at(n.addr, portControl), "seeds": s.seeds(), "store": s.storeHTTP.Listener.Addr().String(),
+		"control": at(n.addr, portControl), "seeds": s.seeds(), "store": n.way.Addr(),
 		"heartbeatEvery": heartbeatEvery.String(), "log": map[string]any{"level": "info"},
 	}
 }
@@ -278,9 +295,10 @@
 
 // stop ends everything.
 func (s *site) stop() {
-	for _, n := range append(append([]*node{}, s.balancers...), s.agents...) {
+	for _, n := range s.nodes() {
 		n.kill()
 		n.crashHost()
+		n.way.Close()
 	}
 	s.routers.Close()
 	s.storeHTTP.CloseClientConnections()
