A VM that died without a word does not hold up searches

Cause: a packet of an unknown flow is passed on from agent to agent. Through a VM that has died it is lost, for up to 2.5 s until that counts as quiet, and each repetition took the same way: flows ranked behind it were not found.

Each second search for a flow asks the hosts in the opposite order. Ruled out: a search in parallel to all hosts, which costs a message for each.

--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/poppywall/poppywall/choose"
@@ -196,7 +197,7 @@
 	if c.limbo.follow(key, packet, c.generation()) {
 		return
 	}
-	switch c.search(now, key, packet, quest{}) {
+	switch c.search(now, key, packet, quest{backward: c.limbo.backward(key)}) {
 	case searchGoesOn:
 		c.limbo.ask(now, key, packet)
 	case searchNoRoute:
@@ -297,6 +298,8 @@
 	round uint8
 	// unsure is set once a host could not say a certain no.
 	unsure bool
+	// backward asks the likeliest hosts last.
+	backward bool
 }
 
 // searched is the outcome of a round of a search.
@@ -321,6 +324,9 @@
 		return searchNoRoute
 	}
 	candidates := c.searchCandidates(now, key, route)
+	if q.backward {
+		slices.Reverse(candidates)
+	}
 	from := int(q.round) * searchRound
 	if from >= len(candidates) {
 		return searchEnded
@@ -334,6 +340,9 @@
 	if q.unsure {
 		c.env.Flags |= envelope.Unsure
 	}
+	if q.backward {
+		c.env.Flags |= envelope.Backward
+	}
 	c.env.SetCandidates(candidates[1:])
 	c.send(candidates[0].Host, packet)
 	return searchGoesOn
--- a/balancer/packetfront/limbo.go
+++ b/balancer/packetfront/limbo.go
@@ -48,8 +48,10 @@
 	// since is when the first packet came, next when it is tried again, expires
 	// when all are given up.
 	since, next, expires time.Time
-	// asking tells that hosts are being asked for the flow.
-	asking bool
+	// asking tells that hosts are being asked for the flow, searches how often they
+	// were.
+	asking   bool
+	searches int
 	// denied tells that every known host has said a certain no, in the given
 	// generation of the view: as long as that is the view, only hosts that are not
 	// known can hold the flow, and nobody is asked again.
@@ -85,9 +87,18 @@
 	l.keep(now, key, packet, now.Add(limboPause), limboTTL)
 	if k, known := l.flows[key]; known {
 		k.asking = true
+		k.searches++
 	}
 }
 
+// backward tells whether the next search for a flow asks the likeliest hosts
+// last. Each second one does: a packet that is passed on through a VM that has
+// died without a word is lost there, and would be again.
+func (l *limbo) backward(key flow.Key) bool {
+	k, known := l.flows[key]
+	return known && k.searches%2 == 1
+}
+
 // since is when the first packet of a flow came; now for one that is not kept.
 func (l *limbo) since(now time.Time, key flow.Key) time.Time {
 	if k, known := l.flows[key]; known {
--- a/balancer/packetfront/nodes.go
+++ b/balancer/packetfront/nodes.go
@@ -153,7 +153,7 @@
 		return nil
 	}
 	c.table.drop(key, from)
-	q := quest{hops: env.Hops, round: env.Round, unsure: env.Flags&envelope.Unsure != 0}
+	q := quest{hops: env.Hops, round: env.Round, unsure: env.Flags&envelope.Unsure != 0, backward: env.Flags&envelope.Backward != 0}
 	if env.Flags&envelope.Searched != 0 {
 		q.round++
 		q.hops = 0
--- a/e2e/packets/packets_test.go
+++ b/e2e/packets/packets_test.go
@@ -97,6 +97,42 @@
 	require.Empty(t, w.violations)
 }
 
+// TestADeadVMDoesNotHoldUpSearches: a packet that is passed on through a VM that
+// has died without a word is lost there, and so would be the next one.
+func TestADeadVMDoesNotHoldUpSearches(t *testing.T) {
+	for seed := range uint64(10) {
+		w := newWorld(seed)
+		deployment(w)
+		w.run(3 * time.Second)
+		for range 60 {
+			w.addClient("z1", frontA)
+		}
+		w.run(time.Second)
+		dead := sortedAgents(w)[2]
+		ended := dead.host
+		dead.crash()
+		dead.stop()
+		fresh := w.addBalancer("z1")
+		for _, ip := range w.balancerIPs() {
+			// The fresh balancer learns of the dead VM as the others know it.
+			if h, known := w.balancers[ip].core.View().Host(dead.ip); known {
+				fresh.core.View().Announce(w.now, dead.ip, h.Announcement)
+				break
+			}
+		}
+		w.run(200 * time.Millisecond)
+		for _, c := range w.clients {
+			c.request()
+		}
+		w.run(700 * time.Millisecond)
+		for _, c := range w.clients {
+			if c.host != ended {
+				require.Equal(t, c.asked, c.answered, "seed %d, flow %v", seed, c.key)
+			}
+		}
+	}
+}
+
 func TestRefusedEverywhereIsResetAtOnce(t *testing.T) {
 	w := newWorld(3)
 	deployment(w)
--- a/flow/envelope/envelope.go
+++ b/flow/envelope/envelope.go
@@ -47,6 +47,8 @@
 	Searched
 	// Unsure marks a search in which a host could not say a certain no.
 	Unsure
+	// Backward marks a search that asks the likeliest hosts last.
+	Backward
 )
 
 // Limits of the format.
