Nodes of other zones are told less often

Repetitions to other zones go four a second in all, to each node at least each 2.5 s. Messages state their period, and a node is quiet or off duty after so many of its own periods. Changes of a host's state go to all at once as before, repeated until acknowledged. The digest of a view is worked out once for all beacons of a moment, and acknowledgements are looked at only while some are missing.

--- a/agent/packetfront/acks.go
+++ b/agent/packetfront/acks.go
@@ -1,6 +1,7 @@
 package packetfront
 
 import (
+	"slices"
 	"time"
 
 	"github.com/poppywall/poppywall/fleet"
@@ -22,6 +23,8 @@
 	// change is the sequence number of the first announcement of that state.
 	change uint32
 	peers  map[flow.IPv4]*ack
+	// open tells that there may be balancers to tell again.
+	open bool
 }
 
 type ack struct {
@@ -35,7 +38,7 @@
 
 // changed notes that the announcements from seq on tell another state.
 func (a *acks) changed(seq uint32) {
-	a.change = seq
+	a.change, a.open = seq, true
 	for _, p := range a.peers {
 		p.tries = 0
 	}
@@ -46,7 +49,7 @@
 	p, known := a.peers[to]
 	if !known {
 		p = &ack{}
-		a.peers[to] = p
+		a.peers[to], a.open = p, true
 	}
 	p.next = now.Add(ackPause)
 }
@@ -64,14 +67,25 @@
 	return !known || int32(p.heard-a.change) < 0
 }
 
-// due tells whether a balancer has to be told again.
-func (a *acks) due(now time.Time, ip flow.IPv4) bool {
-	p, known := a.peers[ip]
-	if !known || !a.wants(ip) || p.tries >= ackTries || now.Before(p.next) {
-		return false
+// due returns the balancers that have to be told again, in an order that repeats.
+func (a *acks) due(now time.Time) []flow.IPv4 {
+	if !a.open {
+		return nil
+	}
+	var out []flow.IPv4
+	a.open = false
+	for ip, p := range a.peers {
+		if !a.wants(ip) || p.tries >= ackTries {
+			continue
+		}
+		a.open = true
+		if !now.Before(p.next) {
+			p.tries++
+			out = append(out, ip)
+		}
 	}
-	p.tries++
-	return true
+	slices.Sort(out)
+	return out
 }
 
 // forget drops a balancer.
--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -76,14 +76,17 @@
 	// registered while the agent is in the registry.
 	known, registered bool
 	// introduced is set once the balancers may hear of the agent.
-	introduced   bool
-	seq          uint32
-	leaving      bool
-	announced    fleet.Announcement
-	announcedAt  time.Time
-	nextAnnounce time.Time
-	nextJoin     time.Time
-	nextExpire   time.Time
+	introduced  bool
+	seq         uint32
+	leaving     bool
+	announced   fleet.Announcement
+	announcedAt time.Time
+	// nextNear and nextFar are when balancers of the own and of other zones are
+	// told again, farPeriod is the pause for the latter.
+	nextNear, nextFar time.Time
+	farPeriod         time.Duration
+	nextJoin          time.Time
+	nextExpire        time.Time
 
 	// Scratch space, so that a packet costs no allocation.
 	env envelope.Envelope
--- a/agent/packetfront/core_test.go
+++ b/agent/packetfront/core_test.go
@@ -201,7 +201,7 @@
 		f.beacon(ip, zone, 0)
 		f.beacon(ip, zone, f.Core.seq)
 	}
-	f.pass(fleet.AnnouncePeriod)
+	f.pass(fleet.NearPeriod)
 	f.port.nodes = nil
 	for i := range busyStep {
 		f.syn(i, 0, 0)
@@ -209,7 +209,7 @@
 	f.pass(announceGap)
 	require.Len(t, f.port.nodes, 1)
 	require.Equal(t, balancerIP, f.port.last().to)
-	f.pass(fleet.AnnouncePeriod)
+	f.pass(fleet.NearPeriod)
 	require.Len(t, f.port.nodes, 3)
 }
 
@@ -234,6 +234,39 @@
 	}
 }
 
+// TestOtherZonesHearOfAHostLessOften, and are told how soon they hear again.
+func TestOtherZonesHearOfAHostLessOften(t *testing.T) {
+	f := newFixture()
+	const farBalancers = 8
+	for i := range flow.IPv4(farBalancers) {
+		f.beacon(nextIP+i, f.opts.Zone+1, 0)
+		f.beacon(nextIP+i, f.opts.Zone+1, f.Core.seq)
+	}
+	f.beacon(balancerIP, f.opts.Zone, 0)
+	f.beacon(balancerIP, f.opts.Zone, f.Core.seq)
+	f.pass(10 * time.Second)
+	f.port.nodes = nil
+	for range 200 {
+		f.pass(tickPeriod)
+	}
+	counts := map[flow.IPv4]int{}
+	for _, s := range f.port.nodes {
+		a, err := fleet.DecodeAnnouncement(s.raw)
+		require.NoError(t, err)
+		counts[s.to]++
+		want := fleet.FarPeriod(farBalancers)
+		if s.to == balancerIP {
+			want = fleet.NearPeriod
+		}
+		require.Equal(t, want, a.Period)
+	}
+	require.Equal(t, 10, counts[balancerIP])
+	require.Equal(t, 5, counts[nextIP])
+	f.port.nodes = nil
+	f.beat(true)
+	require.Len(t, f.port.nodes, farBalancers+1, "a change is told to all at once")
+}
+
 // TestNothingIsSaidBeforeTheHostIsKnown: an agent that has just started and is
 // taken away again must not leave its ignorance behind.
 func TestNothingIsSaidBeforeTheHostIsKnown(t *testing.T) {
@@ -251,7 +284,7 @@
 		f.opts.Seeds = []flow.IPv4{nextIP}
 		f.Core = New(f.opts, f.port, f.codec, f.events)
 		f.HandleNode(f.now, balancerIP, (&fleet.Beacon{Identity: fleet.Identity{Epoch: 4, Seq: 1}}).Append(nil))
-		f.pass(fleet.AnnouncePeriod)
+		f.pass(fleet.NearPeriod)
 		require.Empty(t, f.port.nodes, name)
 		c.learn(f)
 		if f.host.up {
--- a/agent/packetfront/nodes.go
+++ b/agent/packetfront/nodes.go
@@ -75,22 +75,28 @@
 	}
 }
 
-// announceDue repeats the announcement each period. When the load has changed
+// announceDue repeats the announcement each period, seldom to other zones, and at
+// once where a change of state was not acknowledged. When the load has changed
 // the balancers of the own zone hear of it earlier: they send most of it, and
 // bytes between zones are dear.
 func (c *Core) announceDue(now time.Time) {
-	for _, ip := range c.view.Balancers() {
-		if c.acks.due(now, ip) {
-			c.announceTo(now, ip, false)
-		}
+	for _, ip := range c.acks.due(now) {
+		c.announceTo(now, ip, false)
 	}
-	if !now.Before(c.nextAnnounce) {
-		c.announceAll(now)
+	near, far := c.view.BalancersByZone(c.opts.Zone)
+	if !now.Before(c.nextFar) {
+		c.farPeriod = fleet.FarPeriod(len(far))
+		c.nextFar = now.Add(c.farPeriod)
+		c.announceIn(now, far)
+	}
+	if !now.Before(c.nextNear) {
+		c.nextNear = now.Add(fleet.NearPeriod)
+		c.announceIn(now, near)
 		return
 	}
 	step := c.flows.busy - int(c.announced.Busy)
 	if (step >= busyStep || step <= -busyStep) && now.Sub(c.announcedAt) >= announceGap {
-		c.announceIn(now, c.view.BalancersIn(c.opts.Zone))
+		c.announceIn(now, near)
 	}
 }
 
@@ -105,11 +111,17 @@
 }
 
 func (c *Core) announceAll(now time.Time) {
-	c.nextAnnounce = now.Add(fleet.AnnouncePeriod)
-	c.announceIn(now, c.view.Balancers())
+	near, far := c.view.BalancersByZone(c.opts.Zone)
+	c.farPeriod = fleet.FarPeriod(len(far))
+	c.nextNear, c.nextFar = now.Add(fleet.NearPeriod), now.Add(c.farPeriod)
+	c.announceIn(now, near)
+	c.announceIn(now, far)
 }
 
 func (c *Core) announceIn(now time.Time, balancers []flow.IPv4) {
+	if len(balancers) == 0 {
+		return
+	}
 	c.announcedAt = now
 	c.announced = c.announcement(now)
 	for _, ip := range balancers {
@@ -186,6 +198,14 @@
 	c.announceAll(now)
 }
 
+// periodTo is how soon a balancer hears of this agent again.
+func (c *Core) periodTo(ip flow.IPv4) time.Duration {
+	if zone, known := c.view.ZoneOf(ip); known && zone == c.opts.Zone {
+		return fleet.NearPeriod
+	}
+	return c.farPeriod
+}
+
 func (c *Core) announceTo(now time.Time, to flow.IPv4, wantPeers bool) {
 	if !c.introduced {
 		return
@@ -193,6 +213,7 @@
 	a := c.announcement(now)
 	c.seq++
 	a.Identity = fleet.Identity{Epoch: c.opts.Epoch, Seq: c.seq}
+	a.Period = c.periodTo(to)
 	a.WantPeers = wantPeers
 	a.WantReply = c.acks.wants(to)
 	c.acks.sent(now, to)
--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -53,6 +53,8 @@
 	// comparePeriod is the least pause between requests for another balancer's
 	// nodes after views were found to differ.
 	comparePeriod = 500 * time.Millisecond
+	// expirePeriod is how often what is too old is forgotten.
+	expirePeriod = time.Second
 	// agentBeacons is how many beacon periods pass between beacons to agents.
 	agentBeacons = 2
 )
@@ -71,11 +73,15 @@
 	table     *table
 	startedAt time.Time
 
-	seq         uint32
-	leaving     bool
-	nextBeacon  time.Time
-	nextJoin    time.Time
-	nextCompare time.Time
+	seq     uint32
+	leaving bool
+	// nextNear and nextFar are when nodes of the own and of other zones are told
+	// again, farPeriod is the pause for the latter.
+	nextNear, nextFar time.Time
+	farPeriod         time.Duration
+	nextExpire        time.Time
+	nextJoin          time.Time
+	nextCompare       time.Time
 	// fedAt is when the store answered a read or a watch of the configuration.
 	fedAt  time.Time
 	survey survey
@@ -85,9 +91,13 @@
 	// departed are dead nodes that are still in the registry.
 	departed []Departed
 	// named are agents that other balancers know and this one has not heard.
-	named        map[flow.IPv4]time.Time
-	limbo        limbo
-	beaconRounds int
+	named                   map[flow.IPv4]time.Time
+	limbo                   limbo
+	beaconRounds, farRounds int
+	// lastDigest is the digest of a moment and a generation of the view.
+	lastDigest uint32
+	digestAt   time.Time
+	digestOf   uint32
 
 	// Scratch space, so that a packet costs no allocation.
 	env     envelope.Envelope
@@ -119,7 +129,7 @@
 		return false
 	}
 	c.config = next
-	c.sendBeacons(now, false)
+	c.sendBeacons(now, c.view.Balancers())
 	return true
 }
 
@@ -163,7 +173,8 @@
 // Leave makes the balancer unready and tells the others.
 func (c *Core) Leave(now time.Time) {
 	c.leaving = true
-	c.sendBeacons(now, true)
+	c.sendBeacons(now, c.view.Balancers())
+	c.sendBeacons(now, c.view.Hosts())
 }
 
 // idle is how long an idle flow is remembered.
--- a/balancer/packetfront/nodes.go
+++ b/balancer/packetfront/nodes.go
@@ -63,6 +63,7 @@
 		return nil
 	}
 	if change == fleet.Joined {
+		c.digestAt = time.Time{}
 		c.events.PeerChanged(from, "joined")
 	}
 	if !m.Reply && (change == fleet.Joined || m.WantPeers) {
@@ -205,13 +206,11 @@
 func (c *Core) Tick(now time.Time) {
 	c.join(now)
 	c.retryKept(now)
-	if now.Before(c.nextBeacon) {
-		return
+	c.repeatBeacons(now)
+	if !now.Before(c.nextExpire) {
+		c.nextExpire = now.Add(expirePeriod)
+		c.expire(now)
 	}
-	c.nextBeacon = now.Add(fleet.BeaconPeriod)
-	c.sendBeacons(now, c.beaconRounds%agentBeacons == 0)
-	c.beaconRounds++
-	c.expire(now)
 }
 
 // join greets the seeds that are not known, often at first: two balancers that
@@ -232,20 +231,54 @@
 	c.forget(now)
 }
 
-// sendBeacons tells the other balancers, and the agents if wanted, what this one
-// has in force.
-func (c *Core) sendBeacons(now time.Time, agents bool) {
-	for _, ip := range c.view.Balancers() {
-		c.sendBeacon(now, ip, fleet.Beacon{})
+// repeatBeacons tells other nodes again what this balancer has in force: those of
+// other zones, and agents, less often.
+func (c *Core) repeatBeacons(now time.Time) {
+	if !now.Before(c.nextNear) {
+		c.nextNear = now.Add(fleet.NearPeriod)
+		c.beaconRounds++
+		balancers, _ := c.view.BalancersByZone(c.opts.Zone)
+		c.sendBeacons(now, balancers)
+		if c.beaconRounds%agentBeacons == 0 {
+			agents, _ := c.view.HostsByZone(c.opts.Zone)
+			c.sendBeacons(now, agents)
+		}
 	}
-	if !agents {
-		return
+	if !now.Before(c.nextFar) {
+		c.farRounds++
+		_, balancers := c.view.BalancersByZone(c.opts.Zone)
+		c.farPeriod = fleet.FarPeriod(len(balancers))
+		c.nextFar = now.Add(c.farPeriod)
+		c.sendBeacons(now, balancers)
+		if c.farRounds%agentBeacons == 0 {
+			_, agents := c.view.HostsByZone(c.opts.Zone)
+			c.sendBeacons(now, agents)
+		}
 	}
-	for _, ip := range c.view.Hosts() {
+}
+
+func (c *Core) sendBeacons(now time.Time, to []flow.IPv4) {
+	for _, ip := range to {
 		c.sendBeacon(now, ip, fleet.Beacon{})
 	}
 }
 
+// periodTo is how soon another balancer hears of this one again.
+func (c *Core) periodTo(ip flow.IPv4) time.Duration {
+	if zone, known := c.view.ZoneOf(ip); known && zone == c.opts.Zone {
+		return fleet.NearPeriod
+	}
+	return c.farPeriod
+}
+
+// digest is that of the view; one moment's is worked out once.
+func (c *Core) digest(now time.Time) uint32 {
+	if !now.Equal(c.digestAt) || c.digestOf != c.view.Generation() {
+		c.lastDigest, c.digestAt, c.digestOf = c.view.Digest(now, c.opts.Self), now, c.view.Generation()
+	}
+	return c.lastDigest
+}
+
 func (c *Core) sendBeacon(now time.Time, to flow.IPv4, m fleet.Beacon) {
 	c.seq++
 	m.Identity = fleet.Identity{Epoch: c.opts.Epoch, Seq: c.seq}
@@ -254,7 +287,8 @@
 		m.Heard = h.Identity
 	}
 	m.ConfigVersion = c.ConfigVersion()
-	m.Digest = c.view.Digest(now, c.opts.Self)
+	m.Digest = c.digest(now)
+	m.Period = c.periodTo(to)
 	m.Leaving = c.leaving
 	m.Feeding = c.feeding(now)
 	c.port.ToNode(to, m.Append(c.buf[:0]), nil)
--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -48,10 +48,6 @@
 	return out
 }
 
-// keeperHeard is how lately a balancer has to be heard to count for a duty: two
-// beacons.
-const keeperHeard = 2200 * time.Millisecond
-
 // Heard counts the nodes that were heard lately.
 func (v *View) Heard(now time.Time) int {
 	count := 0
@@ -61,7 +57,7 @@
 		}
 	}
 	for _, p := range v.peers {
-		if now.Sub(p.HeardAt) <= keeperHeard {
+		if p.onDuty(now) {
 			count++
 		}
 	}
@@ -73,7 +69,7 @@
 // that do the same work twice.
 func (v *View) Keeper(now time.Time, self flow.IPv4) bool {
 	for ip, p := range v.peers {
-		if ip < self && !p.Leaving && now.Sub(p.HeardAt) <= keeperHeard {
+		if ip < self && p.onDuty(now) {
 			return false
 		}
 	}
--- a/fleet/feeders.go
+++ b/fleet/feeders.go
@@ -14,8 +14,6 @@
 	// enoughFeeders is how many balancers that feed have to be heard for another
 	// one to rely on them. Each tells a new configuration to all.
 	enoughFeeders = 3
-	// feederHeard is how lately: two beacons.
-	feederHeard = 2200 * time.Millisecond
 )
 
 // Feeds tells whether the balancer self has to watch the store: it is one of the
@@ -23,7 +21,7 @@
 func (v *View) Feeds(now time.Time, self flow.IPv4, zone flow.Tag) bool {
 	before, feeding := 0, 0
 	for ip, p := range v.peers {
-		if p.Leaving || now.Sub(p.HeardAt) > feederHeard {
+		if !p.onDuty(now) {
 			continue
 		}
 		if p.Zone == zone && ip < self {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -30,11 +30,11 @@
 func TestMessagesSurviveTheWire(t *testing.T) {
 	a := announcement(7, 8, alpha, Draining)
 	a.Zone, a.WantPeers, a.WantReply, a.Busy, a.Open, a.WarmupMillis = 3, true, true, 4, 5, 600
-	a.Ejected = true
+	a.Ejected, a.Period = true, 1500*time.Millisecond
 	gotA, err := DecodeAnnouncement(a.Append(nil))
 	require.NoError(t, err)
 	require.Equal(t, a, gotA)
-	b := Beacon{Identity: Identity{1, 2}, Zone: 3, ConfigVersion: 1 << 40, Digest: 5, Leaving: true, Feeding: true, Reply: true, Heard: Identity{8, 9}}
+	b := Beacon{Identity: Identity{1, 2}, Zone: 3, ConfigVersion: 1 << 40, Digest: 5, Leaving: true, Feeding: true, Reply: true, Period: 2 * time.Second, Heard: Identity{8, 9}}
 	gotB, err := DecodeBeacon(b.Append(nil))
 	require.NoError(t, err)
 	require.Equal(t, b, gotB)
@@ -120,8 +120,8 @@
 	fresh := NewView()
 	fresh.Announce(now, ip1, announcement(4, 5, alpha, Ready))
 	require.Equal(t, Joined, fresh.Announce(now, ip1, announcement(1, 99, alpha, Gone)), "not known to be late")
-	for seq := uint32(6); now.Sub(start) <= Quiet+AnnouncePeriod; seq++ {
-		now = now.Add(AnnouncePeriod)
+	for seq := uint32(6); now.Sub(start) <= Quiet+NearPeriod; seq++ {
+		now = now.Add(NearPeriod)
 		fresh.Announce(now, ip1, announcement(4, seq, alpha, Ready))
 		fresh.Beacon(now, ip2, Beacon{Identity: Identity{9, seq}})
 	}
@@ -213,7 +213,7 @@
 	hear(start, 200, elsewhere, true, false)
 	require.False(t, v.Feeds(start, self, zone))
 	require.True(t, v.Feeds(start, 50, elsewhere), "none before it in its zone")
-	later := start.Add(feederHeard + time.Millisecond)
+	later := start.Add(time.Duration(dutyPeriods * float64(NearPeriod)) + time.Millisecond)
 	require.True(t, v.Feeds(later, self, zone), "not heard lately")
 	for _, ip := range []flow.IPv4{1, 2, 200} {
 		hear(later, ip, zone, ip != 1, false)
@@ -236,3 +236,27 @@
 		_, _ = DecodeNames(b)
 	})
 }
+
+// TestNodesOfOtherZonesAreToldLessOften: what a node sends stays bounded, and so
+// does the time in which a dead node is noticed.
+func TestNodesOfOtherZonesAreToldLessOften(t *testing.T) {
+	for nodes, want := range map[int]time.Duration{
+		0: NearPeriod, 4: NearPeriod, 6: 1500 * time.Millisecond, 64: mostFarPeriod, 1500: mostFarPeriod,
+	} {
+		require.Equal(t, want, FarPeriod(nodes), nodes)
+	}
+}
+
+// TestANodeIsExpectedAsOftenAsItSays.
+func TestANodeIsExpectedAsOftenAsItSays(t *testing.T) {
+	v := NewView()
+	a := announcement(1, 1, alpha, Ready)
+	a.Period = 2 * time.Second
+	v.Announce(start, ip1, a)
+	h, _ := v.Host(ip1)
+	require.False(t, h.Quiet(start.Add(2*Quiet)))
+	require.True(t, h.Quiet(start.Add(2*Quiet+1)))
+	v.Beacon(start, ip1, Beacon{Identity: Identity{2, 1}, Period: 2 * time.Second})
+	require.False(t, v.Keeper(start.Add(4*time.Second), ip2))
+	require.True(t, v.Keeper(start.Add(5*time.Second), ip2))
+}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -72,6 +72,9 @@
 	WarmupMillis uint16
 	// Ejected hosts fail their requests.
 	Ejected bool
+	// Period is how soon the receiver hears of the sender again, whole
+	// milliseconds.
+	Period time.Duration
 }
 
 // Beacon is a balancer's message about itself.
@@ -91,6 +94,9 @@
 	WantPeers bool
 	// Reply marks the answer to a beacon; it is not answered again.
 	Reply bool
+	// Period is how soon the receiver hears of the sender again, whole
+	// milliseconds.
+	Period time.Duration
 	// Heard is the last announcement that the sender has of the receiver; zero to
 	// another balancer.
 	Heard Identity
@@ -104,6 +110,7 @@
 	State, WantPeers, WantReply           uint8
 	Slots, Busy, Open, WarmupMilliseconds uint16
 	Ejected                               uint8
+	PeriodMilliseconds                    uint16
 }
 
 type beaconWire struct {
@@ -114,6 +121,7 @@
 	Digest           uint32
 	Leaving, Feeding uint8
 	WantPeers, Reply uint8
+	PeriodMillis     uint16
 	HeardEpoch       uint64
 	HeardSeq         uint32
 }
@@ -133,7 +141,7 @@
 		Zone: uint32(a.Zone), Service: uint32(a.Service), Incarnation: uint32(a.Incarnation),
 		State: uint8(a.State), WantPeers: bit(a.WantPeers), WantReply: bit(a.WantReply),
 		Slots: a.Slots, Busy: a.Busy, Open: a.Open, WarmupMilliseconds: a.WarmupMillis,
-		Ejected: bit(a.Ejected),
+		Ejected: bit(a.Ejected), PeriodMilliseconds: uint16(a.Period.Milliseconds()),
 	})
 }
 
@@ -143,7 +151,8 @@
 	return appendFixed(b, beaconWire{
 		Epoch: m.Epoch, Seq: m.Seq, Zone: uint32(m.Zone), ConfigVersion: m.ConfigVersion, Digest: m.Digest,
 		Leaving: bit(m.Leaving), Feeding: bit(m.Feeding), WantPeers: bit(m.WantPeers), Reply: bit(m.Reply),
-		HeardEpoch: m.Heard.Epoch, HeardSeq: m.Heard.Seq,
+		PeriodMillis: uint16(m.Period.Milliseconds()),
+		HeardEpoch:   m.Heard.Epoch, HeardSeq: m.Heard.Seq,
 	})
 }
 
@@ -183,7 +192,7 @@
 		Zone:     flow.Tag(w.Zone), Service: flow.Tag(w.Service), Incarnation: flow.Tag(w.Incarnation),
 		State: State(w.State), WantPeers: w.WantPeers == 1, WantReply: w.WantReply == 1,
 		Slots: w.Slots, Busy: w.Busy, Open: w.Open, WarmupMillis: w.WarmupMilliseconds,
-		Ejected: w.Ejected == 1,
+		Ejected: w.Ejected == 1, Period: time.Duration(w.PeriodMilliseconds) * time.Millisecond,
 	}, nil
 }
 
@@ -196,7 +205,8 @@
 	return Beacon{
 		Identity: Identity{w.Epoch, w.Seq}, Zone: flow.Tag(w.Zone), ConfigVersion: w.ConfigVersion, Digest: w.Digest,
 		Leaving: w.Leaving == 1, Feeding: w.Feeding == 1, WantPeers: w.WantPeers == 1, Reply: w.Reply == 1,
-		Heard: Identity{w.HeardEpoch, w.HeardSeq},
+		Period: time.Duration(w.PeriodMillis) * time.Millisecond,
+		Heard:  Identity{w.HeardEpoch, w.HeardSeq},
 	}, nil
 }
 
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -8,16 +8,11 @@
 	"github.com/poppywall/poppywall/flow"
 )
 
-// Periods and limits of the fleet's messages.
+// Limits of the fleet's memory.
 const (
-	// AnnouncePeriod is how often an agent repeats its announcement when
-	// nothing changed.
-	AnnouncePeriod = time.Second
-	// BeaconPeriod is how often a balancer repeats its beacon.
-	BeaconPeriod = time.Second
-	// Quiet is how long a host may stay unheard before it gets no new flow
-	// while another one can: two announcements lost and half a period.
-	Quiet = 2500 * time.Millisecond
+	// Quiet is how long a host of the own zone may stay unheard before it gets no
+	// new flow while another one can.
+	Quiet = time.Duration(quietPeriods * float64(NearPeriod))
 	// Forget is how long an unheard host stays in the search for open flows,
 	// and an unheard balancer in the list of balancers.
 	Forget = 20 * time.Second
@@ -67,7 +62,9 @@
 }
 
 // Quiet tells whether the host was not heard lately.
-func (h *Host) Quiet(now time.Time) bool { return now.Sub(h.HeardAt) > Quiet }
+func (h *Host) Quiet(now time.Time) bool {
+	return unheard(now, h.HeardAt, h.Period, quietPeriods)
+}
 
 // Peer is another balancer.
 type Peer struct {
@@ -77,6 +74,11 @@
 	order   order
 }
 
+// onDuty tells whether the balancer was heard so lately that others may rely on it.
+func (p *Peer) onDuty(now time.Time) bool {
+	return !p.Leaving && !unheard(now, p.HeardAt, p.Period, dutyPeriods)
+}
+
 // View is what a balancer knows of the fleet. It is not safe for concurrent
 // use; its owner holds a lock.
 type View struct {
@@ -110,9 +112,36 @@
 // Balancers returns the addresses of the other balancers.
 func (v *View) Balancers() []flow.IPv4 { return keys(v.peers) }
 
-// BalancersIn returns the addresses of the other balancers of a zone.
-func (v *View) BalancersIn(zone flow.Tag) []flow.IPv4 {
-	return slices.DeleteFunc(v.Balancers(), func(ip flow.IPv4) bool { return v.peers[ip].Zone != zone })
+// ZoneOf returns the zone of another balancer.
+func (v *View) ZoneOf(balancer flow.IPv4) (flow.Tag, bool) {
+	p, known := v.peers[balancer]
+	if !known {
+		return 0, false
+	}
+	return p.Zone, true
+}
+
+// BalancersByZone returns the addresses of the other balancers of a zone, and of
+// all other zones.
+func (v *View) BalancersByZone(zone flow.Tag) (near, far []flow.IPv4) {
+	return split(v.Balancers(), func(ip flow.IPv4) bool { return v.peers[ip].Zone == zone })
+}
+
+// HostsByZone returns the addresses of the hosts of a zone, and of all others.
+func (v *View) HostsByZone(zone flow.Tag) (near, far []flow.IPv4) {
+	return split(v.Hosts(), func(ip flow.IPv4) bool { return v.hosts[ip].Zone == zone })
+}
+
+// split divides a list by a predicate.
+func split(list []flow.IPv4, first func(flow.IPv4) bool) (yes, no []flow.IPv4) {
+	for _, ip := range list {
+		if first(ip) {
+			yes = append(yes, ip)
+		} else {
+			no = append(no, ip)
+		}
+	}
+	return yes, no
 }
 
 // keys returns the addresses in order, so that a run repeats.
@@ -235,7 +264,7 @@
 		p = &Peer{IP: ip}
 	}
 	former := p.Epoch
-	if !p.order.accept(m.Identity, now.Sub(p.HeardAt) > Quiet) {
+	if !p.order.accept(m.Identity, unheard(now, p.HeardAt, p.Period, quietPeriods)) {
 		return Stale
 	}
 	v.peers[ip] = p
--- a/measure/packetbench.go
+++ b/measure/packetbench.go
@@ -167,7 +167,7 @@
 		_ = socket.Send(at(packetBalancer, packetInternal), nil, a.Append(nil))
 		select {
 		case <-ctx.Done():
-		case <-time.After(fleetnet.AnnouncePeriod / 4):
+		case <-time.After(fleetnet.NearPeriod / 4):
 		}
 	}
 }
