Searches ask the hosts first that a flow was chosen among

Cause: a search asked all hosts of the own zone before any other, so a flow that had been taken elsewhere, as many are after an overload, cost a hop for each host of the own zone.

--- a/balancer/packetfront/core_test.go
+++ b/balancer/packetfront/core_test.go
@@ -460,6 +460,36 @@
 	require.Len(t, fresh.port.resets, 1)
 }
 
+// TestSearchesAskThoseThatAFlowWasChosenAmongFirst: with many hosts in the own
+// zone, one that was chosen elsewhere is found in the first round.
+func TestSearchesAskThoseThatAFlowWasChosenAmongFirst(t *testing.T) {
+	f := newFixture()
+	for i := range flow.IPv4(40) {
+		f.announce(0x0a020000+i, fleet.Ready)
+	}
+	for i := range flow.IPv4(10) {
+		f.seq++
+		a := fleet.Announcement{Identity: fleet.Identity{Epoch: 1, Seq: f.seq}, Service: alpha, Zone: 9, State: fleet.Ready, Slots: 4}
+		f.HandleNode(f.now, 0x0a030000+i, a.Append(nil))
+	}
+	f.client(packet(true, 0))
+	chosen := f.port.delivered()[0]
+	among := map[flow.IPv4]bool{chosen.to: true}
+	for _, c := range chosen.env.Candidates[:chosen.env.Count] {
+		among[c.Host] = true
+	}
+	f.table.drop(key, chosen.to)
+	f.client(packet(false, 9))
+	sent := f.port.delivered()[1]
+	asked := []flow.IPv4{sent.to}
+	for _, c := range sent.env.Candidates[:2*searchFirst-1] {
+		asked = append(asked, c.Host)
+	}
+	for ip := range among {
+		require.Contains(t, asked, ip)
+	}
+}
+
 // TestSearchesCoverLargeServicesInRounds: each round asks other hosts, and only
 // after the last one the flow counts as lost.
 func TestSearchesCoverLargeServicesInRounds(t *testing.T) {
--- a/balancer/packetfront/plan.go
+++ b/balancer/packetfront/plan.go
@@ -133,10 +133,16 @@
 	return list
 }
 
+// searchFirst is how many hosts of a flow's ranking, in the own zone and
+// elsewhere, are asked before all others: those that it was chosen among, and as
+// many again for hosts that came or went since.
+const searchFirst = 2 * openNear
+
 // searchCandidates returns every host that may hold a flow, the likeliest first:
-// hosts of the service that new flows go to, in the own zone, then elsewhere;
-// hosts of other services, for a change of the route leaves open flows where
-// they are; last those that were not heard lately.
+// of the service that new flows go to, those that a balancer of this zone chooses
+// among, then the others of the own zone, then elsewhere; hosts of other services,
+// for a change of the route leaves open flows where they are; last those that were
+// not heard lately.
 func (c *Core) searchCandidates(now time.Time, key flow.Key, route *flow.Route) []flow.Candidate {
 	p := &c.plan
 	p.reset()
@@ -150,8 +156,12 @@
 			c.searchRanking(now, h, picked).Offer(flow.Score(hash, h.IP), flow.Candidate{Host: h.IP, Service: tag})
 		}
 	}
-	for _, r := range [...]*flow.Ranking{p.near, p.far, p.rest, p.quiet} {
-		p.out = append(p.out, r.Items()...)
+	near, far := p.near.Items(), p.far.Items()
+	nearFirst, farFirst := first(near, searchFirst), first(far, searchFirst)
+	for _, list := range [...][]flow.Candidate{
+		nearFirst, farFirst, near[len(nearFirst):], far[len(farFirst):], p.rest.Items(), p.quiet.Items(),
+	} {
+		p.out = append(p.out, list...)
 	}
 	return first(p.out, maxSearched)
 }
