Files split by job: what comes from the host, peers' configuration, the registry, tests by subject

No decision changed; tests moved, none left. worker.Start replaces four copies of starting and stopping a goroutine, one rate of the measurements two.

--- /dev/null
+++ b/agent/packetfront/fromhost.go
@@ -0,0 +1,113 @@
+package packetfront
+
+import (
+	"time"
+
+	"github.com/poppywall/poppywall/flow"
+)
+
+// HandleHost takes a packet that the host sent.
+func (c *Core) HandleHost(now time.Time, h *flow.Header, packet []byte) {
+	c.host.heard(now)
+	c.learned(now)
+	if h.Flags.Has(flow.Bounced) {
+		c.handleBounced(now, h, packet)
+		return
+	}
+	key := h.FromHost()
+	c.noteHost(now, key, h, packet)
+	c.admitWaiting(now)
+	c.port.ToClient(key.ClientIP, packet)
+}
+
+// noteHost keeps what a host's packet says of its flow.
+func (c *Core) noteHost(now time.Time, key flow.Key, h *flow.Header, packet []byte) {
+	r := c.flows.ensure(now, key)
+	switch {
+	case h.Flags.Has(flow.RST):
+		if r.awaited() {
+			c.outcome(now, true)
+		}
+		c.flows.answered(r)
+		c.flows.setStage(r, closed)
+	case h.Flags.Has(flow.SYN):
+		c.noteAccepted(now, key, r, h)
+	default:
+		if h.Len > 0 && r.awaited() {
+			c.outcome(now, c.codec.Failed(packet))
+		}
+		c.noteSent(key, r, h)
+	}
+}
+
+// noteAccepted notes a SYN+ACK. A balancer whose SYN was passed on learns where
+// it went. The answer to a late copy of the SYN does not set an open flow back.
+func (c *Core) noteAccepted(now time.Time, key flow.Key, r *record, h *flow.Header) {
+	if (r.stage == halfOpen || r.stage == open) && flow.SameFlow(h.Seq, r.hostSeq) {
+		return
+	}
+	c.flows.setStage(r, halfOpen)
+	r.hostSeq, r.clientFin, r.hostFin = h.Seq, false, false
+	c.tellFound(key, r)
+}
+
+// tellFound tells the balancer that looked for a flow that it is held here.
+func (c *Core) tellFound(key flow.Key, r *record) {
+	if r.balancer != 0 {
+		c.tellOwner(key, r.balancer, 1)
+		r.balancer = 0
+	}
+}
+
+// noteSent notes a packet after the handshake: the flow is open here.
+func (c *Core) noteSent(key flow.Key, r *record, h *flow.Header) {
+	c.tellFound(key, r)
+	r.hostSeq = h.Seq + uint32(h.Len)
+	if h.Len > 0 {
+		c.flows.answered(r)
+	}
+	if h.Flags.Has(flow.FIN) {
+		r.hostFin = true
+	}
+	if r.hostFin && r.clientFin {
+		c.flows.answered(r)
+		c.flows.setStage(r, closed)
+		return
+	}
+	if r.stage != open {
+		c.flows.setStage(r, open)
+	}
+}
+
+// handleBounced takes back a packet that the host did not accept.
+func (c *Core) handleBounced(now time.Time, h *flow.Header, packet []byte) {
+	key := h.FromClient()
+	c.codec.Unmark(packet)
+	env := c.notes.take(h.Echo, key)
+	r := c.flows.get(key)
+	if env == nil {
+		c.bouncedOpen(now, key, r, h)
+		return
+	}
+	// A host may refuse a copy of a SYN whose flow it holds half open.
+	if r != nil && (r.stage == offered || (r.stage == halfOpen && !h.IsOpening())) {
+		c.flows.remove(key, r)
+	}
+	c.env = *env
+	c.events.Bounced(key, h.IsOpening())
+	c.passOn(packet, true)
+}
+
+// bouncedOpen handles a packet that was delivered to an open flow. The host that
+// held it has ended then, for it was seen open here: no other host can hold it.
+func (c *Core) bouncedOpen(now time.Time, key flow.Key, r *record, h *flow.Header) {
+	if r == nil || r.stage != open || !r.holds(h) {
+		c.events.Dropped(DropBounced)
+		return
+	}
+	c.flows.answered(r)
+	c.flows.setStage(r, dead)
+	r.usedAt = now
+	c.events.Reset(key, "its host no longer holds it")
+	c.port.Reset(key, h.Ack)
+}
--- a/agent/packetfront/front_test.go
+++ b/agent/packetfront/front_test.go
@@ -9,7 +9,6 @@
 	"testing"
 	"time"
 
-	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
@@ -17,6 +16,7 @@
 	"github.com/poppywall/poppywall/fleet/registry"
 	"github.com/poppywall/poppywall/platform/platformtest"
 	"github.com/poppywall/poppywall/standin"
+	"github.com/poppywall/poppywall/worker"
 )
 
 // startFront runs an agent at 127.0.90.1 before a store; the returned function
@@ -29,13 +29,7 @@
 	cfg.Internal, cfg.Outbound, cfg.Host, cfg.Control, cfg.Data = at(22011), at(22012), at(22013), at(22014), at(22015)
 	f, err := NewFront(cfg, zap.NewNop())
 	require.NoError(t, err)
-	ctx, cancel := context.WithCancel(context.Background())
-	var wg conc.WaitGroup
-	wg.Go(func() { _ = f.Run(ctx) })
-	return f, func() {
-		cancel()
-		wg.Wait()
-	}
+	return f, worker.Start(f.Run)
 }
 
 // TestAStoppedAgentStaysRegisteredBesideALivingHost, and not beside none: its
--- /dev/null
+++ b/agent/packetfront/nodes_test.go
@@ -0,0 +1,180 @@
+package packetfront
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/poppywall/poppywall/fleet"
+	"github.com/poppywall/poppywall/flow"
+	"github.com/poppywall/poppywall/flow/envelope"
+)
+
+func TestAChangeOfStateIsAnnouncedAtOnce(t *testing.T) {
+	f := newFixture()
+	f.HandleNode(f.now, balancerIP, (&fleet.Beacon{Identity: fleet.Identity{Epoch: 4, Seq: 1}}).Append(nil))
+	f.beat(true)
+	a, err := fleet.DecodeAnnouncement(f.port.last().raw)
+	require.NoError(t, err)
+	require.Equal(t, fleet.Draining, a.State)
+}
+
+// TestLoadIsAnnouncedEarlyInTheOwnZone: elsewhere it is repeated each second.
+func TestLoadIsAnnouncedEarlyInTheOwnZone(t *testing.T) {
+	f := newFixture()
+	for ip, zone := range map[flow.IPv4]flow.Tag{balancerIP: f.opts.Zone, nextIP: f.opts.Zone + 1} {
+		f.beacon(ip, zone, 0)
+		f.beacon(ip, zone, f.Core.seq)
+	}
+	f.pass(fleet.NearPeriod)
+	f.port.nodes = nil
+	for i := range busyStep {
+		f.syn(i, 0, 0)
+	}
+	f.pass(announceGap)
+	require.Len(t, f.port.nodes, 1)
+	require.Equal(t, balancerIP, f.port.last().to)
+	f.pass(fleet.NearPeriod)
+	require.Len(t, f.port.nodes, 3)
+}
+
+// TestTheRegistryEntryStaysWhileTheHostMayLive: an agent that stops beside a host
+// that is not known to have ended is soon back, and its flows must not be taken
+// for over meanwhile.
+func TestTheRegistryEntryStaysWhileTheHostMayLive(t *testing.T) {
+	for name, c := range map[string]struct {
+		prepare func(f *fixture)
+		ended   bool
+	}{
+		"a host that reports":          {func(*fixture) {}, false},
+		"a host that is silent":        {func(f *fixture) { f.Probed(f.now, ProbeSilent) }, false},
+		"a host that drains":           {func(f *fixture) { f.beat(true) }, false},
+		"a host that has left":         {func(f *fixture) { f.Leave(f.now, "i-1") }, true},
+		"nothing listens there":        {func(f *fixture) { f.Probed(f.now, ProbeRefused) }, true},
+		"another host came after that": {func(f *fixture) { f.Probed(f.now, ProbeRefused); f.Probed(f.now, ProbeAccepted) }, false},
+	} {
+		f := newFixture()
+		c.prepare(f)
+		require.Equal(t, c.ended, f.HostEnded(), name)
+	}
+}
+
+// TestOtherZonesHearOfAHostLessOften, and are told how soon they hear again.
+func TestOtherZonesHearOfAHostLessOften(t *testing.T) {
+	f := newFixture()
+	const farBalancers = 8
+	for i := range flow.IPv4(farBalancers) {
+		f.beacon(nextIP+i, f.opts.Zone+1, 0)
+		f.beacon(nextIP+i, f.opts.Zone+1, f.Core.seq)
+	}
+	f.beacon(balancerIP, f.opts.Zone, 0)
+	f.beacon(balancerIP, f.opts.Zone, f.Core.seq)
+	f.pass(10 * time.Second)
+	f.port.nodes = nil
+	for range 200 {
+		f.pass(tickPeriod)
+	}
+	counts := map[flow.IPv4]int{}
+	for _, s := range f.port.nodes {
+		a, err := fleet.DecodeAnnouncement(s.raw)
+		require.NoError(t, err)
+		counts[s.to]++
+		want := fleet.FarPeriod(farBalancers)
+		if s.to == balancerIP {
+			want = fleet.NearPeriod
+		}
+		require.Equal(t, want, a.Period)
+	}
+	require.Equal(t, 10, counts[balancerIP])
+	require.Equal(t, 5, counts[nextIP])
+	f.port.nodes = nil
+	f.beat(true)
+	require.Len(t, f.port.nodes, farBalancers+1, "a change is told to all at once")
+}
+
+// TestNothingIsSaidBeforeTheHostIsKnown: an agent that has just started and is
+// taken away again must not leave its ignorance behind.
+func TestNothingIsSaidBeforeTheHostIsKnown(t *testing.T) {
+	for name, c := range map[string]struct {
+		learn func(f *fixture)
+		want  fleet.State
+	}{
+		"nothing listens": {func(f *fixture) { f.Probed(f.now, ProbeRefused) }, fleet.Gone},
+		"no answer":       {func(f *fixture) { f.Probed(f.now, ProbeSilent) }, fleet.Absent},
+		"it listens":      {func(f *fixture) { f.Probed(f.now, ProbeAccepted) }, fleet.Ready},
+		"it reports":      {func(f *fixture) { f.beat(true) }, fleet.Draining},
+		"it sends":        {func(f *fixture) { f.hostSends(1, flow.ACK, 500, 10) }, fleet.Ready},
+	} {
+		f := newFixture()
+		f.opts.Seeds = []flow.IPv4{nextIP}
+		f.Core = New(f.opts, f.port, f.codec, f.events)
+		f.HandleNode(f.now, balancerIP, (&fleet.Beacon{Identity: fleet.Identity{Epoch: 4, Seq: 1}}).Append(nil))
+		f.pass(fleet.NearPeriod)
+		require.Empty(t, f.port.nodes, name)
+		c.learn(f)
+		if f.host.up {
+			require.Empty(t, f.port.nodes, "%s: not in the registry yet", name)
+			f.Registered(f.now)
+		}
+		a, err := fleet.DecodeAnnouncement(f.port.last().raw)
+		require.NoError(t, err, name)
+		require.Equal(t, c.want, a.State, name)
+	}
+}
+
+// TestAnAgentDoesNotWaitForTheRegistryForLong: the store may be away.
+func TestAnAgentDoesNotWaitForTheRegistryForLong(t *testing.T) {
+	f := newFixture()
+	f.opts.Seeds = []flow.IPv4{nextIP}
+	f.Core = New(f.opts, f.port, f.codec, f.events)
+	f.Probed(f.now, ProbeAccepted)
+	f.pass(registerPatience - 1)
+	require.Empty(t, f.port.nodes)
+	f.pass(1)
+	require.NotEmpty(t, f.port.nodes)
+}
+
+// TestTheRegistryFollowsTheHost: an entry comes with the host, and goes some time
+// after its end.
+func TestTheRegistryFollowsTheHost(t *testing.T) {
+	f := newFixture()
+	f.Core = New(f.opts, f.port, f.codec, f.events)
+	require.Equal(t, fleet.PresenceUnknown, f.Presence(f.now))
+	f.Probed(f.now, ProbeRefused)
+	require.Equal(t, fleet.PresenceUnknown, f.Presence(f.now), "it may be about to start")
+	f.now = f.now.Add(endedTime + 1)
+	f.Probed(f.now, ProbeRefused)
+	require.Equal(t, fleet.PresenceEnded, f.Presence(f.now))
+	f.Probed(f.now, ProbeAccepted)
+	require.Equal(t, fleet.PresenceHere, f.Presence(f.now))
+	f.Probed(f.now, ProbeSilent)
+	require.Equal(t, fleet.PresenceHere, f.Presence(f.now), "silence proves nothing")
+	f.beat(false)
+	f.Leave(f.now, "i-1")
+	require.Equal(t, fleet.PresenceUnknown, f.Presence(f.now))
+	require.Equal(t, fleet.PresenceEnded, f.Presence(f.now.Add(endedTime+1)))
+}
+
+func TestOwnersAreToldAfterASearch(t *testing.T) {
+	f := newFixture()
+	f.syn(1, 0, 0)
+	f.hostSends(1, flow.SYN|flow.ACK, 500, 0)
+	f.hostSends(1, flow.ACK, 500, 10)
+	f.deliver(envelope.Envelope{Service: service, Flags: envelope.Search}, packet(keyOf(1), flow.ACK, 510, "x"))
+	require.Equal(t, envelope.Owner, f.port.last().kind)
+	require.Len(t, f.port.host, 2)
+}
+
+// TestAFreshAgentTellsTheOwnerOnceItsHostAnswers: it does not know the flow, its
+// host does.
+func TestAFreshAgentTellsTheOwnerOnceItsHostAnswers(t *testing.T) {
+	f := freshAgent()
+	f.deliver(envelope.Envelope{Flags: envelope.Search}, packet(keyOf(1), flow.ACK, 500, ""))
+	require.Len(t, f.port.host, 1)
+	require.Empty(t, f.owners())
+	f.hostSends(1, flow.ACK, 500, 10)
+	require.Equal(t, []flow.IPv4{balancerIP}, f.owners())
+	f.hostSends(1, flow.ACK, 510, 10)
+	require.Len(t, f.owners(), 1, "told once")
+}
--- a/balancer/packetfront/front.go
+++ b/balancer/packetfront/front.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -195,151 +194,6 @@
 	})
 }
 
-// followPeers fetches a configuration that another balancer has and this one
-// does not get from the store.
-func (f *Front) followPeers(ctx context.Context) error {
-	return worker.Every(ctx, tickPeriod, func() {
-		if peer, due := f.staleBehind(); due {
-			f.fetch(ctx, peer)
-		}
-	})
-}
-
-// followRegistry reads the registry when the core wants to know the agents, and
-// when the balancer is alone. It starts at once: the registry names the agents
-// before any of them is heard. It has a loop of its own, for a store that does
-// not answer holds it up.
-func (f *Front) followRegistry(ctx context.Context) error {
-	look := func() {
-		if f.lone() {
-			f.readRegistry(ctx)
-		}
-		f.surveyAgents(ctx)
-		f.keepRegistry(ctx)
-	}
-	look()
-	return worker.Every(ctx, tickPeriod, look)
-}
-
-// staleBehind returns a balancer with a newer configuration once the own watch
-// had its time.
-func (f *Front) staleBehind() (peer flow.IPv4, due bool) {
-	f.locked(func(now time.Time) {
-		own := f.core.ConfigVersion()
-		ip, newer := f.core.view.Newest(own)
-		if !newer {
-			f.staleSince = time.Time{}
-			return
-		}
-		if f.staleSince.IsZero() {
-			f.staleSince = now
-		}
-		peer, due = ip, own == 0 || !f.core.Feeds(now) || now.Sub(f.staleSince) >= peerPatience
-	})
-	return peer, due
-}
-
-func (f *Front) fetch(ctx context.Context, peer flow.IPv4) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	raw, err := fetchConfig(ctx, netip.AddrPortFrom(peer.Addr(), f.port))
-	if err != nil {
-		f.log.Warn("configuration not fetched", zap.Stringer(telemetry.FieldPeer, peer), zap.Error(err))
-		return
-	}
-	c, err := platform.DecodeConfig(raw)
-	if err != nil {
-		f.log.Error("configuration of another balancer refused", zap.Stringer(telemetry.FieldPeer, peer), zap.Error(err))
-		return
-	}
-	f.apply(c, raw, peer.String())
-}
-
-const pathConfig = "/config"
-
-// peerClient opens a connection for each call: calls are rare, and a kept
-// connection may have gone silent since.
-var peerClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-
-func fetchConfig(ctx context.Context, peer netip.AddrPort) ([]byte, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.String()+pathConfig, nil)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := peerClient.Do(req)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("answered %s", resp.Status)
-	}
-	return io.ReadAll(io.LimitReader(resp.Body, maxConfig))
-}
-
-// lone tells that no other node has been known for a while.
-func (f *Front) lone() (due bool) {
-	f.locked(func(now time.Time) {
-		due = f.alone.Due(now, len(f.core.view.Balancers())+len(f.core.view.Hosts()) == 0)
-	})
-	return due
-}
-
-func (f *Front) readRegistry(ctx context.Context) {
-	balancers, ok := f.list(ctx, fleet.RoleBalancer)
-	if !ok {
-		return
-	}
-	f.locked(func(now time.Time) { f.core.Greet(now, fleet.Addresses(balancers), nil) })
-}
-
-// surveyAgents reads which agents are registered when the core wants to know.
-func (f *Front) surveyAgents(ctx context.Context) {
-	wanted, began := false, time.Time{}
-	f.locked(func(now time.Time) { wanted, began = f.core.WantsSurvey(now), now })
-	if !wanted {
-		return
-	}
-	agents, ok := f.list(ctx, fleet.RoleAgent)
-	if !ok {
-		return
-	}
-	f.locked(func(now time.Time) { f.core.Surveyed(now, began, agents) })
-}
-
-// list reads the entries of a role.
-func (f *Front) list(ctx context.Context, role fleet.Role) ([]fleet.Entry, bool) {
-	entries, err := registry.List(ctx, f.store, role)
-	if err != nil {
-		f.log.Warn("registry not read", zap.String("role", string(role)), zap.Error(err))
-	}
-	return entries, err == nil
-}
-
-// keepRegistry takes dead nodes out of the registry where that is this
-// balancer's duty.
-func (f *Front) keepRegistry(ctx context.Context) {
-	var departed []Departed
-	wanted, began := false, time.Time{}
-	f.locked(func(now time.Time) {
-		departed = f.core.Departed()
-		wanted, began = f.core.WantsRoster(now), now
-	})
-	for _, d := range departed {
-		err := registry.Remove(ctx, f.store, d.Role, d.Entry)
-		f.log.Info("dead node taken out of the registry", zap.String("role", string(d.Role)),
-			zap.Stringer(telemetry.FieldPeer, d.IP), zap.Error(err))
-	}
-	if !wanted {
-		return
-	}
-	balancers, ok := f.list(ctx, fleet.RoleBalancer)
-	agents, ok2 := f.list(ctx, fleet.RoleAgent)
-	if ok && ok2 {
-		f.locked(func(now time.Time) { f.core.Roster(now, began, balancers, agents) })
-	}
-}
-
 // Ready tells whether clients' packets may come.
 func (f *Front) Ready() (ready bool) {
 	f.locked(func(now time.Time) { ready = f.core.Ready(now) })
@@ -361,18 +215,3 @@
 	})
 	return mux
 }
-
-func (f *Front) peerHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+pathConfig, func(w http.ResponseWriter, _ *http.Request) {
-		var raw []byte
-		f.locked(func(time.Time) { raw = f.raw })
-		if raw == nil {
-			http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
-			return
-		}
-		// The peer sees a broken answer and asks again.
-		_, _ = w.Write(raw)
-	})
-	return mux
-}
--- a/balancer/packetfront/front_test.go
+++ b/balancer/packetfront/front_test.go
@@ -9,7 +9,6 @@
 	"testing"
 	"time"
 
-	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
@@ -17,6 +16,7 @@
 	"github.com/poppywall/poppywall/platform/platformtest"
 	"github.com/poppywall/poppywall/settings"
 	"github.com/poppywall/poppywall/standin"
+	"github.com/poppywall/poppywall/worker"
 )
 
 // startFront runs a front at 127.0.HOST.1 before a store.
@@ -30,13 +30,7 @@
 	cfg.LeaveDelay = settings.Duration(0)
 	f, err := NewFront(cfg, zap.NewNop())
 	require.NoError(t, err)
-	ctx, stop := context.WithCancel(context.Background())
-	var wg conc.WaitGroup
-	wg.Go(func() { _ = f.Run(ctx) })
-	t.Cleanup(func() {
-		stop()
-		wg.Wait()
-	})
+	t.Cleanup(worker.Start(f.Run))
 	return f
 }
 
--- /dev/null
+++ b/balancer/packetfront/peerconfig.go
@@ -0,0 +1,98 @@
+package packetfront
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/poppywall/poppywall/flow"
+	"github.com/poppywall/poppywall/platform"
+	"github.com/poppywall/poppywall/telemetry"
+	"github.com/poppywall/poppywall/worker"
+)
+
+// followPeers fetches a configuration that another balancer has and this one
+// does not get from the store.
+func (f *Front) followPeers(ctx context.Context) error {
+	return worker.Every(ctx, tickPeriod, func() {
+		if peer, due := f.staleBehind(); due {
+			f.fetch(ctx, peer)
+		}
+	})
+}
+
+// staleBehind returns a balancer with a newer configuration once the own watch
+// had its time.
+func (f *Front) staleBehind() (peer flow.IPv4, due bool) {
+	f.locked(func(now time.Time) {
+		own := f.core.ConfigVersion()
+		ip, newer := f.core.view.Newest(own)
+		if !newer {
+			f.staleSince = time.Time{}
+			return
+		}
+		if f.staleSince.IsZero() {
+			f.staleSince = now
+		}
+		peer, due = ip, own == 0 || !f.core.Feeds(now) || now.Sub(f.staleSince) >= peerPatience
+	})
+	return peer, due
+}
+
+func (f *Front) fetch(ctx context.Context, peer flow.IPv4) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	raw, err := fetchConfig(ctx, netip.AddrPortFrom(peer.Addr(), f.port))
+	if err != nil {
+		f.log.Warn("configuration not fetched", zap.Stringer(telemetry.FieldPeer, peer), zap.Error(err))
+		return
+	}
+	c, err := platform.DecodeConfig(raw)
+	if err != nil {
+		f.log.Error("configuration of another balancer refused", zap.Stringer(telemetry.FieldPeer, peer), zap.Error(err))
+		return
+	}
+	f.apply(c, raw, peer.String())
+}
+
+const pathConfig = "/config"
+
+// peerClient opens a connection for each call: calls are rare, and a kept
+// connection may have gone silent since.
+var peerClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+func fetchConfig(ctx context.Context, peer netip.AddrPort) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.String()+pathConfig, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := peerClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("answered %s", resp.Status)
+	}
+	return io.ReadAll(io.LimitReader(resp.Body, maxConfig))
+}
+
+func (f *Front) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+pathConfig, func(w http.ResponseWriter, _ *http.Request) {
+		var raw []byte
+		f.locked(func(time.Time) { raw = f.raw })
+		if raw == nil {
+			http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+			return
+		}
+		// The peer sees a broken answer and asks again.
+		_, _ = w.Write(raw)
+	})
+	return mux
+}
--- /dev/null
+++ b/balancer/packetfront/survey_test.go
@@ -0,0 +1,191 @@
+package packetfront
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/poppywall/poppywall/fleet"
+	"github.com/poppywall/poppywall/flow"
+	"github.com/poppywall/poppywall/flow/envelope"
+)
+
+func TestOnlyAFlowThatIsCertainlyOverIsReset(t *testing.T) {
+	for name, c := range map[string]struct {
+		prepare func(f *fixture)
+		during  func(f *fixture)
+		flags   envelope.Flags
+		want    Doubt
+	}{
+		"all said no":         {want: ""},
+		"one was unsure":      {flags: envelope.Unsure, want: DoubtHost},
+		"a host joined":       {during: func(f *fixture) { f.announce(other, fleet.Ready) }, want: DoubtView},
+		"a host was replaced": {during: func(f *fixture) { f.announce(hostA, fleet.Gone) }, want: DoubtView},
+		"just started":        {prepare: func(f *fixture) { f.startedAt = f.now }, want: DoubtFresh},
+		"an agent was missing for a while": {
+			prepare: func(f *fixture) {
+				f.Surveyed(f.now, f.now, registered(hostA, hostB, other))
+				f.wait(absentTime - time.Millisecond)
+			},
+			want: DoubtMissing,
+		},
+		"an agent was missing for long": {
+			prepare: func(f *fixture) {
+				f.Surveyed(f.now, f.now, registered(hostA, hostB, other))
+				f.wait(absentTime)
+				f.survey.readAt = f.now
+			},
+			want: "",
+		},
+		"an agent is missing still": {
+			prepare: func(f *fixture) {
+				f.Surveyed(f.now, f.now, registered(hostA, hostB, other))
+				f.wait(absentTime)
+				f.Surveyed(f.now, f.now, registered(hostA, hostB, other))
+			},
+			want: "",
+		},
+		"one that said it is gone is registered": {
+			prepare: func(f *fixture) {
+				f.announce(other, fleet.Gone)
+				f.Surveyed(f.now, f.now, registered(hostA, hostB, other))
+			},
+			want: DoubtMissing,
+		},
+		"registry not read":          {prepare: func(f *fixture) { f.survey.readAt = time.Time{} }, want: DoubtSurvey},
+		"registry read before":       {prepare: func(f *fixture) { f.survey.readAt = f.now.Add(-surveyTTL - 1) }, want: DoubtSurvey},
+		"an agent is missing":        {prepare: func(f *fixture) { f.Surveyed(f.now, f.now, registered(hostA, hostB, other)) }, want: DoubtMissing},
+		"an agent is not registered": {prepare: func(f *fixture) { f.Surveyed(f.now, f.now, registered(hostA)) }, want: DoubtRegistry},
+		"another balancer names one": {
+			prepare: func(f *fixture) {
+				fleet.Names{Holders: []flow.IPv4{other}}.Append(nil, func(msg []byte) { f.HandleNode(f.now, peer, msg) })
+			},
+			want: DoubtMissing,
+		},
+		"an agent is quiet": {
+			prepare: func(f *fixture) { f.now = f.now.Add(fleet.Quiet + time.Second); f.announce(hostA, fleet.Ready) },
+			want:    DoubtMissing,
+		},
+		"a quiet one has no host": {
+			prepare: func(f *fixture) {
+				f.announce(hostB, fleet.Gone)
+				f.now = f.now.Add(fleet.Quiet + time.Second)
+				f.announce(hostA, fleet.Ready)
+				f.survey.readAt = f.now
+			},
+			want: "",
+		},
+	} {
+		f := newFixture()
+		if c.prepare != nil {
+			c.prepare(f)
+		}
+		f.client(packet(false, 9))
+		if c.during != nil {
+			c.during(f)
+		}
+		f.answer(hostB, envelope.Searched|c.flags, packet(false, 9))
+		require.Equal(t, c.want, f.doubt, name)
+		require.Equal(t, c.want == "", len(f.port.resets) == 1, name)
+	}
+}
+
+// TestADoubtfulFlowIsSearchedForUntilItIsCertain: again when the view has changed;
+// while it has not, all that were asked have said no, and the flow ends with the
+// doubt.
+func TestADoubtfulFlowIsSearchedForUntilItIsCertain(t *testing.T) {
+	for name, changes := range map[string]bool{"the view stays": false, "a host joins": true} {
+		f := newFixture()
+		f.startedAt = f.now
+		f.client(packet(false, 9))
+		f.answer(hostB, envelope.Searched, packet(false, 9))
+		require.Equal(t, DoubtFresh, f.doubt, name)
+		f.client(packet(false, 9))
+		require.Len(t, f.port.delivered(), 1, "%s: a copy is no reason to ask again", name)
+		searches := 1
+		if changes {
+			f.announce(other, fleet.Ready)
+			f.Surveyed(f.now, f.now, registered(hostA, hostB, other))
+			searches++
+			require.Len(t, f.port.delivered(), searches, name)
+			f.answer(hostB, envelope.Searched, packet(false, 9))
+		}
+		require.Empty(t, f.port.resets, name)
+		f.pass(freshTime + limboPause)
+		require.Len(t, f.port.resets, 1, name)
+		f.pass(time.Second)
+		require.Len(t, f.port.delivered(), searches, "%s: it is over", name)
+		require.Len(t, f.port.resets, 1, name)
+	}
+}
+
+// TestAFlowIsNotSearchedForOverAndOverInDoubt: with a host missing for long, each
+// flow costs one search.
+func TestAFlowIsNotSearchedForOverAndOverInDoubt(t *testing.T) {
+	f := newFixture()
+	f.Surveyed(f.now, f.now, registered(hostA, hostB, other))
+	f.client(packet(false, 9))
+	f.answer(hostB, envelope.Searched, packet(false, 9))
+	require.Equal(t, DoubtMissing, f.doubt)
+	f.pass(limboTTL - limboPause)
+	require.Len(t, f.port.delivered(), 1)
+	require.Empty(t, f.port.resets)
+}
+
+// TestTheRegistryIsReadLessOftenWhileDoubtLasts: each reading is a priced call.
+func TestTheRegistryIsReadLessOftenWhileDoubtLasts(t *testing.T) {
+	f := newFixture()
+	var readings []time.Duration
+	begin := f.now
+	for f.now.Sub(begin) < 10*time.Second {
+		f.now = f.now.Add(100 * time.Millisecond)
+		f.survey.wanted = true
+		if f.WantsSurvey(f.now) {
+			readings = append(readings, f.now.Sub(begin))
+		}
+	}
+	require.Equal(t, []time.Duration{100 * time.Millisecond, 500 * time.Millisecond, 1300 * time.Millisecond}, readings[:3])
+	require.Len(t, readings, 8)
+	f.now = f.now.Add(2*mostSurveyPause + 1)
+	require.True(t, f.WantsSurvey(f.now))
+	f.now = f.now.Add(surveyPause)
+	require.True(t, f.WantsSurvey(f.now), "calm again meanwhile")
+}
+
+// TestHostsThatAreGoneAreGreetedAndNotWaitedFor: an agent whose host has not
+// started yet has to be known to everybody before it does, and who has not heard
+// of one that was taken away never will.
+func TestHostsThatAreGoneAreGreetedAndNotWaitedFor(t *testing.T) {
+	names := func(f *fixture) (n fleet.Names) {
+		f.port.nodes = nil
+		f.seq++
+		ask := fleet.Beacon{Identity: fleet.Identity{Epoch: 4, Seq: f.seq}, WantPeers: true}
+		f.HandleNode(f.now, peer, ask.Append(nil))
+		for _, s := range f.port.nodes {
+			if s.kind == envelope.Peers {
+				var err error
+				n, err = fleet.DecodeNames(s.raw)
+				require.NoError(t, err)
+			}
+		}
+		return n
+	}
+	f := newFixture()
+	require.Empty(t, names(f).Idle)
+	digest := f.View().Digest(f.now, self)
+	f.announce(other, fleet.Gone)
+	require.Equal(t, []flow.IPv4{other}, names(f).Idle)
+	require.ElementsMatch(t, []flow.IPv4{hostA, hostB}, names(f).Holders)
+	require.NotEqual(t, digest, f.View().Digest(f.now, self), "others are to hear of it")
+	f.wait(fleet.Quiet + time.Second)
+	require.Empty(t, names(f).Idle)
+	f.View().Expire(f.now)
+
+	fresh := newFixture()
+	fleet.Names{Idle: []flow.IPv4{other}}.Append(nil, func(msg []byte) { fresh.HandleNode(fresh.now, peer, msg) })
+	require.Equal(t, other, fresh.port.nodes[0].to, "greeted")
+	fresh.client(packet(false, 9))
+	fresh.answer(hostB, envelope.Searched, packet(false, 9))
+	require.Len(t, fresh.port.resets, 1)
+}
--- /dev/null
+++ b/e2e/packets/blackout_test.go
@@ -0,0 +1,161 @@
+package packets
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// blackout ends all processes, and all hosts too if hostsDown is not zero.
+func blackout(w *world, down, hostsDown time.Duration) {
+	for _, ip := range w.balancerIPs() {
+		w.balancers[ip].restart(down + time.Duration(w.rnd.Int64N(int64(300*time.Millisecond))))
+	}
+	for _, a := range sortedAgents(w) {
+		if !a.up {
+			continue
+		}
+		a.restart(down + time.Duration(w.rnd.Int64N(int64(300*time.Millisecond))))
+		if hostsDown > 0 && a.host != nil {
+			a.crash()
+			w.after(hostsDown, func() {
+				if a.host == nil {
+					a.startHost()
+				}
+			})
+		}
+	}
+}
+
+// TestDeadFlowsAreResetAfterABlackout: clients need not wait for their time-outs.
+func TestDeadFlowsAreResetAfterABlackout(t *testing.T) {
+	w := newWorld(5)
+	deployment(w)
+	w.run(3 * time.Second)
+	var clients []*client
+	for range 20 {
+		clients = append(clients, w.addClient("z1", frontA))
+	}
+	w.run(time.Second)
+	blackout(w, time.Second, time.Second)
+	w.run(2500 * time.Millisecond)
+	for _, c := range clients {
+		c.request()
+	}
+	w.run(700 * time.Millisecond)
+	for _, c := range clients {
+		require.Equal(t, refused, c.state, "flow %v", c.key)
+	}
+	require.Empty(t, w.violations)
+}
+
+// TestVMWithoutHostDoesNotKeepDeadFlows: a VM whose host does not come back and
+// that is then taken away must not leave the balancers in doubt.
+func TestVMWithoutHostDoesNotKeepDeadFlows(t *testing.T) {
+	w := newWorld(6)
+	deployment(w)
+	w.run(3 * time.Second)
+	c := w.addClient("z1", frontA)
+	w.run(time.Second)
+	var other *agentNode
+	for _, a := range sortedAgents(w) {
+		if a.host != c.host {
+			other = a
+		}
+	}
+	blackout(w, time.Second, 3*time.Second)
+	w.run(2500 * time.Millisecond)
+	other.core.Stop(w.now)
+	other.stop()
+	w.run(4 * time.Second)
+	c.request()
+	w.run(time.Second)
+	require.Equal(t, refused, c.state)
+}
+
+// TestAHostThatWasTakenAwayIsNotWaitedFor: after a power loss its VM is back for a
+// moment, tells some balancers that its host is gone, and is taken away before
+// the others start.
+func TestAHostThatWasTakenAwayIsNotWaitedFor(t *testing.T) {
+	w := newWorld(11)
+	deployment(w)
+	w.run(3 * time.Second)
+	gone := sortedAgents(w)[0]
+	gone.core.Leave(w.now, gone.host.id)
+	gone.host = nil
+	w.run(time.Second)
+	for range 20 {
+		w.addClient("z1", frontA)
+	}
+	w.run(time.Second)
+	blackout(w, 500*time.Millisecond, 500*time.Millisecond)
+	last := w.balancers[w.balancerIPs()[2]]
+	last.restart(2500 * time.Millisecond)
+	w.run(1200 * time.Millisecond)
+	gone.core.Stop(w.now)
+	gone.stop()
+	delete(w.registry, gone.ip)
+	w.run(2500 * time.Millisecond)
+	require.NotContains(t, last.core.View().Hosts(), gone.ip)
+	for _, c := range w.clients {
+		c.request()
+	}
+	w.run(time.Second)
+	for _, c := range w.clients {
+		require.Equal(t, refused, c.state)
+	}
+}
+
+// TestBlackoutOfTheSystemAloneResetsNothing: hosts that live keep their flows.
+func TestBlackoutOfTheSystemAloneResetsNothing(t *testing.T) {
+	for seed := range uint64(10) {
+		w := newWorld(seed)
+		deployment(w)
+		w.run(3 * time.Second)
+		for range 20 {
+			w.addClient("z1", frontA)
+		}
+		w.run(time.Second)
+		blackout(w, time.Second, 0)
+		for range 30 {
+			for _, c := range w.clients {
+				c.request()
+			}
+			w.run(100 * time.Millisecond)
+		}
+		checkServed(t, w)
+		for _, c := range w.clients {
+			require.Equal(t, established, c.state)
+		}
+	}
+}
+
+// TestALateAgentKeepsItsFlowsInDoubt: all processes are killed while the store is
+// away, and one agent comes back late: its host's flows are not reset meanwhile.
+// With leases that lapsed they were (found by the soak).
+func TestALateAgentKeepsItsFlowsInDoubt(t *testing.T) {
+	w := newWorld(8)
+	deployment(w)
+	w.run(4 * time.Second)
+	c := w.addClient("z1", frontA)
+	w.run(time.Second)
+	w.storeBack = w.now.Add(500 * time.Millisecond)
+	w.run(100 * time.Millisecond)
+	for _, ip := range w.balancerIPs() {
+		w.balancers[ip].restart(time.Second)
+	}
+	for _, a := range sortedAgents(w) {
+		down := time.Second
+		if a.host == c.host {
+			down = 3500 * time.Millisecond
+		}
+		a.restart(down)
+	}
+	w.run(1500 * time.Millisecond)
+	c.request()
+	w.run(5 * time.Second)
+	require.Empty(t, w.violations)
+	require.Equal(t, established, c.state)
+	require.Equal(t, c.asked, c.answered)
+}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -213,7 +213,7 @@
 	hear(start, 200, elsewhere, true, false)
 	require.False(t, v.Feeds(start, self, zone))
 	require.True(t, v.Feeds(start, 50, elsewhere), "none before it in its zone")
-	later := start.Add(time.Duration(dutyPeriods * float64(NearPeriod)) + time.Millisecond)
+	later := start.Add(time.Duration(dutyPeriods*float64(NearPeriod)) + time.Millisecond)
 	require.True(t, v.Feeds(later, self, zone), "not heard lately")
 	for _, ip := range []flow.IPv4{1, 2, 200} {
 		hear(later, ip, zone, ip != 1, false)
--- a/fleet/registry/registry_test.go
+++ b/fleet/registry/registry_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
@@ -14,6 +13,7 @@
 	"github.com/poppywall/poppywall/flow"
 	"github.com/poppywall/poppywall/standin"
 	"github.com/poppywall/poppywall/store"
+	"github.com/poppywall/poppywall/worker"
 )
 
 const self = flow.IPv4(0x0a000001)
@@ -38,13 +38,7 @@
 func run(s store.Store, epoch uint64) (r *Registry, stop func()) {
 	r = New(s, fleet.RoleAgent, self, epoch, zap.NewNop(), func() {})
 	r.Want(fleet.PresenceHere)
-	ctx, cancel := context.WithCancel(context.Background())
-	var wg conc.WaitGroup
-	wg.Go(func() { _ = r.Run(ctx) })
-	return r, func() {
-		cancel()
-		wg.Wait()
-	}
+	return r, worker.Start(r.Run)
 }
 
 // TestAnEntryStaysUntilItsNodeLeaves: neither the end of all leases nor a stop of
--- a/measure/packetbench.go
+++ b/measure/packetbench.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"github.com/poppywall/poppywall/balancer/packetfront"
@@ -20,6 +19,7 @@
 	"github.com/poppywall/poppywall/relay"
 	"github.com/poppywall/poppywall/settings"
 	"github.com/poppywall/poppywall/standin"
+	"github.com/poppywall/poppywall/worker"
 )
 
 // Addresses of the packet front's measurement.
@@ -56,8 +56,8 @@
 	payload := benchPacket(false)
 	sums := [2]float64{}
 	for range relayRounds {
-		sums[0] += agent.rate(bare.socket.Addr(), payload)
-		sums[1] += agent.rate(data, payload)
+		sums[0] += rate(&agent.count, bare.socket.Addr(), payload)
+		sums[1] += rate(&agent.count, data, payload)
 	}
 	_, err = fmt.Fprintf(w, "bare relay %.0f packets/s, packet front %.0f packets/s, ratio %.2f (%d bytes, an open flow, one call for each datagram, %d rounds in turns)\n",
 		sums[0]/relayRounds, sums[1]/relayRounds, sums[1]/sums[0], len(payload), relayRounds)
@@ -99,28 +99,7 @@
 }
 
 func serveDatagrams(socket *relay.Datagrams, handle func(netip.AddrPort, []byte)) (stop func()) {
-	ctx, cancel := context.WithCancel(context.Background())
-	var wg conc.WaitGroup
-	wg.Go(func() { _ = socket.Serve(ctx, handle) })
-	return func() {
-		cancel()
-		wg.Wait()
-	}
-}
-
-// rate offers packets to an address and returns how many a second arrive.
-func (s *packetSink) rate(to netip.AddrPort, payload []byte) float64 {
-	ctx, cancel := context.WithTimeout(context.Background(), relayRun)
-	defer cancel()
-	for range relaySenders {
-		go blast(ctx, to, payload)
-	}
-	time.Sleep(relayRun / 6)
-	before, start := s.count.Load(), time.Now()
-	<-ctx.Done()
-	got := float64(s.count.Load()-before) / time.Since(start).Seconds()
-	time.Sleep(relayRun / 6)
-	return got
+	return worker.Start(func(ctx context.Context) error { return socket.Serve(ctx, handle) })
 }
 
 // startPacketFront runs a balancer that knows the sink as its one host and has
@@ -141,35 +120,31 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	var wg conc.WaitGroup
-	wg.Go(func() { _ = f.Run(ctx) })
-	wg.Go(func() { announce(ctx, agent.socket) })
+	stopFront := worker.Start(f.Run)
+	stopAgent := worker.Start(func(ctx context.Context) error { return announce(ctx, agent.socket) })
+	stop = func() {
+		stopAgent()
+		stopFront()
+		server.Close()
+	}
 	if err := waitUntil(func() bool { return f.Ready() && f.Hosts() > 0 }); err != nil {
-		cancel()
+		stop()
 		return nil, err
 	}
-	err = agent.socket.Send(at(packetBalancer, packetData), nil, benchPacket(true))
-	return func() {
-		cancel()
-		wg.Wait()
-		server.Close()
-	}, err
+	return stop, agent.socket.Send(at(packetBalancer, packetData), nil, benchPacket(true))
 }
 
 // announce keeps the balancer informed of the sink.
-func announce(ctx context.Context, socket *relay.Datagrams) {
+func announce(ctx context.Context, socket *relay.Datagrams) error {
 	a := fleetnet.Announcement{Service: flow.TagOf("bench"), Zone: flow.TagOf("z1"), State: fleetnet.Ready, Slots: 8}
 	a.Epoch = 1
 	for ctx.Err() == nil {
 		a.Seq++
 		// What is lost is sent again.
 		_ = socket.Send(at(packetBalancer, packetInternal), nil, a.Append(nil))
-		select {
-		case <-ctx.Done():
-		case <-time.After(fleetnet.NearPeriod / 4):
-		}
+		worker.Sleep(ctx, fleetnet.NearPeriod/4)
 	}
+	return nil
 }
 
 // startBareDatagrams forwards every datagram as it is, by the same socket calls.
--- a/measure/relaybench.go
+++ b/measure/relaybench.go
@@ -50,8 +50,8 @@
 	defer func() { _ = bare.Close() }()
 	sums := [2]float64{}
 	for range relayRounds {
-		sums[0] += sink.rate(bare.Addr(), payload)
-		sums[1] += sink.rate(service, payload)
+		sums[0] += rate(&sink.count, bare.Addr(), payload)
+		sums[1] += rate(&sink.count, service, payload)
 	}
 	_, err = fmt.Fprintf(w, "bare relay %.0f datagrams/s, balancer %.0f datagrams/s, ratio %.2f (%d bytes, one worker each, %d rounds in turns)\n",
 		sums[0]/relayRounds, sums[1]/relayRounds, sums[1]/sums[0], relayPayload, relayRounds)
@@ -87,17 +87,17 @@
 
 func (s *sink) close() { _ = s.socket.Close() }
 
-// rate offers datagrams to an address and returns how many a second arrive.
-func (s *sink) rate(to netip.AddrPort, payload []byte) float64 {
+// rate offers datagrams to an address and returns how many a second a sink counts.
+func rate(arrived *atomic.Int64, to netip.AddrPort, payload []byte) float64 {
 	ctx, cancel := context.WithTimeout(context.Background(), relayRun)
 	defer cancel()
 	for range relaySenders {
 		go blast(ctx, to, payload)
 	}
 	time.Sleep(relayRun / 6)
-	before, start := s.count.Load(), time.Now()
+	before, start := arrived.Load(), time.Now()
 	<-ctx.Done()
-	got := float64(s.count.Load()-before) / time.Since(start).Seconds()
+	got := float64(arrived.Load()-before) / time.Since(start).Seconds()
 	time.Sleep(relayRun / 6)
 	return got
 }
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -34,6 +34,21 @@
 // Wait waits for all workers.
 func (g *Group) Wait() { g.wg.Wait() }
 
+// Start runs f in the background; the returned function ends its context and waits
+// for it.
+func Start(f func(context.Context) error) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		// Whoever starts f this way hears of its failure by what it does not do.
+		_ = f(ctx)
+	})
+	return func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
 // Every calls f once each period until ctx ends.
 func Every(ctx context.Context, period time.Duration, f func()) error {
 	tick := time.NewTicker(period)
