--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 export CGO_ENABLED = 1
 
-.PHONY: trial soak test fuzz build lint capacity ejection choice overload costs fleet relay packets bench experiments modules mutants
+.PHONY: trial soak test fuzz build lint capacity ejection choice overload costs fleet relay packets startup bench experiments modules mutants
 
 # The QUIC front in one process, then the packet front as processes under a few faults.
 trial: build
@@ -54,7 +54,7 @@
 	go test ./balancer/packetfront -run '^$$' -fuzz FuzzHandleNode -fuzztime 20s
 
 # The measurements that docs/ quotes.
-choice ejection overload capacity costs fleet relay packets: build
+choice ejection overload capacity costs fleet relay packets startup: build
 	bin/poppywall-measure $@
 
 bench:
--- a/binaries/poppywall-measure/main.go
+++ b/binaries/poppywall-measure/main.go
@@ -29,6 +29,9 @@
 	add("costs", "Memory and processor time of a balancer's state (part of capacity).", measure.PrintCosts)
 	add("relay", "Datagrams a second through a balancer against a bare relay.", measure.PrintRelay)
 	add("packets", "Packets a second through the packet front against a bare relay.", measure.PrintPackets)
+	binary := "bin/poppywall-balancer"
+	startup := add("startup", "Time and processor time of a packet front's start.", func(w io.Writer) error { return measure.PrintStartup(w, binary) })
+	startup.String(&binary, "b", "binary", "The balancer's binary.")
 	fleet := add("fleet", "Cost of control and time to agree of real balancers (part of capacity).", measure.PrintFleet)
 	add("capacity", "Costs of control over the size of the fleet.", measure.PrintCapacity)
 	fleet.Int(&only, "n", "balancers", "Only this number of balancers.")
--- a/measure/packetbench.go
+++ b/measure/packetbench.go
@@ -29,6 +29,7 @@
 	packetData     = 22021
 	packetInternal = 22022
 	packetReady    = 22023
+	packetMetrics  = 22024
 )
 
 // benchFront is the entrance of the measured service.
