Searches keep the hosts that are still to be asked

Cause: each message of a search worked the order of the hosts out anew and indexed it by its round.

Now the kept flow has the hosts still to ask; a search has a number; the view's generation rises only with hosts that come to be possible holders, and only those are asked after all others have denied a flow. The envelope says less.

Traced, each with a test that failed first: - a SYN that was kept was searched for once its client had sent a later packet, and reached a host of another service; - the answer to a former process's search of the same number ended this one's: numbers start at the epoch; - a flow remembered at a VM that had died was sent there for ever, when a copy of its SYN had opened it elsewhere: hosts not heard are searched around; - balancers that started together, with the store just back, took a host for not there that another one had heard: since announcements go less often to other zones, views were not compared in a fresh balancer's first half second. More hosts than a search asks (264): such a flow was reset as denied, and is not any more.

Ruled out: a first heartbeat (sequence 1) as a proof that the agent saw its host start: it may have been held up while a former agent passed flows on.

--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -39,6 +39,10 @@
 const (
 	// joinPeriod is the pause between tries to join by the seeds.
 	joinPeriod = 100 * time.Millisecond
+	// unlistedPeriod is the pause between announcements to the seeds of a host that
+	// is not in the registry: two within the time that a balancer takes its view
+	// for incomplete.
+	unlistedPeriod = 200 * time.Millisecond
 	// announceGap is the least pause between announcements of the load.
 	announceGap = 100 * time.Millisecond
 	// busyStep is the change of load, in slots, that is announced early.
--- a/agent/packetfront/nodes.go
+++ b/agent/packetfront/nodes.go
@@ -51,12 +51,7 @@
 // Tick does what is due.
 func (c *Core) Tick(now time.Time) {
 	c.introduce(now)
-	if c.introduced && len(c.view.Balancers()) == 0 && !now.Before(c.nextJoin) {
-		c.nextJoin = now.Add(joinPeriod)
-		for _, ip := range c.opts.Seeds {
-			c.announceTo(now, ip, true)
-		}
-	}
+	c.join(now)
 	if left := c.host.left; !left.IsZero() && now.Sub(left) > leaveGrace {
 		c.kill(now, "its host has left")
 	}
@@ -75,6 +70,23 @@
 	}
 }
 
+// join announces the host to the seeds while no balancer is known. While the
+// registry does not have the host either, the seeds hear of it again and again:
+// balancers that start have only each other to learn of it from.
+func (c *Core) join(now time.Time) {
+	alone, unlisted := len(c.view.Balancers()) == 0, c.host.up && !c.registered
+	if !c.introduced || !(alone || unlisted) || now.Before(c.nextJoin) {
+		return
+	}
+	c.nextJoin = now.Add(joinPeriod)
+	if !alone {
+		c.nextJoin = now.Add(unlistedPeriod)
+	}
+	for _, ip := range c.opts.Seeds {
+		c.announceTo(now, ip, alone)
+	}
+}
+
 // announceDue repeats the announcement each period, seldom to other zones, and at
 // once where a change of state was not acknowledged. When the load has changed
 // the balancers of the own zone hear of it earlier: they send most of it, and
@@ -194,7 +206,9 @@
 	}
 	c.introduced = true
 	c.acks.changed(c.seq + 1)
-	c.Tick(now)
+	for _, ip := range c.opts.Seeds {
+		c.announceTo(now, ip, true)
+	}
 	c.announceAll(now)
 }
 
--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/poppywall/poppywall/choose"
@@ -44,6 +43,9 @@
 	settleTime = 2 * time.Second
 	// joinPeriod is the pause between tries to join by the seeds.
 	joinPeriod = 200 * time.Millisecond
+	// askedAround is how many balancers beside the seeds a fresh one asks each
+	// joinPeriod for the nodes that they know.
+	askedAround = 2
 	// rejoinPeriod is the same for seeds still unknown once others are known.
 	rejoinPeriod = 3 * time.Second
 	// refuseWithin is how long after the first copy of a SYN a flow may be
@@ -94,10 +96,12 @@
 	named                   map[flow.IPv4]time.Time
 	limbo                   limbo
 	beaconRounds, farRounds int
-	// lastDigest is the digest of a moment and a generation of the view.
+	// searches numbers the searches, from the epoch on: answers to a former
+	// process arrive here.
+	searches uint32
+	// lastDigest is the view's digest at a moment, zero time when it has changed.
 	lastDigest uint32
 	digestAt   time.Time
-	digestOf   uint32
 
 	// Scratch space, so that a packet costs no allocation.
 	env     envelope.Envelope
@@ -113,6 +117,7 @@
 		opts: opts, port: port, codec: codec, events: events, rnd: rnd,
 		view: fleet.NewView(), table: newTable(maxFlows), startedAt: now,
 		buf: make([]byte, 0, 2048), plan: newPlan(), limbo: newLimbo(), named: map[flow.IPv4]time.Time{},
+		searches: uint32(opts.Epoch),
 	}
 }
 
@@ -200,30 +205,23 @@
 		c.open(now, key, h, packet)
 		return
 	}
-	if host, ok := c.table.get(now, key); ok {
+	if host, ok := c.table.get(now, key); ok && c.heard(now, host) {
 		c.direct(key, host, packet)
 		c.release(key, host)
 		return
 	}
-	if c.limbo.follow(key, packet, c.generation()) {
-		return
-	}
-	switch c.search(now, key, packet, quest{backward: c.limbo.backward(key)}) {
-	case searchGoesOn:
-		c.limbo.ask(now, key, packet)
-	case searchNoRoute:
-		c.limbo.drop(key)
-		c.events.Dropped(DropNoRoute)
-	case searchEnded:
-		if c.settled(now) {
-			c.limbo.drop(key)
-			c.events.Dropped(DropNoCandidate)
-			return
-		}
-		c.park(now, key, h, packet, KeepUnsettled)
+	if !c.limbo.follow(key, packet) {
+		c.seek(now, key, h, packet)
 	}
 }
 
+// heard tells whether a remembered host may be relied on: its VM may be gone, and
+// the flow may have been opened elsewhere by a copy of its SYN.
+func (c *Core) heard(now time.Time, host flow.IPv4) bool {
+	h, known := c.view.Host(host)
+	return !known || !h.Quiet(now)
+}
+
 // settled tells whether the hosts had the time to announce themselves.
 func (c *Core) settled(now time.Time) bool { return now.Sub(c.startedAt) >= settleTime }
 
@@ -299,62 +297,3 @@
 	c.events.Refused(key, reason, route)
 	c.port.Reset(key, 0)
 }
-
-// generation changes with everything that the order of a search depends on.
-func (c *Core) generation() uint32 { return c.view.Generation() + uint32(c.ConfigVersion()) }
-
-// quest is where a search for a packet's flow stands.
-type quest struct {
-	hops  uint8
-	round uint8
-	// unsure is set once a host could not say a certain no.
-	unsure bool
-	// backward asks the likeliest hosts last.
-	backward bool
-}
-
-// searched is the outcome of a round of a search.
-type searched uint8
-
-const (
-	// searchGoesOn: the packet is on its way along its candidates.
-	searchGoesOn searched = iota
-	// searchEnded: no candidate is left.
-	searchEnded
-	// searchNoRoute: no configuration in force has a route for the flow.
-	searchNoRoute
-)
-
-// search sends a packet along the candidates of its flow, if any is left.
-func (c *Core) search(now time.Time, key flow.Key, packet []byte, q quest) searched {
-	if c.config == nil {
-		return searchNoRoute
-	}
-	route, ok := c.config.Routes[key.Front()]
-	if !ok {
-		return searchNoRoute
-	}
-	candidates := c.searchCandidates(now, key, route)
-	if q.backward {
-		slices.Reverse(candidates)
-	}
-	from := int(q.round) * searchRound
-	if from >= len(candidates) {
-		return searchEnded
-	}
-	candidates = first(candidates[from:], searchRound)
-	c.events.Searching(key, len(candidates), int(q.round))
-	c.env = envelope.Envelope{
-		Kind: envelope.Deliver, Balancer: c.opts.Self, Flags: envelope.Search, Hops: q.hops,
-		Round: q.round, Generation: c.generation(), Service: candidates[0].Service,
-	}
-	if q.unsure {
-		c.env.Flags |= envelope.Unsure
-	}
-	if q.backward {
-		c.env.Flags |= envelope.Backward
-	}
-	c.env.SetCandidates(candidates[1:])
-	c.send(candidates[0].Host, packet)
-	return searchGoesOn
-}
--- a/balancer/packetfront/events.go
+++ b/balancer/packetfront/events.go
@@ -18,10 +18,13 @@
 	// DropExpired is a kept packet whose way was not known in time.
 	DropExpired     Drop = "kept too long"
 	DropCopyRefused Drop = "copy-refused"
+	// DropLateAnswer is a packet that came back after its search had been repeated
+	// or had ended.
+	DropLateAnswer Drop = "late answer"
 )
 
 // Drops lists all reasons.
-var Drops = []Drop{DropMalformed, DropNoRoute, DropNoCandidate, DropExpired, DropCopyRefused}
+var Drops = []Drop{DropMalformed, DropNoRoute, DropNoCandidate, DropExpired, DropCopyRefused, DropLateAnswer}
 
 // Keep is why a packet is kept to be tried again.
 type Keep string
--- a/balancer/packetfront/limbo.go
+++ b/balancer/packetfront/limbo.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/poppywall/poppywall/fleet"
 	"github.com/poppywall/poppywall/flow"
 )
 
@@ -43,91 +44,108 @@
 }
 
 type keptFlow struct {
-	first     []byte
+	first []byte
+	// opening tells that the first packet is a SYN.
+	opening   bool
 	followers [][]byte
 	// since is when the first packet came, next when it is tried again, expires
 	// when all are given up.
 	since, next, expires time.Time
-	// asking tells that hosts are being asked for the flow, searches how often they
-	// were.
-	asking   bool
+
+	// asking tells that a search is under way: the fields up to unsure are its own.
+	asking bool
+	// searchID tells its answers from those of an earlier one, generation is that
+	// of the view when it began, unasked are the hosts still to ask, round counts
+	// the messages.
+	searchID, generation uint32
+	unasked              []flow.Candidate
+	round                int
+	// unsure is set once a host could not say a certain no, and when not all can
+	// be asked.
+	unsure bool
+
+	// searches counts the searches so far.
 	searches int
-	// denied tells that every known host has said a certain no, in the given
-	// generation of the view: as long as that is the view, only hosts that are not
-	// known can hold the flow, and nobody is asked again.
+	// denied tells that all hosts have said a certain no that the view had up to
+	// the generation deniedUpTo: they are not asked again.
 	denied     bool
-	generation uint32
+	deniedUpTo uint32
+}
+
+// begin starts a search along the candidates, which are all hosts that may hold the
+// flow if they are complete.
+func (k *keptFlow) begin(id, generation uint32, candidates []flow.Candidate, complete bool) {
+	k.asking, k.unsure, k.round = true, !complete, 0
+	k.searchID, k.generation = id, generation
+	k.unasked = append(k.unasked[:0:0], candidates...)
+	k.searches++
 }
 
-// deniedIn tells whether all hosts of a generation of the view have denied the
-// flow.
-func (k *keptFlow) deniedIn(generation uint32) bool { return k.denied && k.generation == generation }
+// backward tells whether the next search for the flow asks the likeliest hosts
+// last. Each second one does: a packet that is passed on through a VM that has
+// died without a word is lost there, and would be again.
+func (k *keptFlow) backward() bool { return k.searches%2 == 1 }
+
+// denials tells which hosts have denied a flow.
+type denials struct {
+	any  bool
+	upTo uint32
+}
+
+// by tells whether a host has denied the flow.
+func (d denials) by(h *fleet.Host) bool { return d.any && !h.MayHoldSince(d.upTo) }
+
+// denials returns what is known of a flow that may not be kept.
+func (k *keptFlow) denials() denials {
+	if k == nil {
+		return denials{}
+	}
+	return denials{k.denied, k.deniedUpTo}
+}
 
 func newLimbo() limbo { return limbo{flows: map[flow.Key]*keptFlow{}} }
 
 // keep stores a flow's first packet, to be tried again at next until its time is
-// over, and tells whether it is new. A full store leaves it to the client's
-// retransmission.
-func (l *limbo) keep(now time.Time, key flow.Key, packet []byte, next time.Time, ttl time.Duration) (isNew bool) {
+// over. It returns nil when there is no room, and leaves it to the client's
+// retransmission then. A SYN is of no use once the client has sent another packet.
+func (l *limbo) keep(now time.Time, key flow.Key, opening bool, packet []byte, next time.Time, ttl time.Duration) *keptFlow {
 	k, known := l.flows[key]
+	if known && k.opening && !opening {
+		l.drop(key)
+		known = false
+	}
 	if !known {
 		if len(l.flows) >= maxLimboFlows || l.packets >= maxLimboPackets {
-			return false
+			return nil
 		}
-		k = &keptFlow{first: append([]byte(nil), packet...), since: now, expires: now.Add(ttl)}
+		k = &keptFlow{first: append([]byte(nil), packet...), opening: opening, since: now, expires: now.Add(ttl)}
 		l.flows[key] = k
 		l.packets++
 	}
 	k.next, k.asking = next, false
-	return !known
-}
-
-// ask notes that hosts are asked for a flow by the given packet.
-func (l *limbo) ask(now time.Time, key flow.Key, packet []byte) {
-	l.keep(now, key, packet, now.Add(limboPause), limboTTL)
-	if k, known := l.flows[key]; known {
-		k.asking = true
-		k.searches++
-	}
+	return k
 }
 
-// backward tells whether the next search for a flow asks the likeliest hosts
-// last. Each second one does: a packet that is passed on through a VM that has
-// died without a word is lost there, and would be again.
-func (l *limbo) backward(key flow.Key) bool {
-	k, known := l.flows[key]
-	return known && k.searches%2 == 1
+// ask keeps a packet of an open flow for which hosts are about to be asked.
+func (l *limbo) ask(now time.Time, key flow.Key, packet []byte) *keptFlow {
+	return l.keep(now, key, false, packet, now.Add(limboPause), limboTTL)
 }
 
-// since is when the first packet of a flow came; now for one that is not kept.
-func (l *limbo) since(now time.Time, key flow.Key) time.Time {
-	if k, known := l.flows[key]; known {
-		return k.since
-	}
-	return now
-}
-
-// wake lets the flows that all hosts have denied be looked at again.
+// wake lets the flows that all hosts have denied be looked at again, unless a host
+// is being asked that came since.
 func (l *limbo) wake(now time.Time) {
 	for _, k := range l.flows {
-		if k.denied {
+		if k.denied && !k.asking {
 			k.next = now
 		}
 	}
 }
 
-// denied notes that every host of a generation of the view has denied a flow.
-func (l *limbo) denied(key flow.Key, generation uint32) {
-	if k, known := l.flows[key]; known {
-		k.denied, k.generation = true, generation
-	}
-}
-
-// follow keeps a packet of a flow for which hosts are being asked, or of one that
-// all hosts of the present view have denied, and tells whether it is one.
-func (l *limbo) follow(key flow.Key, packet []byte, generation uint32) bool {
+// follow keeps a packet of a flow for which hosts are being asked, or that all
+// have denied, and tells whether it is one.
+func (l *limbo) follow(key flow.Key, packet []byte) bool {
 	k, known := l.flows[key]
-	if !known || (!k.asking && !k.deniedIn(generation)) {
+	if !known || (!k.asking && !k.denied) {
 		return false
 	}
 	if len(k.followers) < maxFollowers && l.packets < maxLimboPackets {
@@ -169,7 +187,8 @@
 	if h.IsOpening() {
 		ttl = parkTTL
 	}
-	if c.limbo.keep(now, key, packet, now.Add(parkPause), ttl) {
+	_, kept := c.limbo.flows[key]
+	if c.limbo.keep(now, key, h.IsOpening(), packet, now.Add(parkPause), ttl) != nil && !kept {
 		c.events.Kept(key, reason)
 	}
 }
@@ -190,7 +209,6 @@
 	for range expired {
 		c.events.Dropped(DropExpired)
 	}
-	doubt, missing := c.incomplete(now)
 	for _, key := range keys {
 		k := c.limbo.flows[key]
 		k.asking = false
@@ -199,13 +217,10 @@
 		case err != nil:
 			// It was decoded when it came; a packet that is none is of no use.
 			c.limbo.drop(key)
-		case !k.deniedIn(c.generation()):
-			c.route(now, key, &h, k.first)
-		case doubt == "" && c.unsurveyed(k.since) == "":
-			c.events.Lost(key, 0, doubt, missing)
-			c.over(key, &h)
+		case k.denied:
+			c.conclude(now, key, k, &h, 0)
 		default:
-			k.next = now.Add(limboPause)
+			c.route(now, key, &h, k.first)
 		}
 	}
 }
--- a/balancer/packetfront/limbo_test.go
+++ b/balancer/packetfront/limbo_test.go
@@ -65,6 +65,24 @@
 	require.Len(t, f.port.delivered(), 1, "the copy went instead")
 }
 
+// TestAKeptSYNIsNotSearchedFor: once the client has sent a later packet its flow is
+// open, and the SYN would open another one wherever it came.
+func TestAKeptSYNIsNotSearchedFor(t *testing.T) {
+	f := newStarted()
+	f.client(packet(true, 0))
+	f.SetConfig(f.now, config(5))
+	f.client(packet(false, 9))
+	f.announce(hostA, fleet.Ready)
+	f.client(packet(false, 9))
+	f.pass(2 * parkPause)
+	for _, s := range f.port.delivered() {
+		h, err := platform.DecodePacket(s.raw[len(s.raw)-platform.HeadLen:])
+		require.NoError(t, err)
+		require.False(t, h.IsOpening())
+	}
+	require.NotEmpty(t, f.port.delivered())
+}
+
 func TestKeptPacketsAreBounded(t *testing.T) {
 	f := newStarted()
 	for i := range 2 * maxLimboFlows {
--- a/balancer/packetfront/nodes.go
+++ b/balancer/packetfront/nodes.go
@@ -1,6 +1,7 @@
 package packetfront
 
 import (
+	"slices"
 	"time"
 
 	"github.com/poppywall/poppywall/fleet"
@@ -41,6 +42,7 @@
 	}
 	change := c.view.Announce(now, from, a)
 	if change == fleet.Joined || change == fleet.Altered {
+		c.digestAt = time.Time{}
 		host, _ := c.view.Host(from)
 		c.events.HostChanged(host, change)
 	}
@@ -69,7 +71,7 @@
 	if !m.Reply && (change == fleet.Joined || m.WantPeers) {
 		c.sendBeacon(now, from, fleet.Beacon{Reply: true})
 	}
-	if m.WantPeers {
+	if m.WantPeers && m.Digest != c.digest(now) {
 		c.sendPeers(now, from)
 	}
 	c.compare(now, from, m.Digest)
@@ -137,59 +139,6 @@
 	return nil
 }
 
-// handleReturned takes a packet back that nobody took: its flow is searched
-// for, or given up when all were asked.
-func (c *Core) handleReturned(now time.Time, from flow.IPv4, datagram []byte) error {
-	packet, err := c.env.Decode(datagram)
-	if err != nil {
-		return err
-	}
-	h, err := c.codec.Decode(packet)
-	if err != nil {
-		return err
-	}
-	key, env := h.FromClient(), c.env
-	if h.IsOpening() {
-		c.refuseAll(now, key, &h)
-		return nil
-	}
-	c.table.drop(key, from)
-	q := quest{hops: env.Hops, round: env.Round, unsure: env.Flags&envelope.Unsure != 0, backward: env.Flags&envelope.Backward != 0}
-	if env.Flags&envelope.Searched != 0 {
-		q.round++
-		q.hops = 0
-	}
-	if env.Hops >= envelope.MaxHops || q.round >= maxRounds || c.search(now, key, packet, q) != searchGoesOn {
-		c.giveUp(now, key, &h, packet, &env)
-	}
-	return nil
-}
-
-// giveUp ends the search for a flow that no candidate holds. Its client is told
-// at once when the flow is certainly over; while that is not certain, the search
-// is repeated.
-func (c *Core) giveUp(now time.Time, key flow.Key, h *flow.Header, packet []byte, env *envelope.Envelope) {
-	doubt, missing := c.doubt(now, env, c.limbo.since(now, key))
-	c.events.Lost(key, int(env.Hops), doubt, missing)
-	switch doubt {
-	case "":
-		c.over(key, h)
-	case DoubtHost, DoubtView:
-		c.limbo.keep(now, key, packet, now.Add(limboPause), limboTTL)
-	default:
-		c.limbo.keep(now, key, packet, now.Add(limboPause), limboTTL)
-		c.limbo.denied(key, env.Generation)
-	}
-}
-
-// over ends a flow that is certainly over.
-func (c *Core) over(key flow.Key, h *flow.Header) {
-	c.limbo.drop(key)
-	if !h.Flags.Has(flow.RST) {
-		c.port.Reset(key, h.Ack)
-	}
-}
-
 // refuseAll answers a SYN that every candidate refused, if no later copy can
 // have been taken meanwhile.
 func (c *Core) refuseAll(now time.Time, key flow.Key, h *flow.Header) {
@@ -224,6 +173,21 @@
 		c.nextJoin = now.Add(rejoinPeriod)
 	}
 	c.Greet(now, c.opts.Seeds, nil)
+	if c.fresh(now) {
+		c.askAround(now)
+	}
+}
+
+// askAround asks some balancers again which nodes they know: those that have
+// started together with this one hear of them one by one. One whose view is the
+// same does not answer.
+func (c *Core) askAround(now time.Time) {
+	known := c.view.Balancers()
+	c.rnd.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
+	asked := slices.DeleteFunc(slices.Clone(c.opts.Seeds), func(ip flow.IPv4) bool { return !c.view.KnowsBalancer(ip) })
+	for _, ip := range append(asked, known[:min(askedAround, len(known))]...) {
+		c.sendBeacon(now, ip, fleet.Beacon{WantPeers: true})
+	}
 }
 
 func (c *Core) expire(now time.Time) {
@@ -273,8 +237,8 @@
 
 // digest is that of the view; one moment's is worked out once.
 func (c *Core) digest(now time.Time) uint32 {
-	if !now.Equal(c.digestAt) || c.digestOf != c.view.Generation() {
-		c.lastDigest, c.digestAt, c.digestOf = c.view.Digest(now, c.opts.Self), now, c.view.Generation()
+	if !now.Equal(c.digestAt) {
+		c.lastDigest, c.digestAt = c.view.Digest(now, c.opts.Self), now
 	}
 	return c.lastDigest
 }
--- a/balancer/packetfront/plan.go
+++ b/balancer/packetfront/plan.go
@@ -18,11 +18,11 @@
 	openFar  = 4
 	// openTries is how many hosts a SYN may be offered to, one after another.
 	openTries = 8
-	// searchRound is how many hosts one round of a search covers.
+	// searchRound is how many hosts one message of a search visits.
 	searchRound = envelope.MaxCandidates + 1
-	// maxRounds and maxSearched bound a search.
-	maxRounds   = 8
-	maxSearched = maxRounds * searchRound
+	// maxSearched bounds a search: 8 messages. A flow that more hosts may hold is
+	// never certainly over.
+	maxSearched = 8 * searchRound
 )
 
 // plan is scratch space for candidates.
@@ -142,17 +142,20 @@
 // of the service that new flows go to, those that a balancer of this zone chooses
 // among, then the others of the own zone, then elsewhere; hosts of other services,
 // for a change of the route leaves open flows where they are; last those that were
-// not heard lately.
-func (c *Core) searchCandidates(now time.Time, key flow.Key, route *flow.Route) []flow.Candidate {
+// not heard lately. Hosts that have denied the flow are left out. complete tells
+// that there are no others.
+func (c *Core) searchCandidates(now time.Time, key flow.Key, route *flow.Route, denied denials) (list []flow.Candidate, complete bool) {
 	p := &c.plan
 	p.reset()
 	hash := key.Hash()
+	offered := 0
 	picked := route.Pick(hash).Tag
 	for _, tag := range c.view.Services() {
 		for _, h := range c.view.Service(tag) {
-			if h.State == fleet.Gone {
+			if h.State == fleet.Gone || denied.by(h) {
 				continue
 			}
+			offered++
 			c.searchRanking(now, h, picked).Offer(flow.Score(hash, h.IP), flow.Candidate{Host: h.IP, Service: tag})
 		}
 	}
@@ -163,7 +166,7 @@
 	} {
 		p.out = append(p.out, list...)
 	}
-	return first(p.out, maxSearched)
+	return first(p.out, maxSearched), offered <= maxSearched
 }
 
 func (c *Core) searchRanking(now time.Time, h *fleet.Host, picked flow.Tag) *flow.Ranking {
--- a/balancer/packetfront/roll.go
+++ b/balancer/packetfront/roll.go
@@ -104,8 +104,10 @@
 // takes itself for cut off and strikes none.
 func (c *Core) forget(now time.Time) {
 	hosts, balancers := c.view.Expire(now)
+	c.digestAt = time.Time{}
 	for _, e := range hosts {
 		c.events.HostForgotten(e.IP)
+		c.table.dropHost(e.IP)
 	}
 	for _, e := range balancers {
 		c.events.PeerChanged(e.IP, "forgotten")
--- a/balancer/packetfront/survey.go
+++ b/balancer/packetfront/survey.go
@@ -1,11 +1,11 @@
 package packetfront
 
 import (
+	"slices"
 	"time"
 
 	"github.com/poppywall/poppywall/fleet"
 	"github.com/poppywall/poppywall/flow"
-	"github.com/poppywall/poppywall/flow/envelope"
 )
 
 // Doubt is why a flow that no candidate holds may live all the same. Only a flow
@@ -16,8 +16,6 @@
 const (
 	// DoubtHost: a host that was asked could not say a certain no.
 	DoubtHost Doubt = "a host is unsure"
-	// DoubtView: hosts came, went or changed during the search.
-	DoubtView Doubt = "the view changed"
 	// DoubtFresh: the balancer has just started; agents have not found it yet.
 	DoubtFresh Doubt = "just started"
 	// DoubtSurvey: the registry of agents was not read shortly before the packet
@@ -36,8 +34,9 @@
 const (
 	// freshTime is how long after its start a balancer takes its view for
 	// incomplete. Agents that live greet a new balancer within a round trip of
-	// its joining, a balancer joins by its seeds five times a second, and views
-	// are compared each half second.
+	// its joining, a balancer joins by its seeds and asks others for the nodes that
+	// they know five times a second, and so often an agent that the registry lacks
+	// announces itself to the seeds.
 	freshTime = 500 * time.Millisecond
 	// absentTime is how long an agent that is registered and was not heard keeps
 	// flows in doubt: longer than a process takes to be restarted. After that its
@@ -66,22 +65,6 @@
 	pause     time.Duration
 }
 
-// doubt tells whether a flow for which every candidate was asked may live, and
-// the host that it may live at if that is known. since is when the first packet
-// came that it was searched for by.
-func (c *Core) doubt(now time.Time, env *envelope.Envelope, since time.Time) (Doubt, flow.IPv4) {
-	switch {
-	case env.Flags&envelope.Unsure != 0:
-		return DoubtHost, 0
-	case env.Generation != c.generation():
-		return DoubtView, 0
-	}
-	if doubt, missing := c.incomplete(now); doubt != "" {
-		return doubt, missing
-	}
-	return c.unsurveyed(since), 0
-}
-
 // unsurveyed tells whether the registry was not read shortly before a packet came
 // or since.
 func (c *Core) unsurveyed(since time.Time) Doubt {
@@ -96,7 +79,7 @@
 // one of them if that is known.
 func (c *Core) incomplete(now time.Time) (Doubt, flow.IPv4) {
 	switch {
-	case now.Sub(c.startedAt) < freshTime:
+	case c.fresh(now):
 		return DoubtFresh, 0
 	case c.survey.readAt.IsZero():
 		c.survey.wanted = true
@@ -112,6 +95,17 @@
 	return "", 0
 }
 
+// fresh tells whether the balancer has just started. One that knows no other one
+// has nobody to ask, and is fresh until it would have heard the hosts itself.
+func (c *Core) fresh(now time.Time) bool {
+	age := now.Sub(c.startedAt)
+	return age < freshTime || (age < settleTime && len(c.view.Balancers()) == 0 && c.hasOtherSeeds())
+}
+
+func (c *Core) hasOtherSeeds() bool {
+	return slices.ContainsFunc(c.opts.Seeds, func(ip flow.IPv4) bool { return ip != c.opts.Self })
+}
+
 // unheard returns a host that may hold flows and could not be asked.
 func (c *Core) unheard(now time.Time) (flow.IPv4, bool) {
 	if ip, missing := c.survey.missing(now, c.askable); missing {
--- a/balancer/packetfront/table.go
+++ b/balancer/packetfront/table.go
@@ -73,6 +73,15 @@
 	}
 }
 
+// dropHost forgets all flows at a host.
+func (t *table) dropHost(host flow.IPv4) {
+	for key, e := range t.flows {
+		if e.host == host {
+			delete(t.flows, key)
+		}
+	}
+}
+
 // expire forgets flows idle for longer than idle.
 func (t *table) expire(now time.Time, idle time.Duration) {
 	for key, e := range t.flows {
--- a/e2e/packets/blackout_test.go
+++ b/e2e/packets/blackout_test.go
@@ -159,3 +159,45 @@
 	require.Equal(t, established, c.state)
 	require.Equal(t, c.asked, c.answered)
 }
+
+// TestBalancersThatStartTogetherFindHostsThatTheRegistryLacks: the store was away
+// when those started, and is back just as all balancers start again. One balancer
+// alone must not take a host for not there that another one has heard of meanwhile.
+func TestBalancersThatStartTogetherFindHostsThatTheRegistryLacks(t *testing.T) {
+	for seed := range uint64(100) {
+		w := newWorld(seed)
+		deployment(w)
+		for range 3 {
+			w.addBalancer("z2")
+		}
+		w.run(3 * time.Second)
+		w.storeBack = w.now.Add(2 * time.Second)
+		fresh := w.addAgent("z3", serviceA)
+		w.run(600 * time.Millisecond)
+		for _, a := range sortedAgents(w) {
+			if a.service == serviceA && a != fresh {
+				a.host.full = true
+			}
+		}
+		for _, ip := range w.balancerIPs() {
+			require.True(t, w.balancers[ip].core.View().KnowsHost(fresh.ip), "seed %d: %v", seed, ip)
+		}
+		for range 12 {
+			w.addClient("z1", frontA)
+			w.run(80 * time.Millisecond)
+		}
+		for _, ip := range w.balancerIPs() {
+			w.balancers[ip].restart(time.Duration(w.rnd.Int64N(int64(600 * time.Millisecond))))
+		}
+		w.run(400 * time.Millisecond)
+		for _, c := range w.clients {
+			c.request()
+		}
+		w.run(3 * time.Second)
+		require.Empty(t, w.violations, "seed %d", seed)
+		for _, c := range w.clients {
+			require.Equal(t, fresh.host, c.host, "seed %d", seed)
+			require.Equal(t, 2, c.answered, "seed %d", seed)
+		}
+	}
+}
--- a/e2e/packets/membership_test.go
+++ b/e2e/packets/membership_test.go
@@ -39,6 +39,23 @@
 	}
 }
 
+// TestViewsAreComparedAfterACut: neither of two nodes that were cut off from each
+// other when one of them started would tell the other one of itself.
+func TestViewsAreComparedAfterACut(t *testing.T) {
+	w := newWorld(2)
+	deployment(w)
+	w.run(3 * time.Second)
+	apart := w.addAgent("z2", serviceA).ip
+	w.cut = func(from, to flow.IPv4) bool {
+		return (from == apart && to == w.seeds[0]) || (from == w.seeds[0] && to == apart)
+	}
+	w.run(3 * time.Second)
+	require.False(t, w.balancers[w.seeds[0]].core.View().KnowsHost(apart))
+	w.cut = func(_, _ flow.IPv4) bool { return false }
+	w.run(3 * time.Second)
+	requireKnown(t, w)
+}
+
 func TestMessagesStayBoundedWhenNodesJoin(t *testing.T) {
 	w := newWorld(1)
 	deployment(w)
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -57,7 +57,9 @@
 	// HeardAt is when the agent was heard last.
 	HeardAt time.Time
 	// Sent counts new flows sent here since the last announcement.
-	Sent  int
+	Sent int
+	// Since is the generation of the view from which on the host may hold flows.
+	Since uint32
 	order order
 }
 
@@ -74,6 +76,12 @@
 	order   order
 }
 
+// MayHoldSince tells whether the host has come to be one that may hold flows after
+// a generation of the view.
+func (h *Host) MayHoldSince(generation uint32) bool {
+	return h.State != Gone && int32(h.Since-generation) > 0
+}
+
 // onDuty tells whether the balancer was heard so lately that others may rely on it.
 func (p *Peer) onDuty(now time.Time) bool {
 	return !p.Leaving && !unheard(now, p.HeardAt, p.Period, dutyPeriods)
@@ -87,7 +95,7 @@
 	// tags are the keys of services, sorted.
 	tags  []flow.Tag
 	peers map[flow.IPv4]*Peer
-	// generation rises with each change of who may hold a flow.
+	// generation rises with each host that comes to be one that may hold a flow.
 	generation uint32
 }
 
@@ -147,7 +155,9 @@
 // keys returns the addresses in order, so that a run repeats.
 func keys[V any](m map[flow.IPv4]V) []flow.IPv4 { return slices.Sorted(maps.Keys(m)) }
 
-// Generation changes whenever a host joins, leaves or becomes another one.
+// Generation rises with each host that comes to be one that may hold a flow: a
+// search that began in a generation has asked those of it, and only hosts since
+// then can hold the flow if all have denied it.
 func (v *View) Generation() uint32 { return v.generation }
 
 // Names returns the nodes known, but for agents without a host that are not heard
@@ -224,15 +234,19 @@
 	if !known || former.Service != a.Service {
 		v.reindex(h, former.Service)
 	}
-	if !known || former.Epoch != a.Epoch {
+	another := !known || former.Epoch != a.Epoch || former.Service != a.Service
+	if a.State != Gone && (another || former.State == Gone) {
 		v.generation++
-		return Joined
+		h.Since = v.generation
 	}
-	if former.Service != a.Service || former.Incarnation != a.Incarnation || former.State != a.State {
-		v.generation++
+	switch {
+	case !known || former.Epoch != a.Epoch:
+		return Joined
+	case former.Service != a.Service || former.Incarnation != a.Incarnation || former.State != a.State:
 		return Altered
+	default:
+		return Same
 	}
-	return Same
 }
 
 // reindex moves a host to the list of its service.
@@ -292,7 +306,6 @@
 	for ip, h := range v.hosts {
 		if now.Sub(h.HeardAt) > Forget {
 			v.unlist(h, h.Service)
-			v.generation++
 			delete(v.hosts, ip)
 			hosts = append(hosts, Entry{IP: ip, Epoch: h.Epoch})
 		}
--- a/flow/envelope/envelope.go
+++ b/flow/envelope/envelope.go
@@ -3,8 +3,7 @@
 // untouched behind it.
 //
 // Layout, big-endian: magic (2), version (1), kind (1), balancer (4), hops (1),
-// flags (1), candidate count (1), round (1), service (4), generation (4),
-// priority (1), then 8 bytes for each candidate still to try (address 4, service
+// flags (1), candidate count (1), priority (1), service (4), search (4), then 8 bytes for each candidate still to try (address 4, service
 // 4), then the packet.
 //
 // Cost: decoding allocates nothing (BenchmarkDecode).
@@ -47,8 +46,6 @@
 	Searched
 	// Unsure marks a search in which a host could not say a certain no.
 	Unsure
-	// Backward marks a search that asks the likeliest hosts last.
-	Backward
 )
 
 // Limits of the format.
@@ -59,13 +56,13 @@
 	MaxHops = MaxCandidates + 8
 	// PrefixLen is the length of magic, version and kind.
 	PrefixLen = 4
-	headLen   = 21
+	headLen   = 20
 	itemLen   = 8
 	// MaxLen is the longest envelope, in bytes.
 	MaxLen = headLen + MaxCandidates*itemLen
 
 	magic   = 0x7077
-	version = 1
+	version = 2
 )
 
 // ErrMalformed is returned for bytes that are no datagram of this system.
@@ -81,11 +78,8 @@
 	Flags Flags
 	// Service is what the receiver's host must serve.
 	Service flow.Tag
-	// Round counts the searches before this one for the same packet: each covers
-	// MaxCandidates hosts and the one that it is sent to.
-	Round uint8
-	// Generation is that of the balancer's view when the search began.
-	Generation uint32
+	// SearchID numbers the searches of a balancer, over its restarts.
+	SearchID uint32
 	// Priority is that of the route, 0 the highest; for new flows only.
 	Priority uint8
 	// Count is the number of Candidates still to try, in order.
@@ -127,10 +121,9 @@
 func (e *Envelope) Append(b []byte) []byte {
 	b = AppendPrefix(b, e.Kind)
 	b = binary.BigEndian.AppendUint32(b, uint32(e.Balancer))
-	b = append(b, e.Hops, byte(e.Flags), byte(e.Count), e.Round)
+	b = append(b, e.Hops, byte(e.Flags), byte(e.Count), e.Priority)
 	b = binary.BigEndian.AppendUint32(b, uint32(e.Service))
-	b = binary.BigEndian.AppendUint32(b, e.Generation)
-	b = append(b, e.Priority)
+	b = binary.BigEndian.AppendUint32(b, e.SearchID)
 	for _, c := range e.Candidates[:e.Count] {
 		b = binary.BigEndian.AppendUint32(b, uint32(c.Host))
 		b = binary.BigEndian.AppendUint32(b, uint32(c.Service))
@@ -155,10 +148,9 @@
 	e.Kind = kind
 	e.Balancer = flow.IPv4(binary.BigEndian.Uint32(b[4:]))
 	e.Hops, e.Flags, e.Count = b[8], Flags(b[9]), count
-	e.Round = b[11]
+	e.Priority = b[11]
 	e.Service = flow.Tag(binary.BigEndian.Uint32(b[12:]))
-	e.Generation = binary.BigEndian.Uint32(b[16:])
-	e.Priority = b[20]
+	e.SearchID = binary.BigEndian.Uint32(b[16:])
 	for i := range count {
 		at := b[headLen+i*itemLen:]
 		e.Candidates[i] = flow.Candidate{
