--- a/balancer/packetfront/survey.go
+++ b/balancer/packetfront/survey.go
@@ -21,7 +21,7 @@
 	// DoubtSurvey: the registry of agents was not read shortly before the packet
 	// came or since. An agent is registered before its host takes its first flow,
 	// so a reading that began later lists the flow's host.
-	DoubtSurvey Doubt = "no survey"
+	DoubtSurvey Doubt = "registry not read"
 	// DoubtRegistry: an agent that is heard is not registered, so others may be
 	// missing there: the store was away when they started.
 	DoubtRegistry Doubt = "registry incomplete"
