--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -74,6 +74,9 @@
 	view      *fleet.View
 	table     *table
 	startedAt time.Time
+	// peerJoinedAt is when another balancer was heard for the first time, the last
+	// one.
+	peerJoinedAt time.Time
 
 	seq     uint32
 	leaving bool
--- a/balancer/packetfront/nodes.go
+++ b/balancer/packetfront/nodes.go
@@ -65,7 +65,7 @@
 		return nil
 	}
 	if change == fleet.Joined {
-		c.digestAt = time.Time{}
+		c.digestAt, c.peerJoinedAt = time.Time{}, now
 		c.events.PeerChanged(from, "joined")
 	}
 	if !m.Reply && (change == fleet.Joined || m.WantPeers) {
