Requests wait for a slot at their agent, served by least laxity

Now a full host's agent takes the flow and keeps its request until a slot is free; package backlog says which goes next: a fresh one as long as every other one can meet its deadline after it, else the earliest deadline; priority decides who is lost, not who waits. A caller's age comes from its opening packets: an outage shows in copies whose first one nobody saw, and callers may have begun one try earlier then. A flow that all candidates were offered goes to the one with the shortest wait, or is left to the caller's next opening packet if that comes before a slot does. What cannot be answered before its deadline is refused at once.

--- /dev/null
+++ b/agent/packetfront/admission.go
@@ -0,0 +1,252 @@
+package packetfront
+
+import (
+	"slices"
+	"time"
+
+	"github.com/poppywall/poppywall/backlog"
+	"github.com/poppywall/poppywall/flow"
+	"github.com/poppywall/poppywall/flow/envelope"
+)
+
+// Limits of admission.
+const (
+	// queuePerSlot is how many requests may wait at the host for each slot. A
+	// request behind so many waits for 1.5 times the host's work on one, which
+	// leaves it within the latency objectives in use (4 to 5 times the work).
+	// What a host queues beyond that is served in the host's order, not in the
+	// one that callers need.
+	queuePerSlot = 0.5
+	// maxHeld bounds the requests that wait for a slot. A host of four slots and
+	// 30 ms of work serves as many in two seconds.
+	maxHeld = 256
+	// maxHeldPackets bounds those of one request: an end has at most 16 in flight.
+	maxHeldPackets = 16
+	// openingLoad is how long a flow that was given to the host counts as load
+	// although its client has sent nothing.
+	openingLoad = 300 * time.Millisecond
+	// assumedWork is the time that a host is taken to need for a request before
+	// one was observed.
+	assumedWork = 50 * time.Millisecond
+)
+
+// terms are what a flow's route and its opening packet say of its requests.
+type terms struct {
+	priority            uint8
+	objective, deadline time.Duration
+	// began and hidden are the age of the flow's first request (backlog.Request);
+	// zero once the host has it.
+	began  time.Time
+	hidden time.Duration
+}
+
+// termsOf reads the terms of a flow from its opening packet and the envelope
+// around it.
+func (c *Core) termsOf(now time.Time, h *flow.Header) terms {
+	c.outage.Opened(now, h.Ack)
+	began := now.Add(-backlog.Age(h.Ack))
+	return terms{
+		priority: c.env.Priority, objective: c.env.Objective, deadline: c.env.Deadline,
+		began: began, hidden: c.outage.Hidden(began),
+	}
+}
+
+// heldRequest is a request that waits for a slot of the host: its packets, and
+// the envelope that they came in.
+type heldRequest struct {
+	since   time.Time
+	env     envelope.Envelope
+	packets []heldPacket
+}
+
+type heldPacket struct {
+	seq  uint32
+	data []byte
+}
+
+// add keeps a packet; one that its client has repeated is kept once.
+func (r *heldRequest) add(seq uint32, packet []byte) {
+	known := slices.ContainsFunc(r.packets, func(p heldPacket) bool { return p.seq == seq })
+	if known || len(r.packets) >= maxHeldPackets {
+		return
+	}
+	r.packets = append(r.packets, heldPacket{seq, slices.Clone(packet)})
+}
+
+// limit is how many requests the host may have, running and queued.
+func (c *Core) limit() int {
+	slots := c.host.slots()
+	return slots + int(queuePerSlot*float64(slots))
+}
+
+// full tells that there are as many requests as the host should have, those that
+// wait for a slot and those that are about to come included.
+func (c *Core) full() bool { return c.flows.busy >= c.limit() }
+
+// wait is how long a new request would wait for a slot, served in order.
+func (c *Core) wait() time.Duration {
+	return time.Duration(max(c.flows.busy-c.host.slots()+1, 0)) * c.pace.Each()
+}
+
+// settles decides on a new flow for which the host has no room at once. While
+// there are other candidates it is passed on; then it goes to the host with the
+// shortest wait, which takes it unless it certainly cannot be served in time, or
+// its client's next opening packet comes soon enough. It tells whether the host is
+// to take it; otherwise the packet was sent on or dropped.
+func (c *Core) settles(now time.Time, key flow.Key, h *flow.Header, packet []byte) bool {
+	wait := c.wait()
+	if c.env.Flags&envelope.Settle == 0 {
+		if c.env.Best == 0 || wait < c.env.BestWait {
+			c.env.Best, c.env.BestWait = c.opts.Self, wait
+		}
+		if c.env.Count == 0 && c.env.Best != c.opts.Self {
+			c.env.Flags |= envelope.Settle
+			c.env.SetCandidates([]flow.Candidate{{Host: c.env.Best, Service: c.env.Service}})
+		}
+		if c.env.Count > 0 {
+			c.events.PassedOn(key, "host at its limit", int(c.env.Hops))
+			c.passOn(packet, true)
+			return false
+		}
+	}
+	if reason, ok := c.servable(now, wait, h); !ok {
+		c.events.PassedOn(key, reason, int(c.env.Hops))
+		c.passOn(packet, true)
+		return false
+	}
+	if canCome(wait, h) {
+		c.events.Postponed(key, wait)
+		return false
+	}
+	return true
+}
+
+// servable tells whether a new flow's request can be answered before its caller
+// gives up; while the backlog does not pass, whether it can meet its objective.
+func (c *Core) servable(now time.Time, wait time.Duration, h *flow.Header) (string, bool) {
+	if c.env.Deadline == 0 {
+		return "", true
+	}
+	need := backlog.Age(h.Ack) + wait + c.pace.Took()
+	if c.held.Len() >= maxHeld || need > c.env.Deadline {
+		return "no host can serve it in time", false
+	}
+	if c.held.Standing(now, c.env.Deadline) && need > c.env.Objective {
+		return "all hosts have a standing backlog", false
+	}
+	return "", true
+}
+
+// canCome tells whether a new flow's next opening packet comes before the host
+// would have a slot for its request. Until then hosts may come back, or others be
+// faster; a flow that is open is bound to its host.
+func canCome(wait time.Duration, h *flow.Header) bool {
+	next, more := backlog.NextCopy(h.Ack)
+	return more && next < wait
+}
+
+// waits decides whether a client's data goes to the host now or is kept until the
+// host has a slot, and keeps it.
+func (c *Core) waits(now time.Time, key flow.Key, r *record, h *flow.Header, packet []byte) bool {
+	switch {
+	case r.held != nil:
+		r.held.add(h.Seq, packet)
+		return true
+	case !r.runningAt.IsZero():
+		return false
+	}
+	id := c.codec.RequestID(packet)
+	if c.flows.running < c.limit() || r.request.deadline == 0 || c.held.Len() >= maxHeld {
+		c.start(now, key, r, id)
+		return false
+	}
+	r.held = &heldRequest{since: now, env: c.env}
+	r.held.add(h.Seq, packet)
+	c.events.Waiting(key, id, c.held.Len(), c.wait())
+	c.held.Push(now, key, r.request.next(now))
+	return true
+}
+
+// next describes the flow's next request: a later one than the first began when
+// it came.
+func (t *terms) next(now time.Time) backlog.Request {
+	request := backlog.Request{Priority: t.priority, Began: now, Objective: t.objective, Deadline: t.deadline}
+	if !t.began.IsZero() {
+		request.Began, request.Hidden = t.began, t.hidden
+	}
+	return request
+}
+
+// start notes that the host gets a request.
+func (c *Core) start(now time.Time, key flow.Key, r *record, requestID []byte) {
+	c.flows.started(now, r)
+	r.request.began = time.Time{}
+	if requestID != nil {
+		c.events.Request(key, requestID, c.flows.running, c.host.slots())
+	}
+}
+
+// releaseHeld gives requests that wait to the host while it has room.
+func (c *Core) releaseHeld(now time.Time) {
+	for c.held.Len() > 0 && c.flows.running < c.limit() {
+		key, _ := c.held.Next(now, c.pace)
+		r := c.flows.get(key)
+		if r == nil || r.held == nil {
+			continue
+		}
+		held := r.held
+		r.held = nil
+		c.start(now, key, r, c.codec.RequestID(held.packets[0].data))
+		for _, p := range held.packets {
+			c.env = held.env
+			c.toOpen(now, key, r, p.data)
+		}
+	}
+}
+
+// leaves notes that a client has ended its flow; a request of its own that still
+// waits is for nobody.
+func (c *Core) leaves(now time.Time, key flow.Key, r *record) {
+	if r.held == nil {
+		return
+	}
+	c.events.GaveUp(key, now.Sub(r.held.since))
+	c.flows.answered(r)
+}
+
+// expireHeld forgets requests whose callers have gone.
+func (c *Core) expireHeld(now time.Time) {
+	for _, key := range c.held.Expire(now) {
+		if r := c.flows.get(key); r != nil {
+			c.leaves(now, key, r)
+		}
+	}
+}
+
+// openingFlow is a flow that counts as load from its admission on.
+type openingFlow struct {
+	key flow.Key
+	at  time.Time
+}
+
+// countOpening counts a flow that was given to the host as load: its request
+// will follow.
+func (c *Core) countOpening(now time.Time, key flow.Key, r *record) {
+	c.flows.requested(now, r)
+	c.opening = append(c.opening, openingFlow{key, now})
+}
+
+// expireOpening stops counting flows whose clients have sent nothing.
+func (c *Core) expireOpening(now time.Time) {
+	for len(c.opening) > 0 && now.Sub(c.opening[0].at) > openingLoad {
+		first := c.opening[0]
+		c.opening = c.opening[1:]
+		r := c.flows.get(first.key)
+		if r != nil && r.pendingAt.Equal(first.at) && r.held == nil && r.runningAt.IsZero() {
+			c.flows.answered(r)
+		}
+	}
+	if len(c.opening) == 0 {
+		c.opening = nil
+	}
+}
--- /dev/null
+++ b/agent/packetfront/admission_test.go
@@ -0,0 +1,270 @@
+package packetfront
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/poppywall/poppywall/flow"
+	"github.com/poppywall/poppywall/flow/envelope"
+	"github.com/poppywall/poppywall/platform"
+)
+
+// load is an envelope of a route that states what its requests need.
+func load(priority uint8) envelope.Envelope {
+	return envelope.Envelope{Service: service, Priority: priority, Objective: 150 * time.Millisecond, Deadline: 2500 * time.Millisecond}
+}
+
+// opens lets a client open a flow and the host answer it.
+func (f *fixture) opens(client int, e envelope.Envelope, copies uint32) {
+	f.deliver(e, packet(keyOf(client), flow.SYN, copies, ""))
+	if f.flows.get(keyOf(client)) != nil {
+		f.hostSends(client, flow.SYN|flow.ACK, 500, 0)
+	}
+}
+
+// asks lets a client send its request.
+func (f *fixture) asks(client int) {
+	f.deliver(envelope.Envelope{}, packet(keyOf(client), flow.ACK, 500, "request"))
+}
+
+// answers lets the host answer a client's request.
+func (f *fixture) answers(client int) { f.hostSends(client, flow.ACK, 501, 10) }
+
+// fill gives the host as many requests as it should have.
+func (f *fixture) fill() {
+	for i := range f.limit() {
+		f.opens(i, load(2), 0)
+		f.asks(i)
+	}
+}
+
+// atHost returns the clients whose requests the host got, in order.
+func (f *fixture) atHost() []int {
+	var out []int
+	for _, p := range f.port.host {
+		h, err := platform.DecodePacket(p)
+		if err == nil && h.Len > 0 {
+			out = append(out, int(h.Src-0x64400000))
+		}
+	}
+	return out
+}
+
+// opened tells whether the host got the client's SYN.
+func (f *fixture) opened(client int) bool {
+	for _, p := range f.port.host {
+		h, err := platform.DecodePacket(p)
+		if err == nil && h.IsOpening() && h.FromClient() == keyOf(client) {
+			return true
+		}
+	}
+	return false
+}
+
+// TestRequestsBeyondTheLimitWaitForASlot: their flows are open, so that their
+// clients wait to their deadlines and not to the end of a try; served is the one
+// that package backlog names.
+func TestRequestsBeyondTheLimitWaitForASlot(t *testing.T) {
+	f := newFixture()
+	require.Equal(t, 6, f.limit(), "four slots and half a request queued for each")
+	f.fill()
+	require.Equal(t, []int{0, 1, 2, 3, 4, 5}, f.atHost())
+	f.opens(100, load(2), 0)
+	f.opens(101, load(1), 0)
+	f.pass(10 * time.Millisecond)
+	f.opens(102, load(2), 0)
+	for _, client := range []int{100, 101, 102, 100} {
+		require.True(t, f.opened(client))
+		f.asks(client)
+	}
+	require.Len(t, f.atHost(), 6)
+	require.Equal(t, 9, f.Busy(), "what waits is load")
+	for i := range 4 {
+		f.answers(i)
+	}
+	require.Equal(t, []int{101, 102, 100}, f.atHost()[6:], "the higher priority, then the newest; what was repeated goes once")
+	require.Equal(t, 5, f.Busy())
+}
+
+func TestLaterPacketsOfAWaitingRequestFollowIt(t *testing.T) {
+	f := newFixture()
+	f.fill()
+	f.opens(100, load(2), 0)
+	first := packet(keyOf(100), flow.ACK, 500, "one")
+	second := packet(keyOf(100), flow.ACK, 500, "two")
+	second[3] = 9
+	f.deliver(envelope.Envelope{}, first)
+	f.deliver(envelope.Envelope{}, second)
+	f.deliver(envelope.Envelope{}, first)
+	f.answers(0)
+	require.Equal(t, []int{100, 100}, f.atHost()[6:])
+	third := packet(keyOf(100), flow.ACK, 500, "three")
+	third[3] = 18
+	f.deliver(envelope.Envelope{}, third)
+	require.Len(t, f.atHost(), 9, "the rest of a request that the host has is not held up")
+}
+
+func TestAClientThatLeavesFreesItsPlace(t *testing.T) {
+	for name, leave := range map[string]func(f *fixture){
+		"says so":      func(f *fixture) { f.deliver(envelope.Envelope{}, packet(keyOf(100), flow.ACK|flow.FIN, 500, "")) },
+		"its deadline": func(f *fixture) { f.pass(2600 * time.Millisecond) },
+	} {
+		f := newFixture()
+		f.fill()
+		f.opens(100, load(2), 0)
+		f.asks(100)
+		require.Equal(t, 7, f.Busy(), name)
+		leave(f)
+		require.Equal(t, 6, f.Busy(), name)
+		f.answers(0)
+		require.Len(t, f.atHost(), 6, name)
+	}
+}
+
+// TestANewFlowGoesToTheHostWithTheShortestWait when no candidate has room.
+func TestANewFlowGoesToTheHostWithTheShortestWait(t *testing.T) {
+	f := newFixture()
+	f.fill()
+	e := load(2)
+	e.SetCandidates([]flow.Candidate{{Host: nextIP, Service: service}})
+	f.opens(100, e, 2)
+	passed := f.port.last()
+	require.Equal(t, nextIP, passed.to)
+	require.Equal(t, flow.IPv4(9), passed.env.Best, "it was offered here first")
+	require.Equal(t, f.wait().Truncate(time.Millisecond), passed.env.BestWait)
+
+	last := load(2)
+	last.Best, last.BestWait = nextIP, 10*time.Millisecond
+	f.opens(101, last, 2)
+	sent := f.port.last()
+	require.Equal(t, nextIP, sent.to)
+	require.NotZero(t, sent.env.Flags&envelope.Settle)
+	require.False(t, f.opened(101))
+
+	last.BestWait = time.Second
+	f.opens(102, last, 2)
+	require.True(t, f.opened(102), "here the wait is shorter")
+
+	settled := load(2)
+	settled.Flags = envelope.Settle
+	settled.Best, settled.BestWait = nextIP, time.Millisecond
+	f.opens(103, settled, 2)
+	require.True(t, f.opened(103), "it was sent on once")
+}
+
+// TestALongWaitIsLeftToTheNextOpeningPacket, for an open flow is bound to its host;
+// the last one has none behind it.
+func TestALongWaitIsLeftToTheNextOpeningPacket(t *testing.T) {
+	f := newFixture()
+	f.fill()
+	for client := 100; f.wait() <= 200*time.Millisecond; client++ {
+		f.opens(client, load(2), 2)
+		f.asks(client)
+	}
+	sent := len(f.port.nodes)
+	f.opens(500, load(2), 0)
+	require.False(t, f.opened(500))
+	require.Len(t, f.port.nodes, sent, "it is not refused either")
+	f.opens(501, load(2), 1)
+	require.True(t, f.opened(501), "the next one comes after 400 ms")
+	f.opens(502, load(2), 2)
+	require.True(t, f.opened(502))
+}
+
+func TestWhatCannotBeServedInTimeIsReturnedAtOnce(t *testing.T) {
+	f := newFixture()
+	f.fill()
+	client := 100
+	for ; f.wait() <= 1900*time.Millisecond-f.pace.Took(); client++ {
+		f.opens(client, load(2), 2)
+		f.asks(client)
+	}
+	f.opens(client, load(2), 2)
+	require.False(t, f.opened(client))
+	require.Equal(t, envelope.Returned, f.port.last().kind)
+	long := load(2)
+	long.Deadline = 8 * time.Second
+	f.opens(client+1, long, 2)
+	require.True(t, f.opened(client+1), "another route's callers can wait")
+	unstated := envelope.Envelope{Service: service}
+	f.opens(client+2, unstated, 2)
+	require.True(t, f.opened(client+2), "a route that states no deadline")
+}
+
+// TestAStandingBacklogTakesOnlyWhatMeetsItsObjective: everybody would wait as long
+// as they can bear otherwise.
+func TestAStandingBacklogTakesOnlyWhatMeetsItsObjective(t *testing.T) {
+	f := newFixture()
+	f.fill()
+	client := 100
+	long := load(2)
+	long.Deadline = time.Minute
+	for ; f.wait() < 200*time.Millisecond; client++ {
+		f.opens(client, long, 2)
+		f.asks(client)
+	}
+	for range 2 {
+		f.pass(2550 * time.Millisecond)
+		for waiting := 100; waiting < client; waiting++ {
+			f.asks(waiting)
+		}
+	}
+	f.opens(client, load(2), 2)
+	require.False(t, f.opened(client))
+	require.Equal(t, envelope.Returned, f.port.last().kind)
+}
+
+// TestASearchThatMeetsAWaitingRequestEnds: its balancer is told at once, or it would
+// ask every host again and again.
+func TestASearchThatMeetsAWaitingRequestEnds(t *testing.T) {
+	f := newFixture()
+	f.fill()
+	f.opens(100, load(2), 0)
+	require.Empty(t, f.owners())
+	e := envelope.Envelope{Service: service, Flags: envelope.Search}
+	f.deliver(e, packet(keyOf(100), flow.ACK, 500, "request"))
+	require.Equal(t, []flow.IPv4{balancerIP}, f.owners())
+	require.Len(t, f.atHost(), 6)
+}
+
+// TestALongRequestStaysLoad although the host has said nothing on its flow.
+func TestALongRequestStaysLoad(t *testing.T) {
+	f := newFixture()
+	f.fill()
+	f.opens(100, load(2), 0)
+	f.asks(100)
+	f.pass(2 * openingLoad)
+	require.Equal(t, 7, f.Busy())
+	require.Len(t, f.atHost(), 6)
+}
+
+func TestWaitingRequestsEndWithTheirHost(t *testing.T) {
+	f := newFixture()
+	f.fill()
+	f.opens(100, load(2), 0)
+	f.asks(100)
+	f.Probed(f.now, ProbeRefused)
+	require.Zero(t, f.Busy())
+	require.Zero(t, f.held.Len())
+	f.Probed(f.now, ProbeAccepted)
+	f.pass(time.Second)
+	require.Len(t, f.atHost(), 6)
+}
+
+// TestLaterRequestsOfAFlowWait like the first, from when they come.
+func TestLaterRequestsOfAFlowWait(t *testing.T) {
+	f := newFixture()
+	f.fill()
+	f.answers(0)
+	f.opens(100, load(2), 0)
+	f.asks(100)
+	f.pass(3 * time.Second)
+	f.asks(0)
+	require.Len(t, f.atHost(), 7)
+	require.Equal(t, 1, f.held.Len())
+	f.pass(2 * time.Second)
+	f.answers(1)
+	require.Equal(t, 0, f.atHost()[7], "its client has waited for two seconds, not five")
+}
--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -1,9 +1,9 @@
 package packetfront
 
 import (
-	"slices"
 	"time"
 
+	"github.com/poppywall/poppywall/backlog"
 	"github.com/poppywall/poppywall/fleet"
 	"github.com/poppywall/poppywall/flow"
 	"github.com/poppywall/poppywall/flow/envelope"
@@ -73,7 +73,9 @@
 
 	acks    acks
 	health  health
-	waiting waiting
+	held    backlog.Queue[flow.Key]
+	pace    backlog.Pace
+	outage  backlog.Outage
 	opening []openingFlow
 
 	// known is set once something was heard of the host, or a probe has told;
@@ -101,7 +103,7 @@
 func New(opts Options, port Port, codec flow.Codec, events Events) *Core {
 	return &Core{
 		opts: opts, port: port, codec: codec, events: events,
-		view: fleet.NewView(), flows: newFlows(), notes: newNotes(), acks: newAcks(), health: newHealth(),
+		view: fleet.NewView(), flows: newFlows(), notes: newNotes(), acks: newAcks(), health: newHealth(), pace: backlog.NewPace(assumedWork, assumedSlots),
 		buf: make([]byte, 0, 2048),
 	}
 }
@@ -161,27 +163,23 @@
 	if ok && c.health.ejected && c.env.Count > 0 {
 		reason, ok = "host ejected", false
 	}
-	if ok && c.full() && c.flows.get(key) == nil {
-		if c.env.Count == 0 {
-			c.events.Waiting(key, c.flows.busy, c.limit())
-			c.waiting.push(waitingSyn{key: key, copy: h.Ack, env: c.env, packet: slices.Clone(packet), since: now})
-			return
-		}
-		reason, ok = "host at its limit", false
-	}
 	if !ok {
 		c.events.PassedOn(key, reason, int(c.env.Hops))
 		c.passOn(packet, true)
 		return
 	}
-	c.admit(now, key, packet)
+	if c.flows.get(key) == nil && c.full() && !c.settles(now, key, h, packet) {
+		return
+	}
+	c.admit(now, key, h, packet)
 }
 
 // admit gives a SYN to the host.
-func (c *Core) admit(now time.Time, key flow.Key, packet []byte) {
+func (c *Core) admit(now time.Time, key flow.Key, h *flow.Header, packet []byte) {
 	if c.flows.get(key) == nil {
 		r := c.flows.ensure(now, key)
 		r.stage = offered
+		r.request = c.termsOf(now, h)
 		c.countOpening(now, key, r)
 		if c.env.Hops > 0 {
 			r.balancer = c.env.Balancer
@@ -223,14 +221,27 @@
 		c.port.Reset(key, h.Ack)
 		return
 	}
-	c.noteClient(now, key, r, h, packet)
+	c.noteClient(now, r, h)
+	// The acknowledgement fits this host's: the flow is nowhere else, also while
+	// the host has not seen it yet.
+	if c.env.Flags&envelope.Search != 0 || c.env.Hops > 0 {
+		c.tellOwner(key, c.env.Balancer, c.env.Hops)
+	}
+	if h.Len > 0 && c.waits(now, key, r, h, packet) {
+		return
+	}
+	if h.Len == 0 && (h.Flags.Has(flow.FIN) || h.Flags.Has(flow.RST)) {
+		c.leaves(now, key, r)
+	}
+	c.toOpen(now, key, r, packet)
+}
+
+// toOpen gives a packet to the host of its flow.
+func (c *Core) toOpen(now time.Time, key flow.Key, r *record, packet []byte) {
 	if r.stage == halfOpen {
 		c.toHost(now, key, packet)
 		return
 	}
-	if c.env.Flags&envelope.Search != 0 || c.env.Hops > 0 {
-		c.tellOwner(key, c.env.Balancer, c.env.Hops)
-	}
 	c.codec.SetEcho(packet, 0)
 	c.host.owes(now)
 	c.events.Delivered()
@@ -238,21 +249,15 @@
 }
 
 // noteClient keeps what a client's packet says of its flow.
-func (c *Core) noteClient(now time.Time, key flow.Key, r *record, h *flow.Header, packet []byte) {
+func (c *Core) noteClient(now time.Time, r *record, h *flow.Header) {
 	r.usedAt = now
 	r.clientAck = h.Ack
 	if h.Flags.Has(flow.FIN) {
 		r.clientFin = true
 	}
-	if h.Len == 0 {
-		return
-	}
-	if r.pendingAt.IsZero() || r.stage == halfOpen {
-		if id := c.codec.RequestID(packet); id != nil {
-			c.events.Request(key, id, c.flows.busy, c.host.slots())
-		}
+	if h.Len > 0 {
+		c.flows.requested(now, r)
 	}
-	c.flows.requested(now, r)
 }
 
 // deliverUnknown handles a packet of a flow that is not known here. An agent
--- a/agent/packetfront/events.go
+++ b/agent/packetfront/events.go
@@ -1,6 +1,8 @@
 package packetfront
 
 import (
+	"time"
+
 	"github.com/poppywall/poppywall/fleet"
 	"github.com/poppywall/poppywall/flow"
 )
@@ -23,8 +25,14 @@
 	Delivered()
 	// Request is the first packet of a request, delivered to the host.
 	Request(key flow.Key, requestID []byte, busy, slots int)
-	// Waiting is a new flow for which no host has room at the moment.
-	Waiting(key flow.Key, busy, limit int)
+	// Waiting is a request for which the host has no slot at the moment; wait is
+	// how long it is expected to.
+	Waiting(key flow.Key, requestID []byte, held int, wait time.Duration)
+	// Postponed is a new flow that waits for its client's next opening packet; wait
+	// is what it would have waited at the best host.
+	Postponed(key flow.Key, wait time.Duration)
+	// GaveUp is a request that waited until its client had gone.
+	GaveUp(key flow.Key, waited time.Duration)
 	PassedOn(key flow.Key, reason string, hops int)
 	// Bounced is a packet that the host did not take.
 	Bounced(key flow.Key, opening bool)
--- a/agent/packetfront/flows.go
+++ b/agent/packetfront/flows.go
@@ -46,8 +46,17 @@
 	// clientAck is the client's last acknowledgement, for a reset.
 	clientAck uint32
 	usedAt    time.Time
-	// pendingAt is when the client sent a request that was not answered yet.
+	// pendingAt is when the client sent a request that was not answered yet, or
+	// its flow was given to the host.
 	pendingAt time.Time
+	// request is what the flow's requests ask for.
+	request terms
+	// held is the request that waits for a slot, nil when none does; runningAt is
+	// when the present request was given to the host, zero before, and among how
+	// many the host had then, this one included.
+	held      *heldRequest
+	runningAt time.Time
+	among     int
 	// balancer is told that the flow is here once the host has taken it; zero
 	// when it knows.
 	balancer           flow.IPv4
@@ -67,7 +76,9 @@
 	byKey map[flow.Key]*record
 	// overflowed is set once a flow had to be forgotten early.
 	overflowed bool
-	busy, open int
+	// busy counts the flows that owe an answer or may soon, running those whose
+	// request the host has.
+	busy, running, open int
 }
 
 func newFlows() *flows { return &flows{byKey: map[flow.Key]*record{}} }
@@ -118,8 +129,19 @@
 	}
 }
 
+// started notes that the host has the flow's request.
+func (f *flows) started(now time.Time, r *record) {
+	f.running++
+	r.runningAt, r.among = now, f.running
+}
+
 // answered notes that the host owes nothing.
 func (f *flows) answered(r *record) {
+	if !r.runningAt.IsZero() {
+		r.runningAt = time.Time{}
+		f.running--
+	}
+	r.held = nil
 	if !r.pendingAt.IsZero() {
 		r.pendingAt = time.Time{}
 		f.busy--
--- a/agent/packetfront/fromhost.go
+++ b/agent/packetfront/fromhost.go
@@ -16,7 +16,7 @@
 	}
 	key := h.FromHost()
 	c.noteHost(now, key, h, packet)
-	c.admitWaiting(now)
+	c.releaseHeld(now)
 	c.port.ToClient(key.ClientIP, packet)
 }
 
@@ -36,6 +36,9 @@
 		if h.Len > 0 && r.awaited() {
 			c.outcome(now, c.codec.Failed(packet))
 		}
+		if h.Len > 0 && !r.runningAt.IsZero() {
+			c.pace.Done(now.Sub(r.runningAt), r.among, c.host.slots())
+		}
 		c.noteSent(key, r, h)
 	}
 }
--- a/agent/packetfront/host.go
+++ b/agent/packetfront/host.go
@@ -168,6 +168,7 @@
 		return
 	}
 	c.host.killed = true
+	c.held.Clear()
 	c.flows.kill(now, func(key flow.Key, r *record) {
 		c.events.Reset(key, reason)
 		c.port.Reset(key, r.clientAck)
--- a/agent/packetfront/nodes.go
+++ b/agent/packetfront/nodes.go
@@ -57,7 +57,8 @@
 	}
 	c.checkHealth(now)
 	c.expireOpening(now)
-	c.admitWaiting(now)
+	c.expireHeld(now)
+	c.releaseHeld(now)
 	c.announceDue(now)
 	if !now.Before(c.nextExpire) {
 		c.nextExpire = now.Add(time.Second)
--- a/agent/packetfront/observer.go
+++ b/agent/packetfront/observer.go
@@ -37,10 +37,10 @@
 
 	requests, passes, other telemetry.Budget
 
-	delivered, requested, waited, passedOn, bounced, resets prometheus.Counter
-	failed, ejections                                       prometheus.Counter
-	drops                                                   map[Drop]prometheus.Counter
-	load                                                    prometheus.Histogram
+	delivered, requested, waited, postponed, gaveUp, passedOn, bounced, resets prometheus.Counter
+	failed, ejections                                                          prometheus.Counter
+	drops                                                                      map[Drop]prometheus.Counter
+	load                                                                       prometheus.Histogram
 }
 
 func newObserver(log *zap.Logger, reg *prometheus.Registry) *observer {
@@ -52,7 +52,9 @@
 		other:     telemetry.Budget{PerSecond: otherLines},
 		delivered: c.Counter("delivered_packets_total", "Packets handed to the host."),
 		requested: c.Counter("requests_total", "Requests whose first packet was handed to the host."),
-		waited:    c.Counter("waiting_flows_total", "New flows for which no host had room at once."),
+		waited:    c.Counter("waiting_requests_total", "Requests that waited for a slot of the host."),
+		postponed: c.Counter("postponed_flows_total", "New flows left to their client's next opening packet."),
+		gaveUp:    c.Counter("given_up_requests_total", "Requests that waited until their client had gone."),
 		passedOn:  c.Counter("passed_on_packets_total", "Packets that the agent did not hand to the host."),
 		bounced:   c.Counter("bounced_packets_total", "Packets that the host did not take."),
 		resets:    c.Counter("reset_flows_total", "Flows reset because their host has ended."),
@@ -77,9 +79,22 @@
 }
 
 // Waiting implements Events.
-func (o *observer) Waiting(key flow.Key, busy, limit int) {
+func (o *observer) Waiting(key flow.Key, requestID []byte, held int, wait time.Duration) {
 	o.waited.Inc()
-	o.Write(&o.passes, "new flow waits for room", zap.Stringer(fieldFlow, key), zap.Int(fieldLoad, busy), zap.Int("limit", limit))
+	o.Write(&o.passes, "request waits for a slot", zap.Stringer(fieldFlow, key), zap.ByteString(fieldRequest, requestID),
+		zap.Int("held", held), zap.Duration("wait", wait))
+}
+
+// Postponed implements Events.
+func (o *observer) Postponed(key flow.Key, wait time.Duration) {
+	o.postponed.Inc()
+	o.Write(&o.passes, "new flow postponed", zap.Stringer(fieldFlow, key), zap.Duration("wait", wait))
+}
+
+// GaveUp implements Events.
+func (o *observer) GaveUp(key flow.Key, waited time.Duration) {
+	o.gaveUp.Inc()
+	o.Write(&o.passes, "request's client has gone", zap.Stringer(fieldFlow, key), zap.Duration("waited", waited))
 }
 
 // PassedOn implements Events.
--- /dev/null
+++ b/backlog/doc.go
@@ -0,0 +1,29 @@
+// Package backlog orders the requests that a host has no slot for, and says how
+// long the next one would wait.
+//
+// The pattern that it answers is the return of everybody: a service was away for
+// a second or two, all callers of that time come back at once, hosts that have
+// just started are slow, and fresh requests arrive all the while. The hosts could
+// answer every one in time for its caller, though not within its latency
+// objective. Served in order of arrival, all are late until the backlog is gone;
+// newest first, the callers that waited longest give up. The order here is a form
+// of least laxity first (Mok, 1983):
+//
+//   - the higher priority goes first;
+//   - a request that can still meet its objective goes before those that cannot,
+//     the newest first, as long as every other one can meet its deadline after it
+//     at the host's observed pace;
+//   - otherwise the one with the earliest deadline goes, of those that can still
+//     meet theirs.
+//
+// Deadlines come from the route. A caller's age is what its packets show: a copy
+// of an opening packet says how long ago the first one was sent. A caller whose
+// earlier try met nobody shows nothing; Outage tells from the copies that arrive
+// whether that may be so, and the deadline is taken that much earlier then.
+//
+// A backlog that does not go away is another matter: then everybody would wait as
+// long as they can bear. Standing tells so, and the caller of this package
+// refuses what cannot meet its objective.
+//
+// Cost: Next sorts the requests of one priority, O(n log n) (BenchmarkNext).
+package backlog
--- /dev/null
+++ b/backlog/pace.go
@@ -0,0 +1,42 @@
+package backlog
+
+import "time"
+
+// paceWeight is the weight of a new observation: the mean covers some eight
+// requests, a fifth of a second of a host with four slots and 100 ms of work, so
+// that a host that has started cold is seen to warm up.
+const paceWeight = 1.0 / 8
+
+// Pace is how a host works, from what was observed of its requests.
+type Pace struct {
+	// each is the mean time between two answers of a host that is fully used, in
+	// nanoseconds, took that from a request's delivery to its answer.
+	each, took float64
+	observed   bool
+}
+
+// NewPace returns the pace of a host that is assumed to take work for a request,
+// and to work on slots of them at once, until something is observed.
+func NewPace(work time.Duration, slots int) Pace {
+	return Pace{each: float64(work) / float64(max(slots, 1)), took: float64(work)}
+}
+
+// Done takes note of an answer: how long the request took from its delivery, and
+// how many requests the host had then, this one included. By Little's law a host
+// with n requests that take t each answers one each t/n; one that has fewer than
+// its slots could take more meanwhile.
+func (p *Pace) Done(took time.Duration, running, slots int) {
+	each := float64(took) / float64(max(running, slots, 1))
+	if !p.observed {
+		*p = Pace{each: each, took: float64(took), observed: true}
+		return
+	}
+	p.each += paceWeight * (each - p.each)
+	p.took += paceWeight * (float64(took) - p.took)
+}
+
+// Each returns the mean time between two answers of a host that is fully used.
+func (p Pace) Each() time.Duration { return time.Duration(p.each) }
+
+// Took returns the mean time from a request's delivery to its answer.
+func (p Pace) Took() time.Duration { return time.Duration(p.took) }
--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -274,6 +274,7 @@
 		Age: now.Sub(host.HeardAt), Candidates: len(candidates), Copy: h.Ack})
 	c.env = envelope.Envelope{
 		Kind: envelope.Deliver, Balancer: c.opts.Self, Service: chosen.Service, Priority: route.Priority,
+		Objective: route.Objective, Deadline: route.Deadline,
 	}
 	c.env.SetCandidates(candidates[1:])
 	c.send(chosen.Host, packet)
--- a/flow/envelope/envelope.go
+++ b/flow/envelope/envelope.go
@@ -3,14 +3,18 @@
 // untouched behind it.
 //
 // Layout, big-endian: magic (2), version (1), kind (1), balancer (4), hops (1),
-// flags (1), candidate count (1), priority (1), service (4), search (4), then 8 bytes for each candidate still to try (address 4, service
-// 4), then the packet.
+// flags (1), candidate count (1), priority (1), service (4), search (4),
+// objective (2), deadline (2), least loaded host (4), its wait (2), then 8 bytes
+// for each candidate still to try (address 4, service 4), then the packet. Times
+// are whole milliseconds, at most 65,535.
 //
 // Cost: decoding allocates nothing (BenchmarkDecode).
 package envelope
 
 import (
 	"encoding/binary"
+	"math"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -46,6 +50,9 @@
 	Searched
 	// Unsure marks a search in which a host could not say a certain no.
 	Unsure
+	// Settle marks a new flow that every candidate was offered: the receiver has
+	// the shortest wait of them.
+	Settle
 )
 
 // Limits of the format.
@@ -56,13 +63,13 @@
 	MaxHops = MaxCandidates + 8
 	// PrefixLen is the length of magic, version and kind.
 	PrefixLen = 4
-	headLen   = 20
+	headLen   = 30
 	itemLen   = 8
 	// MaxLen is the longest envelope, in bytes.
 	MaxLen = headLen + MaxCandidates*itemLen
 
 	magic   = 0x7077
-	version = 2
+	version = 3
 )
 
 // ErrMalformed is returned for bytes that are no datagram of this system.
@@ -82,6 +89,13 @@
 	SearchID uint32
 	// Priority is that of the route, 0 the highest; for new flows only.
 	Priority uint8
+	// Objective and Deadline are those of the route's requests, zero when
+	// unstated; for new flows only.
+	Objective, Deadline time.Duration
+	// Best is the host with the shortest wait of those that a new flow was offered
+	// in vain, BestWait that wait; zero before the first.
+	Best     flow.IPv4
+	BestWait time.Duration
 	// Count is the number of Candidates still to try, in order.
 	Count      int
 	Candidates [MaxCandidates]flow.Candidate
@@ -124,6 +138,10 @@
 	b = append(b, e.Hops, byte(e.Flags), byte(e.Count), e.Priority)
 	b = binary.BigEndian.AppendUint32(b, uint32(e.Service))
 	b = binary.BigEndian.AppendUint32(b, e.SearchID)
+	b = appendMillis(b, e.Objective)
+	b = appendMillis(b, e.Deadline)
+	b = binary.BigEndian.AppendUint32(b, uint32(e.Best))
+	b = appendMillis(b, e.BestWait)
 	for _, c := range e.Candidates[:e.Count] {
 		b = binary.BigEndian.AppendUint32(b, uint32(c.Host))
 		b = binary.BigEndian.AppendUint32(b, uint32(c.Service))
@@ -151,6 +169,8 @@
 	e.Priority = b[11]
 	e.Service = flow.Tag(binary.BigEndian.Uint32(b[12:]))
 	e.SearchID = binary.BigEndian.Uint32(b[16:])
+	e.Objective, e.Deadline = millis(b[20:]), millis(b[22:])
+	e.Best, e.BestWait = flow.IPv4(binary.BigEndian.Uint32(b[24:])), millis(b[28:])
 	for i := range count {
 		at := b[headLen+i*itemLen:]
 		e.Candidates[i] = flow.Candidate{
@@ -161,6 +181,16 @@
 	return b[end:], nil
 }
 
+// appendMillis appends a time in whole milliseconds, the longest one that fits
+// for those beyond.
+func appendMillis(b []byte, d time.Duration) []byte {
+	return binary.BigEndian.AppendUint16(b, uint16(min(max(d.Milliseconds(), 0), math.MaxUint16)))
+}
+
+func millis(b []byte) time.Duration {
+	return time.Duration(binary.BigEndian.Uint16(b)) * time.Millisecond
+}
+
 // keyLen is the length of an encoded flow key.
 const keyLen = 12
 
