--- /dev/null
+++ b/model/caller.go
@@ -0,0 +1,213 @@
+package model
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/poppywall/poppywall/backlog"
+	"github.com/poppywall/poppywall/flow"
+	"github.com/poppywall/poppywall/platform"
+	"github.com/poppywall/poppywall/platform/platformtest"
+)
+
+// How callers repeat packets and tries.
+const (
+	firstRepeat = 200 * time.Millisecond
+	lastRepeat  = 1600 * time.Millisecond
+	// A failed try is followed by the next one after leastPause to backlog.RetryPause.
+	leastPause = 100 * time.Millisecond
+	// clientsAZone is how many client addresses there are in each zone.
+	clientsAZone = 32
+)
+
+// Outcome is what became of a request.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Pending requests have neither been answered nor given up.
+	Pending Outcome = iota
+	// InTime were answered within their latency objective, Late after it.
+	InTime
+	Late
+	// Refused were not run, and told so at each try.
+	Refused
+	// Lost were given up, or failed in a way that leaves no further try.
+	Lost
+)
+
+// request is a caller's: one or several tries.
+type request struct {
+	run     *run
+	number  int
+	class   *Class
+	zone    int
+	ip      flow.IPv4
+	began   time.Time
+	tries   int
+	runs    int
+	outcome Outcome
+	last    *attempt
+	// refused is set while every try was told that it has not run.
+	refused bool
+}
+
+// attempt is one try: a flow of its own.
+type attempt struct {
+	*request
+	key     flow.Key
+	open    bool
+	ended   bool
+	hostSeq uint32
+}
+
+// begin sends a request of a class from a zone.
+func (r *run) begin(c *Class, zone int) {
+	q := &request{
+		run: r, number: len(r.requests), class: c, zone: zone, began: r.world.Now, refused: true,
+		ip: clientIP(zone, r.world.Rnd.IntN(clientsAZone)),
+	}
+	r.requests = append(r.requests, q)
+	r.world.After(c.Deadline.D(), q.giveUp)
+	q.try()
+}
+
+func clientIP(zone, client int) flow.IPv4 { return flow.IPv4(0x64400000 + zone<<16 + client + 1) }
+
+func (q *request) finish(o Outcome) {
+	if q.outcome == Pending {
+		q.outcome = o
+	}
+}
+
+// giveUp ends a request whose deadline has come; its flow is closed.
+func (q *request) giveUp() {
+	if q.outcome != Pending {
+		return
+	}
+	if a := q.last; a != nil && a.open && !a.ended {
+		a.send(flow.ACK|flow.FIN, 2, a.hostSeq, nil)
+	}
+	q.finish(Lost)
+}
+
+// try opens a flow from a new port.
+func (q *request) try() {
+	q.tries++
+	r := q.run
+	r.ports[q.ip]++
+	front := r.fronts[q.class]
+	a := &attempt{request: q, key: flow.Key{ClientIP: q.ip, ClientPort: r.ports[q.ip], FrontIP: front.IP, FrontPort: front.Port}}
+	r.attempts[a.key], q.last = a, a
+	for copies := range uint32(3) {
+		r.world.After(backlog.Age(copies), func() {
+			if a.waits() && !a.open {
+				a.send(flow.SYN, 0x1000, copies, nil)
+			}
+		})
+	}
+	r.world.After(backlog.TryTime, func() {
+		if !a.open {
+			a.fail(true, false)
+		}
+	})
+}
+
+// waits tells whether the caller still wants an answer on this flow.
+func (a *attempt) waits() bool { return !a.ended && a.outcome == Pending }
+
+// fail ends a try. The caller tries again if that is safe and allowed; told says
+// that it was told that the request has not run.
+func (a *attempt) fail(notRun, told bool) {
+	if !a.waits() {
+		return
+	}
+	a.ended = true
+	delete(a.run.attempts, a.key)
+	a.refused = a.refused && told
+	if a.class.Unsafe && !notRun {
+		a.finish(Lost)
+		return
+	}
+	if a.tries <= a.class.Retries {
+		pause := leastPause + a.run.world.Jitter(backlog.RetryPause-leastPause)
+		a.run.world.After(pause, func() {
+			if a.outcome == Pending {
+				a.try()
+			}
+		})
+		return
+	}
+	if a.refused {
+		a.finish(Refused)
+		return
+	}
+	a.finish(Lost)
+}
+
+// send hands a packet to the balancer that the routers choose.
+func (a *attempt) send(flags flow.Flags, seq, ack uint32, data []byte) {
+	b := a.run.routers.pick(a.zone, a.key)
+	if b == nil {
+		return
+	}
+	w := a.run.world
+	w.Send(a.run.deployment.ClientDelay.D(), func(p []byte) {
+		if !b.Up {
+			return
+		}
+		if h, err := platform.DecodePacket(p); err == nil {
+			b.Core.HandleClient(w.Now, &h, p)
+		}
+	}, platformtest.FromClient(a.key, flags, seq, ack, data))
+}
+
+// ask sends the request, again until it is answered.
+func (a *attempt) ask(pause time.Duration) {
+	if !a.waits() {
+		return
+	}
+	a.send(flow.ACK, 1, a.hostSeq, requestData(a.number))
+	a.run.world.After(pause, func() { a.ask(min(2*pause, lastRepeat)) })
+}
+
+// take gives a caller a packet.
+func (r *run) take(_ flow.IPv4, packet []byte) {
+	head, err := platform.DecodePacket(packet)
+	if err != nil {
+		return
+	}
+	a, known := r.attempts[head.FromHost()]
+	if !known || !a.waits() {
+		return
+	}
+	switch {
+	case head.Flags.Has(flow.RST):
+		if !a.open || flow.SameFlow(head.Seq, a.hostSeq) {
+			a.fail(!a.open, !a.open)
+		}
+	case head.Flags.Has(flow.SYN | flow.ACK):
+		if !a.open {
+			a.open, a.hostSeq = true, head.Seq
+			a.ask(firstRepeat)
+		}
+	case a.open && head.Len > 0:
+		a.answered(packet[platform.HeadLen:])
+	}
+}
+
+// answered takes an answer and closes the flow.
+func (a *attempt) answered(text []byte) {
+	a.send(flow.ACK|flow.FIN, 2, a.hostSeq+1, nil)
+	switch {
+	case bytes.HasPrefix(text, []byte(answerShed)):
+		a.fail(true, true)
+	case bytes.HasPrefix(text, []byte(answerFailed)):
+		a.fail(false, false)
+	case a.run.world.Now.Sub(a.began) <= a.class.Objective.D():
+		a.finish(InTime)
+	default:
+		a.finish(Late)
+	}
+	delete(a.run.attempts, a.key)
+}
--- /dev/null
+++ b/model/deployment.go
@@ -0,0 +1,119 @@
+package model
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/poppywall/poppywall/settings"
+)
+
+// Class is a kind of request, with a service of its own or shared with others.
+type Class struct {
+	Name    string `json:"name" validate:"required"`
+	Service string `json:"service" validate:"required"`
+	// Rate is requests a second.
+	Rate float64 `json:"rate" validate:"gt=0"`
+	// Work is the mean time of a host's slot for one, log-normal with Spread.
+	Work   settings.Duration `json:"work" validate:"gt=0"`
+	Spread float64           `json:"spread" validate:"gte=0"`
+	// Objective is the latency objective, Deadline when callers give up.
+	Objective settings.Duration `json:"objective" validate:"gt=0"`
+	Deadline  settings.Duration `json:"deadline" validate:"gt=0"`
+	Priority  uint8             `json:"priority"`
+	// Unsafe requests are tried again only if they certainly have not run.
+	Unsafe bool `json:"unsafe"`
+	// Retries is how often a caller tries again.
+	Retries int `json:"retries" validate:"gte=0"`
+}
+
+// Service is a group of hosts.
+type Service struct {
+	Name  string `json:"name" validate:"required"`
+	Hosts int    `json:"hosts" validate:"gt=0"`
+	Slots int    `json:"slots" validate:"gt=0"`
+	// Queue is how many requests a host keeps beyond its slots; it sheds the rest.
+	Queue int `json:"queue" validate:"gte=0"`
+	// ColdTime is how long a host is slower by ColdFactor after its start.
+	ColdTime   settings.Duration `json:"coldTime"`
+	ColdFactor float64           `json:"coldFactor" validate:"gte=1"`
+}
+
+// Deployment is what the load meets.
+type Deployment struct {
+	Name      string    `json:"name" validate:"required"`
+	Zones     int       `json:"zones" validate:"gt=0"`
+	Balancers int       `json:"balancers" validate:"gt=0"`
+	Services  []Service `json:"services" validate:"min=1,dive"`
+	Classes   []Class   `json:"classes" validate:"min=1,dive"`
+	// ZoneDelay is the one-way delay between zones, ClientDelay that to clients.
+	ZoneDelay   settings.Duration `json:"zoneDelay"`
+	ClientDelay settings.Duration `json:"clientDelay"`
+}
+
+// Defaults is a deployment of seven hosts with 0.7 of their capacity in use.
+func Defaults() Deployment {
+	return Deployment{
+		Name: "seven hosts", Zones: 3, Balancers: 5,
+		Services: []Service{
+			{Name: "main", Hosts: 7, Slots: 4, Queue: 16, ColdTime: ms(2000), ColdFactor: 1.6},
+			{Name: "side", Hosts: 3, Slots: 4, Queue: 16, ColdTime: ms(2000), ColdFactor: 1.6},
+		},
+		Classes: []Class{
+			{Name: "read", Service: "main", Rate: 300, Work: ms(30), Spread: 0.5, Objective: ms(150), Deadline: ms(2500), Priority: 2, Retries: 2},
+			{Name: "write", Service: "main", Rate: 85, Work: ms(39), Spread: 0.5, Objective: ms(200), Deadline: ms(3000), Priority: 1, Unsafe: true, Retries: 2},
+			{Name: "fetch", Service: "side", Rate: 25, Work: ms(5), Spread: 0.3, Objective: ms(500), Deadline: ms(8000), Priority: 2, Retries: 2},
+		},
+		ZoneDelay: settings.Duration(1400 * time.Microsecond), ClientDelay: ms(1),
+	}
+}
+
+func ms(n int) settings.Duration { return settings.Duration(time.Duration(n) * time.Millisecond) }
+
+// Bounds of deployments that are drawn at random.
+const (
+	fewestHosts, mostHosts       = 3, 200
+	fewestSlots, mostSlots       = 1, 16
+	leastWork, mostWork          = 5 * time.Millisecond, 200 * time.Millisecond
+	leastDeadline, mostDeadline  = 500 * time.Millisecond, 10 * time.Second
+	leastLoad, mostLoad          = 0.3, 1.3
+	leastObjectives              = 4
+	mostObjectives               = 8
+	unsafeShare                  = 0.22
+	hostsPerBalancer, leastFront = 4, 3
+	// mostRate bounds what one seed costs, in requests a second.
+	mostRate = 3000
+)
+
+// Draw returns a deployment at random, so that no policy is fitted to one site:
+// sizes, work and deadlines are log-uniform, the load uniform.
+func Draw(rnd *rand.Rand) Deployment {
+	hosts := int(logUniform(rnd, fewestHosts, mostHosts))
+	slots := int(logUniform(rnd, fewestSlots, mostSlots))
+	work := time.Duration(logUniform(rnd, float64(leastWork), float64(mostWork)))
+	deadline := time.Duration(logUniform(rnd, float64(leastDeadline), float64(mostDeadline)))
+	objective := time.Duration((leastObjectives + rnd.Float64()*(mostObjectives-leastObjectives)) * float64(work))
+	objective = min(objective, deadline/2)
+	load := leastLoad + rnd.Float64()*(mostLoad-leastLoad)
+	rate := load * float64(hosts*slots) / work.Seconds()
+	if rate > mostRate {
+		hosts = max(int(float64(hosts)*mostRate/rate), 1)
+		rate = load * float64(hosts*slots) / work.Seconds()
+	}
+	class := Class{
+		Name: "read", Service: "main", Rate: rate * (1 - unsafeShare), Work: settings.Duration(work), Spread: 0.5,
+		Objective: settings.Duration(objective), Deadline: settings.Duration(deadline), Priority: 2, Retries: 2,
+	}
+	write := class
+	write.Name, write.Rate, write.Priority, write.Unsafe = "write", rate*unsafeShare, 1, true
+	return Deployment{
+		Name: "drawn", Zones: 1 + rnd.IntN(4), Balancers: max(leastFront, hosts/hostsPerBalancer),
+		Services:  []Service{{Name: "main", Hosts: hosts, Slots: slots, Queue: 4 * slots, ColdTime: ms(2000), ColdFactor: 1.6}},
+		Classes:   []Class{class, write},
+		ZoneDelay: ms(1 + rnd.IntN(2)), ClientDelay: ms(1 + rnd.IntN(3)),
+	}
+}
+
+func logUniform(rnd *rand.Rand, low, high float64) float64 {
+	return low * math.Exp(rnd.Float64()*math.Log(high/low))
+}
--- /dev/null
+++ b/model/host.go
@@ -0,0 +1,199 @@
+package model
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/poppywall/poppywall/fleet"
+	"github.com/poppywall/poppywall/flow"
+	"github.com/poppywall/poppywall/model/sim"
+	"github.com/poppywall/poppywall/platform"
+	"github.com/poppywall/poppywall/platform/platformtest"
+)
+
+// What hosts answer; the first bytes are all that agents look at.
+const (
+	answerDone   = "HTTP/1.1 200 OK\r\n\r\n"
+	answerFailed = "HTTP/1.1 500 Internal Server Error\r\n\r\n"
+	answerShed   = "HTTP/1.1 503 Service Unavailable\r\n\r\n"
+)
+
+const (
+	// handshake is the time of a host for a new flow.
+	handshake = 300 * time.Microsecond
+	// mostWork bounds the work on one request, in means.
+	longestWork = 6
+)
+
+// host is the program beside an agent.
+type host struct {
+	run       *run
+	agent     *sim.Agent
+	service   *Service
+	id        string
+	sequence  uint64
+	draining  bool
+	startedAt time.Time
+	flows     map[flow.Key]*hostFlow
+	running   int
+	queue     []job
+	// slow is a factor on its work, failing the share of requests it fails.
+	slow, failing float64
+}
+
+type hostFlow struct {
+	seq uint32
+	// taken is set once the request came, answer once it was answered.
+	taken  bool
+	answer []byte
+}
+
+type job struct {
+	key     flow.Key
+	request *request
+}
+
+// startHost starts a fresh host beside an agent.
+func (r *run) startHost(a *sim.Agent, service *Service) *host {
+	h := &host{
+		run: r, agent: a, service: service, id: fmt.Sprintf("h-%x", r.world.Rnd.Uint32()),
+		startedAt: r.world.Now, flows: map[flow.Key]*hostFlow{}, slow: 1,
+	}
+	a.Host = h
+	r.hosts[a] = h
+	h.report()
+	r.world.Every(sim.HeartbeatPeriod, func() bool {
+		if h.alive() {
+			h.report()
+		}
+		return h.alive()
+	})
+	return h
+}
+
+// alive tells whether this is still the host beside its agent.
+func (h *host) alive() bool { return h.run.hosts[h.agent] == h }
+
+// end ends the host; its flows are lost.
+func (h *host) end() {
+	h.agent.Host = nil
+	delete(h.run.hosts, h.agent)
+}
+
+func (h *host) report() {
+	h.sequence++
+	if !h.agent.Up {
+		return
+	}
+	now := h.run.world.Now
+	h.agent.Core.Heartbeat(now, fleet.Heartbeat{
+		HostID: h.id, Service: h.service.Name, Slots: h.service.Slots, Draining: h.draining, Sequence: h.sequence,
+		WarmupLeft: max(h.startedAt.Add(h.service.ColdTime.D()).Sub(now), 0),
+	})
+}
+
+// Take implements sim.Host.
+func (h *host) Take(packet []byte) {
+	head, err := platform.DecodePacket(packet)
+	if err != nil {
+		return
+	}
+	key := head.FromClient()
+	f, known := h.flows[key]
+	switch {
+	case head.IsOpening():
+		h.open(key)
+	case !known || !flow.SameFlow(head.Ack, f.seq):
+		h.agent.Bounce(packet)
+	case head.Len > 0:
+		h.request(key, f, &head, packet)
+	case head.Flags.Has(flow.FIN) || head.Flags.Has(flow.RST):
+		delete(h.flows, key)
+	}
+}
+
+func (h *host) open(key flow.Key) {
+	f, known := h.flows[key]
+	if !known {
+		f = &hostFlow{seq: h.run.world.Rnd.Uint32() >> 1}
+		h.flows[key] = f
+	}
+	h.run.world.After(handshake, func() {
+		if h.alive() {
+			h.agent.FromHost(platformtest.FromHost(key, flow.SYN|flow.ACK, f.seq, 0, nil))
+		}
+	})
+}
+
+// request takes the request of a flow; a repeated packet is answered as before.
+func (h *host) request(key flow.Key, f *hostFlow, head *flow.Header, packet []byte) {
+	if f.taken {
+		if f.answer != nil {
+			h.agent.FromHost(append([]byte(nil), f.answer...))
+		}
+		return
+	}
+	f.taken = true
+	j := job{key: key, request: h.run.requests[requestNumber(packet)]}
+	switch {
+	case h.running < h.service.Slots:
+		h.work(j)
+	case len(h.queue) < h.service.Queue:
+		h.queue = append(h.queue, j)
+	default:
+		h.answer(j, answerShed)
+	}
+}
+
+// work runs a request in a slot.
+func (h *host) work(j job) {
+	h.running++
+	j.request.runs++
+	h.run.world.After(h.workTime(j.request.class), func() {
+		if !h.alive() {
+			return
+		}
+		h.running--
+		text := answerDone
+		if h.failing > 0 && h.run.world.Rnd.Float64() < h.failing {
+			text = answerFailed
+		}
+		h.answer(j, text)
+		if len(h.queue) > 0 {
+			next := h.queue[0]
+			h.queue = h.queue[1:]
+			h.work(next)
+		}
+	})
+}
+
+// workTime draws the time that a request takes now.
+func (h *host) workTime(c *Class) time.Duration {
+	mean := float64(c.Work)
+	drawn := mean * math.Exp(h.run.world.Rnd.NormFloat64()*c.Spread-c.Spread*c.Spread/2)
+	drawn = min(drawn, longestWork*mean) * h.slow
+	if h.run.world.Now.Sub(h.startedAt) < h.service.ColdTime.D() {
+		drawn *= h.service.ColdFactor
+	}
+	return time.Duration(drawn)
+}
+
+func (h *host) answer(j job, text string) {
+	f, ok := h.flows[j.key]
+	if !ok {
+		return
+	}
+	f.answer = platformtest.FromHost(j.key, flow.ACK|flow.FIN, f.seq+1, 1, []byte(text))
+	h.agent.FromHost(append([]byte(nil), f.answer...))
+}
+
+// numberLen is the length of a request's number, which its data begins with.
+const numberLen = 4
+
+func requestData(number int) []byte { return binary.BigEndian.AppendUint32(nil, uint32(number)) }
+
+func requestNumber(packet []byte) int {
+	return int(binary.BigEndian.Uint32(packet[platform.HeadLen : platform.HeadLen+numberLen]))
+}
--- /dev/null
+++ b/model/pattern.go
@@ -0,0 +1,199 @@
+package model
+
+import (
+	"sort"
+	"time"
+
+	"github.com/poppywall/poppywall/model/sim"
+)
+
+// Pattern is what happens to a deployment under load, from the given moment on.
+type Pattern struct {
+	Name string
+	// Answers says what the pattern is there for.
+	Answers string
+	begin   func(*run)
+}
+
+// Times and shares of the patterns.
+const (
+	// darkTime is how long VMs have no power, processTime and processSpread how
+	// long a process takes from then on until it is up, hostSpread how long a host
+	// takes.
+	darkTime      = 1400 * time.Millisecond
+	processTime   = 240 * time.Millisecond
+	processSpread = 350 * time.Millisecond
+	hostSpread    = 300 * time.Millisecond
+	// burstFactor is on the load, for burstTime.
+	burstFactor = 1.8
+	burstTime   = 3 * time.Second
+	// badShare of the hosts misbehave for badTime: down and up by turns of
+	// flapTime, failing a failShare of their requests, or slower by slowFactor.
+	badShare   = 0.15
+	badTime    = 6 * time.Second
+	flapTime   = 820 * time.Millisecond
+	failShare  = 0.31
+	slowFactor = 4.0
+	// rollGap is between two replacements, leaveTime how long a balancer forwards
+	// on once it is unready, drainTime how long a host serves on.
+	rollGap   = 1200 * time.Millisecond
+	leaveTime = 1700 * time.Millisecond
+	drainTime = 3 * time.Second
+)
+
+// Patterns are all that can be played.
+var Patterns = []Pattern{
+	{"quiet", "the load alone", func(*run) {}},
+	{"return", "everything loses power and comes back, hosts cold, callers all at once", (*run).returnOfAll},
+	{"kill", "all processes end and start again; hosts live", (*run).killAll},
+	{"burst", "many more callers for some seconds", (*run).burst},
+	{"release", "the hosts are replaced one after the other", (*run).release},
+	{"flap", "some hosts go down and up by turns", (*run).flap},
+	{"partial", "some hosts fail part of their requests", (*run).partial},
+	{"slow", "some hosts turn slow", (*run).slow},
+	{"roll", "the balancers are restarted one after the other", (*run).roll},
+}
+
+// PatternNames returns the names of all patterns.
+func PatternNames() []string {
+	var out []string
+	for _, p := range Patterns {
+		out = append(out, p.Name)
+	}
+	sort.Strings(out)
+	return out
+}
+
+func patternOf(name string) (Pattern, bool) {
+	for _, p := range Patterns {
+		if p.Name == name {
+			return p, true
+		}
+	}
+	return Pattern{}, false
+}
+
+// startUp is how long a process is away when its VM is.
+func (r *run) startUp() time.Duration {
+	return darkTime + processTime + r.world.Jitter(processSpread)
+}
+
+func (r *run) returnOfAll() {
+	for _, ip := range r.world.BalancerIPs() {
+		r.world.Balancers[ip].Restart(r.startUp())
+	}
+	for _, ip := range r.world.AgentIPs() {
+		a := r.world.Agents[ip]
+		h := r.hosts[a]
+		a.Restart(r.startUp())
+		if h != nil {
+			h.end()
+			r.world.After(darkTime+r.world.Jitter(hostSpread), func() { r.startHost(a, h.service) })
+		}
+	}
+}
+
+func (r *run) killAll() {
+	for _, ip := range r.world.BalancerIPs() {
+		r.world.Balancers[ip].Restart(r.startUp())
+	}
+	for _, ip := range r.world.AgentIPs() {
+		r.world.Agents[ip].Restart(r.startUp())
+	}
+}
+
+func (r *run) burst() {
+	r.factor = burstFactor
+	r.world.After(burstTime, func() { r.factor = 1 })
+}
+
+// bad returns the hosts that misbehave: a share of each service, one at least.
+func (r *run) bad() []*host {
+	var out []*host
+	for i := range r.deployment.Services {
+		s := &r.deployment.Services[i]
+		left := max(int(badShare*float64(s.Hosts)), 1)
+		for _, ip := range r.world.AgentIPs() {
+			if h := r.hosts[r.world.Agents[ip]]; h != nil && h.service == s && left > 0 {
+				out = append(out, h)
+				left--
+			}
+		}
+	}
+	return out
+}
+
+func (r *run) flap() {
+	end := r.world.Now.Add(badTime)
+	for _, h := range r.bad() {
+		r.flapHost(h, end)
+	}
+}
+
+func (r *run) flapHost(h *host, end time.Time) {
+	h.end()
+	r.world.After(flapTime, func() {
+		next := r.startHost(h.agent, h.service)
+		if r.world.Now.Before(end) {
+			r.world.After(flapTime, func() { r.flapHost(next, end) })
+		}
+	})
+}
+
+func (r *run) partial() {
+	for _, h := range r.bad() {
+		h.failing = failShare
+		r.world.After(badTime, func() { h.failing = 0 })
+	}
+}
+
+func (r *run) slow() {
+	for _, h := range r.bad() {
+		h.slow = slowFactor
+		r.world.After(badTime, func() { h.slow = 1 })
+	}
+}
+
+// release replaces a third of the hosts of each service: each drains, leaves, and
+// another one starts on a VM of its own a moment before.
+func (r *run) release() {
+	wait := time.Duration(0)
+	for i := range r.deployment.Services {
+		s := &r.deployment.Services[i]
+		left := max(s.Hosts/3, 1)
+		for _, ip := range r.world.AgentIPs() {
+			a := r.world.Agents[ip]
+			if h := r.hosts[a]; h != nil && h.service == s && left > 0 {
+				left--
+				r.world.After(wait, func() { r.replace(h) })
+				wait += rollGap
+			}
+		}
+	}
+}
+
+func (r *run) replace(old *host) {
+	r.startHost(r.world.AddAgent(old.agent.Zone, old.service.Name), old.service)
+	r.world.After(rollGap, func() {
+		old.draining = true
+		old.report()
+	})
+	r.world.After(rollGap+drainTime, func() {
+		old.agent.Core.Leave(r.world.Now, old.id)
+		old.end()
+		old.agent.Core.Stop(r.world.Now)
+		old.agent.Stop()
+	})
+}
+
+func (r *run) roll() {
+	for i, ip := range r.world.BalancerIPs() {
+		b := r.world.Balancers[ip]
+		r.world.After(time.Duration(i)*(leaveTime+rollGap), func() { r.restartPlanned(b) })
+	}
+}
+
+func (r *run) restartPlanned(b *sim.Balancer) {
+	b.Core.Leave(r.world.Now)
+	r.world.After(leaveTime, func() { b.Restart(processTime) })
+}
--- /dev/null
+++ b/model/sim/doc.go
@@ -0,0 +1,3 @@
+// Package sim runs the cores of balancers and agents in a simulated network: no
+// sockets, no clocks. One seed decides everything; a run repeats.
+package sim
--- /dev/null
+++ b/model/sim/nodes.go
@@ -0,0 +1,258 @@
+package sim
+
+import (
+	"time"
+
+	agentfront "github.com/poppywall/poppywall/agent/packetfront"
+	balancerfront "github.com/poppywall/poppywall/balancer/packetfront"
+	"github.com/poppywall/poppywall/choose"
+	"github.com/poppywall/poppywall/fleet"
+	"github.com/poppywall/poppywall/flow"
+	"github.com/poppywall/poppywall/platform"
+	"github.com/poppywall/poppywall/platform/platformtest"
+)
+
+// Periods of the shells around the cores.
+const (
+	// AgentTick is how often an agent's core is driven.
+	AgentTick    = 50 * time.Millisecond
+	balancerTick = 100 * time.Millisecond
+	registryTick = 20 * time.Millisecond
+	flowTTL      = time.Minute
+	// joinSeeds is how many balancers are named to others as seeds.
+	joinSeeds = 3
+)
+
+// Weights are those of the product's settings.
+var Weights = choose.Weights{OtherZone: 1, Warming: 1.6}
+
+// Balancer is a balancer process.
+type Balancer struct {
+	IP   flow.IPv4
+	Zone string
+	Core *balancerfront.Core
+	Up   bool
+	// Resets counts the flows that it reset.
+	Resets int
+
+	w *World
+	// life tells the ticks of a former process to end.
+	life int
+}
+
+// ToNode implements balancerfront.Port.
+func (b *Balancer) ToNode(to flow.IPv4, head, packet []byte) { b.w.toNode(b.IP, to, head, packet) }
+
+// Reset implements balancerfront.Port.
+func (b *Balancer) Reset(key flow.Key, seq uint32) {
+	b.Resets++
+	b.w.toClient(key.ClientIP, platform.AppendReset(nil, key, seq))
+}
+
+// AddBalancer starts a balancer on a VM of its own.
+func (w *World) AddBalancer(zone string) *Balancer {
+	b := &Balancer{w: w, IP: w.nextIP(), Zone: zone}
+	w.Balancers[b.IP] = b
+	if len(w.Seeds) < joinSeeds {
+		w.Seeds = append(w.Seeds, b.IP)
+	}
+	b.Start()
+	return b
+}
+
+// Start starts a process, which knows nothing but the configuration.
+func (b *Balancer) Start() {
+	w := b.w
+	opts := balancerfront.Options{
+		Self: b.IP, Zone: flow.TagOf(b.Zone), Seeds: w.Seeds, Epoch: w.Rnd.Uint64() | 1, Weights: Weights,
+	}
+	b.Core = balancerfront.New(w.Now, opts, b, platform.Codec{}, QuietBalancer{}, w.Rnd)
+	b.Core.SetConfig(w.Now, w.Config)
+	b.Up = true
+	b.life++
+	life := b.life
+	w.Every(balancerTick, func() bool {
+		if b.Up && b.life == life {
+			b.tick()
+		}
+		return b.life == life
+	})
+}
+
+func (b *Balancer) tick() {
+	w := b.w
+	b.Core.Tick(w.Now)
+	if b.Core.WantsSurvey(w.Now) {
+		b.Core.Surveyed(w.Now, w.Now, w.registered())
+	}
+	b.keepRegistry()
+}
+
+// keepRegistry does what the keeper of the registry has to.
+func (b *Balancer) keepRegistry() {
+	w := b.w
+	for _, d := range b.Core.Departed() {
+		if d.Role != fleet.RoleAgent || w.Registry[d.IP].Epoch != d.Epoch {
+			continue
+		}
+		delete(w.Registry, d.IP)
+		if w.Agents[d.IP].Up {
+			w.StruckAlive++
+		}
+	}
+}
+
+// Stop ends the process without a word.
+func (b *Balancer) Stop() {
+	b.Up = false
+	b.life++
+}
+
+// Restart replaces the process by a fresh one after a pause.
+func (b *Balancer) Restart(down time.Duration) {
+	b.Stop()
+	b.w.After(down, b.Start)
+}
+
+// Host is the program beside an agent.
+type Host interface {
+	// Take is given each packet that the agent hands over.
+	Take(packet []byte)
+}
+
+// Agent is an agent process and the host beside it.
+type Agent struct {
+	IP            flow.IPv4
+	Zone, Service string
+	Core          *agentfront.Core
+	Up            bool
+	// Host is the program beside it, nil when none runs.
+	Host Host
+	// Life counts the processes so far.
+	Life int
+	// Resets counts the flows that it reset.
+	Resets int
+
+	w *World
+}
+
+// hostDelay is how long a packet travels inside a VM.
+const hostDelay = 50 * time.Microsecond
+
+// ToNode implements agentfront.Port.
+func (a *Agent) ToNode(to flow.IPv4, head, packet []byte) { a.w.toNode(a.IP, to, head, packet) }
+
+// ToHost implements agentfront.Port.
+func (a *Agent) ToHost(packet []byte) {
+	data := append([]byte(nil), packet...)
+	a.w.After(hostDelay, func() {
+		if a.Host != nil {
+			a.Host.Take(data)
+		}
+	})
+}
+
+// ToClient implements agentfront.Port.
+func (a *Agent) ToClient(to flow.IPv4, packet []byte) { a.w.toClient(to, packet) }
+
+// Reset implements agentfront.Port.
+func (a *Agent) Reset(key flow.Key, seq uint32) {
+	a.Resets++
+	a.w.toClient(key.ClientIP, platform.AppendReset(nil, key, seq))
+}
+
+// AddAgent starts an agent on a VM of its own; no host runs there yet.
+func (w *World) AddAgent(zone, service string) *Agent {
+	a := &Agent{w: w, IP: w.nextIP(), Zone: zone, Service: service}
+	w.Agents[a.IP] = a
+	a.Start()
+	return a
+}
+
+// Start starts a process.
+func (a *Agent) Start() {
+	w := a.w
+	opts := agentfront.Options{
+		Self: a.IP, Zone: flow.TagOf(a.Zone), Service: flow.TagOf(a.Service), Seeds: w.Seeds,
+		Epoch: w.Rnd.Uint64() | 1, HeartbeatPeriod: HeartbeatPeriod, FlowTTL: flowTTL,
+	}
+	a.Core = agentfront.New(opts, a, platform.Codec{}, QuietAgent{})
+	a.Up = true
+	a.Life++
+	life := a.Life
+	a.register(opts.Epoch)
+	w.Every(AgentTick, func() bool {
+		if a.Up && a.Life == life {
+			a.Core.Tick(w.Now)
+			a.probe()
+		}
+		return a.Life == life
+	})
+}
+
+// probe connects to the host when the core wants to know whether it lives.
+func (a *Agent) probe() {
+	if !a.Core.WantsProbe(a.w.Now) {
+		return
+	}
+	outcome := agentfront.ProbeAccepted
+	if a.Host == nil {
+		outcome = agentfront.ProbeRefused
+	}
+	a.Core.Probed(a.w.Now, outcome)
+}
+
+// register keeps the agent's entry as its host is, and looks for it now and then.
+func (a *Agent) register(epoch uint64) {
+	w, life := a.w, a.Life
+	done := fleet.PresenceUnknown
+	w.Every(registryTick, func() bool {
+		want := fleet.PresenceUnknown
+		if a.Life == life {
+			want = a.Core.Presence(w.Now)
+		}
+		if want == fleet.PresenceUnknown || want == done || w.Now.Before(w.StoreBack) {
+			return a.Life == life
+		}
+		done = want
+		delete(w.Registry, a.IP)
+		if want == fleet.PresenceHere {
+			w.Registry[a.IP] = fleet.Entry{IP: a.IP, Epoch: epoch}
+			a.Core.Registered(w.Now)
+		}
+		return true
+	})
+	w.Every(fleet.Forget, func() bool {
+		done = fleet.PresenceUnknown
+		return a.Life == life
+	})
+}
+
+// Stop ends the process without a word.
+func (a *Agent) Stop() {
+	a.Up = false
+	a.Life++
+}
+
+// Restart replaces the process by a fresh one after a pause.
+func (a *Agent) Restart(down time.Duration) {
+	a.Stop()
+	a.w.After(down, a.Start)
+}
+
+// FromHost gives the agent a packet that its host sends.
+func (a *Agent) FromHost(packet []byte) {
+	a.w.After(hostDelay, func() {
+		head, err := platform.DecodePacket(packet)
+		if err != nil || !a.Up {
+			return
+		}
+		a.Core.HandleHost(a.w.Now, &head, packet)
+	})
+}
+
+// Bounce gives the agent a packet back that the host did not take.
+func (a *Agent) Bounce(packet []byte) {
+	platformtest.Bounce(packet)
+	a.FromHost(packet)
+}
--- /dev/null
+++ b/model/sim/quiet.go
@@ -0,0 +1,48 @@
+package sim
+
+import (
+	"time"
+
+	agentfront "github.com/poppywall/poppywall/agent/packetfront"
+	balancerfront "github.com/poppywall/poppywall/balancer/packetfront"
+	"github.com/poppywall/poppywall/fleet"
+	"github.com/poppywall/poppywall/flow"
+)
+
+// QuietBalancer hears nothing of what a balancer decides.
+type QuietBalancer struct{}
+
+var _ balancerfront.Events = QuietBalancer{}
+
+// Forwarded implements balancerfront.Events, as do the methods below.
+func (QuietBalancer) Forwarded()                                         {}
+func (QuietBalancer) Opened(balancerfront.Decision)                      {}
+func (QuietBalancer) Refused(flow.Key, string, string)                   {}
+func (QuietBalancer) Searching(flow.Key, int, int)                       {}
+func (QuietBalancer) OwnerFound(flow.Key, flow.IPv4, int)                {}
+func (QuietBalancer) Lost(flow.Key, int, balancerfront.Doubt, flow.IPv4) {}
+func (QuietBalancer) Kept(flow.Key, balancerfront.Keep)                  {}
+func (QuietBalancer) Dropped(balancerfront.Drop)                         {}
+func (QuietBalancer) HostChanged(*fleet.Host, fleet.Change)              {}
+func (QuietBalancer) HostForgotten(flow.IPv4)                            {}
+func (QuietBalancer) PeerChanged(flow.IPv4, string)                      {}
+
+// QuietAgent hears nothing of what an agent decides.
+type QuietAgent struct{}
+
+var _ agentfront.Events = QuietAgent{}
+
+// Delivered implements agentfront.Events, as do the methods below.
+func (QuietAgent) Delivered()                                   {}
+func (QuietAgent) Request(flow.Key, []byte, int, int)           {}
+func (QuietAgent) Waiting(flow.Key, []byte, int, time.Duration) {}
+func (QuietAgent) Postponed(flow.Key, time.Duration)            {}
+func (QuietAgent) GaveUp(flow.Key, time.Duration)               {}
+func (QuietAgent) PassedOn(flow.Key, string, int)               {}
+func (QuietAgent) Bounced(flow.Key, bool)                       {}
+func (QuietAgent) Reset(flow.Key, string)                       {}
+func (QuietAgent) Dropped(agentfront.Drop)                      {}
+func (QuietAgent) HostReport(string, fleet.Heartbeat)           {}
+func (QuietAgent) Failed()                                      {}
+func (QuietAgent) Ejected(bool, int, int)                       {}
+func (QuietAgent) PeerChanged(flow.IPv4, string)                {}
--- /dev/null
+++ b/model/sim/world.go
@@ -0,0 +1,140 @@
+package sim
+
+import (
+	"time"
+
+	"github.com/poppywall/poppywall/fleet"
+	"github.com/poppywall/poppywall/flow"
+)
+
+// HeartbeatPeriod is how often hosts report to their agents.
+const HeartbeatPeriod = 1200 * time.Millisecond
+
+// firstIP is the first node's address.
+const firstIP flow.IPv4 = 0x0a000001
+
+// World is a simulated deployment: balancers, agents and what connects them.
+type World struct {
+	Loop
+
+	Balancers map[flow.IPv4]*Balancer
+	Agents    map[flow.IPv4]*Agent
+	Config    *flow.Config
+	Seeds     []flow.IPv4
+
+	// Loss and Double are chances for each datagram, Late adds up to its span.
+	Loss, Double float64
+	Late         time.Duration
+	// Delay is how long a datagram travels between two nodes.
+	Delay func(from, to flow.IPv4) time.Duration
+	// Cut tells whether datagrams between two nodes are lost.
+	Cut func(from, to flow.IPv4) bool
+	// Client takes a packet at a client.
+	Client func(ip flow.IPv4, packet []byte)
+
+	// Registry is the store's list of agents; StoreBack is when the store takes
+	// entries again.
+	Registry  map[flow.IPv4]fleet.Entry
+	StoreBack time.Time
+	// StruckAlive counts agents that were struck off the registry while they ran.
+	StruckAlive int
+	// Messages counts the datagrams between nodes.
+	Messages int
+
+	lastIP flow.IPv4
+}
+
+// defaultDelay is how long a datagram travels.
+const defaultDelay = 300 * time.Microsecond
+
+// NewWorld returns a world without nodes.
+func NewWorld(seed uint64) *World {
+	return &World{
+		Loop:      NewLoop(seed),
+		Balancers: map[flow.IPv4]*Balancer{}, Agents: map[flow.IPv4]*Agent{}, Registry: map[flow.IPv4]fleet.Entry{},
+		lastIP: firstIP - 1,
+		Delay:  func(_, _ flow.IPv4) time.Duration { return defaultDelay },
+		Cut:    func(_, _ flow.IPv4) bool { return false },
+		Client: func(flow.IPv4, []byte) {},
+	}
+}
+
+// Send moves a datagram through the network.
+func (w *World) Send(delay time.Duration, deliver func([]byte), parts ...[]byte) {
+	size := 0
+	for _, p := range parts {
+		size += len(p)
+	}
+	data := make([]byte, 0, size)
+	for _, p := range parts {
+		data = append(data, p...)
+	}
+	copies := 1
+	if w.Double > 0 && w.Rnd.Float64() < w.Double {
+		copies = 2
+	}
+	for i := range copies {
+		if w.Loss > 0 && w.Rnd.Float64() < w.Loss {
+			continue
+		}
+		own := data
+		if i > 0 {
+			own = append([]byte(nil), data...)
+		}
+		w.After(delay+w.Jitter(w.Late+1), func() { deliver(own) })
+	}
+}
+
+// toNode sends a datagram between nodes.
+func (w *World) toNode(from, to flow.IPv4, head, packet []byte) {
+	w.Messages++
+	if w.Cut(from, to) {
+		return
+	}
+	w.Send(w.Delay(from, to), func(data []byte) {
+		if b, ok := w.Balancers[to]; ok && b.Up {
+			b.Core.HandleNode(w.Now, from, data)
+		}
+		if a, ok := w.Agents[to]; ok && a.Up {
+			a.Core.HandleNode(w.Now, from, data)
+		}
+	}, head, packet)
+}
+
+// toClient sends a packet to a client.
+func (w *World) toClient(ip flow.IPv4, packet []byte) {
+	w.Send(defaultDelay, func(data []byte) { w.Client(ip, data) }, packet)
+}
+
+// nextIP draws an address for a node.
+func (w *World) nextIP() flow.IPv4 {
+	w.lastIP++
+	return w.lastIP
+}
+
+// BalancerIPs returns the balancers' addresses in order.
+func (w *World) BalancerIPs() []flow.IPv4 { return inOrder(w, w.Balancers) }
+
+// AgentIPs returns the agents' addresses in order.
+func (w *World) AgentIPs() []flow.IPv4 { return inOrder(w, w.Agents) }
+
+func inOrder[N any](w *World, nodes map[flow.IPv4]N) []flow.IPv4 {
+	var out []flow.IPv4
+	for ip := firstIP; ip <= w.lastIP; ip++ {
+		if _, ok := nodes[ip]; ok {
+			out = append(out, ip)
+		}
+	}
+	return out
+}
+
+// registered returns the agents that the store has, in an order that repeats.
+func (w *World) registered() []fleet.Entry {
+	var out []fleet.Entry
+	for _, ip := range w.AgentIPs() {
+		if e, ok := w.Registry[ip]; ok {
+			out = append(out, e)
+		}
+	}
+	return out
+}
