Who waits: copies of postponed flows, clients that left, who is given up

- A copy of an opening packet whose flow a balancer knows is no sign of an outage: postponed flows looked like one and kept their callers' guessed age in force.
The balancer marks such copies.
- A request whose client closes its flow holds neither place nor slot: the host drops it without an answer, and it counted as load for 10 s.
- When not everybody can be answered in time, the least loss is given up first (Moore's rule): the lower priority, then guessed deadlines before known ones, of those the callers that began first.
Pace is averaged over 32 requests, not 8.

--- a/agent/packetfront/admission.go
+++ b/agent/packetfront/admission.go
@@ -43,7 +43,9 @@
 // termsOf reads the terms of a flow from its opening packet and the envelope
 // around it.
 func (c *Core) termsOf(now time.Time, h *flow.Header) terms {
-	c.outage.Opened(now, h.Ack)
+	if c.env.Flags&envelope.Repeated == 0 {
+		c.outage.Opened(now, h.Ack)
+	}
 	began := now.Add(-backlog.Age(h.Ack))
 	return terms{
 		priority: c.env.Priority, objective: c.env.Objective, deadline: c.env.Deadline,
@@ -204,20 +206,21 @@
 	}
 }
 
-// leaves notes that a client has ended its flow; a request of its own that still
-// waits is for nobody.
+// leaves notes that a client has ended its flow before the answer: as is customary
+// with HTTP/1.1, that gives the request up. One that still waits is for nobody; for
+// one that the host has, no answer may come any more, and it must not count as load
+// until then.
 func (c *Core) leaves(now time.Time, key flow.Key, r *record) {
-	if r.held == nil {
-		return
+	if r.held != nil {
+		c.events.GaveUp(key, now.Sub(r.held.since))
 	}
-	c.events.GaveUp(key, now.Sub(r.held.since))
 	c.flows.answered(r)
 }
 
 // expireHeld forgets requests whose callers have gone.
 func (c *Core) expireHeld(now time.Time) {
 	for _, key := range c.held.Expire(now) {
-		if r := c.flows.get(key); r != nil {
+		if r := c.flows.get(key); r != nil && r.held != nil {
 			c.leaves(now, key, r)
 		}
 	}
--- a/agent/packetfront/admission_test.go
+++ b/agent/packetfront/admission_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/poppywall/poppywall/backlog"
 	"github.com/poppywall/poppywall/flow"
 	"github.com/poppywall/poppywall/flow/envelope"
 	"github.com/poppywall/poppywall/platform"
@@ -123,6 +124,30 @@
 	}
 }
 
+// TestARequestWhoseClientLeftDoesNotHoldASlot: the host may never answer it.
+func TestARequestWhoseClientLeftDoesNotHoldASlot(t *testing.T) {
+	f := newFixture()
+	f.fill()
+	f.opens(100, load(2), 0)
+	f.asks(100)
+	f.deliver(envelope.Envelope{}, packet(keyOf(0), flow.ACK|flow.FIN, 500, ""))
+	require.Equal(t, []int{100}, f.atHost()[6:])
+	require.Equal(t, 6, f.Busy())
+	f.answers(0)
+	require.Equal(t, 6, f.Busy(), "an answer that comes all the same is counted once")
+}
+
+// TestCopiesOfPostponedFlowsAreNoOutage: somebody has seen the first one.
+func TestCopiesOfPostponedFlowsAreNoOutage(t *testing.T) {
+	for flags, hidden := range map[envelope.Flags]time.Duration{0: backlog.TryTime + backlog.RetryPause, envelope.Repeated: 0} {
+		f := newFixture()
+		e := load(2)
+		e.Flags = flags
+		f.opens(0, e, 2)
+		require.Equal(t, hidden, f.flows.get(keyOf(0)).request.hidden)
+	}
+}
+
 // TestANewFlowGoesToTheHostWithTheShortestWait when no candidate has room.
 func TestANewFlowGoesToTheHostWithTheShortestWait(t *testing.T) {
 	f := newFixture()
--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -230,10 +230,11 @@
 	if h.Len > 0 && c.waits(now, key, r, h, packet) {
 		return
 	}
+	c.toOpen(now, key, r, packet)
 	if h.Len == 0 && (h.Flags.Has(flow.FIN) || h.Flags.Has(flow.RST)) {
 		c.leaves(now, key, r)
+		c.releaseHeld(now)
 	}
-	c.toOpen(now, key, r, packet)
 }
 
 // toOpen gives a packet to the host of its flow.
--- a/backlog/outage.go
+++ b/backlog/outage.go
@@ -35,7 +35,8 @@
 	until time.Time
 }
 
-// Opened notes the first packet seen of a flow, the copy with that number.
+// Opened notes the first packet that anybody saw of a flow, the copy with that
+// number.
 func (o *Outage) Opened(now time.Time, copies uint32) {
 	if copies == 0 {
 		return
--- a/backlog/pace.go
+++ b/backlog/pace.go
@@ -2,17 +2,17 @@
 
 import "time"
 
-// paceWeight is the weight of a new observation: the mean covers some eight
-// requests, a fifth of a second of a host with four slots and 100 ms of work, so
-// that a host that has started cold is seen to warm up.
-const paceWeight = 1.0 / 8
+// leastWeight is the weight of a new observation: the mean covers some 32 requests,
+// so that the spread of their work (half of the mean) leaves an error of a tenth,
+// and a host that has started cold is seen to warm up within half a second.
+const leastWeight = 1.0 / 32
 
 // Pace is how a host works, from what was observed of its requests.
 type Pace struct {
 	// each is the mean time between two answers of a host that is fully used, in
 	// nanoseconds, took that from a request's delivery to its answer.
 	each, took float64
-	observed   bool
+	observed   int
 }
 
 // NewPace returns the pace of a host that is assumed to take work for a request,
@@ -27,12 +27,10 @@
 // its slots could take more meanwhile.
 func (p *Pace) Done(took time.Duration, running, slots int) {
 	each := float64(took) / float64(max(running, slots, 1))
-	if !p.observed {
-		*p = Pace{each: each, took: float64(took), observed: true}
-		return
-	}
-	p.each += paceWeight * (each - p.each)
-	p.took += paceWeight * (float64(took) - p.took)
+	p.observed++
+	weight := max(1/float64(p.observed), leastWeight)
+	p.each += weight * (each - p.each)
+	p.took += weight * (float64(took) - p.took)
 }
 
 // Each returns the mean time between two answers of a host that is fully used.
--- a/backlog/queue.go
+++ b/backlog/queue.go
@@ -1,7 +1,6 @@
 package backlog
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -49,7 +48,7 @@
 // Queue holds requests in no order; Next chooses. K names them.
 type Queue[K comparable] struct {
 	items []item[K]
-	// order is scratch of Next.
+	// order is scratch of Next: indices of items.
 	order []int
 	// since is when the queue was empty last.
 	since time.Time
@@ -119,9 +118,14 @@
 // or gone within the next, and a host at 0.7 of its capacity needs one more.
 const standingDeadlines = 2
 
-// spare is the factor on the host's pace in the look ahead: requests of a higher
-// priority and fresh ones will take part of it.
-const spare = 2.0
+// Factors on the host's pace in the look ahead.
+const (
+	// spareFresh is for the question whether everybody can wait while a fresh request
+	// goes first: more fresh ones will come and ask the same.
+	spareFresh = 2.0
+	// spareDue is for the question who can be served before the deadlines.
+	spareDue = 1.0
+)
 
 // Next takes out the request to be served now. pace is how the host works.
 func (q *Queue[K]) Next(now time.Time, pace Pace) (K, bool) {
@@ -129,46 +133,37 @@
 		var none K
 		return none, false
 	}
-	order := q.byDue(now, pace.Took())
 	done := now.Add(pace.Took())
-	late := 0
-	for late < len(order) && q.items[order[late]].dueAt.Before(done) {
-		late++
-	}
-	if late == len(order) {
-		// No answer is expected in time; the one that is late by least may be.
-		return q.take(order[late-1]), true
-	}
-	order = order[late:]
-	step := time.Duration(spare * float64(pace.Each()))
-	if at, ok := q.bestFresh(order, done); ok && q.canWait(order, at, lowest, done, step) {
+	q.byDue(now, pace.Took())
+	if at, ok := q.bestFresh(done); ok && q.canWait(at, done, scale(pace.Each(), spareFresh)) {
 		return q.take(at), true
 	}
-	return q.take(q.firstDue(order, done, step)), true
+	q.sacrifice(done, scale(pace.Each(), spareDue))
+	if len(q.order) > 0 {
+		return q.take(q.order[0]), true
+	}
+	return q.take(q.lastExpiring()), true
 }
 
-// lowest is a priority that no request is below.
-const lowest = math.MaxUint8
+func scale(d time.Duration, factor float64) time.Duration { return time.Duration(factor * float64(d)) }
 
-// byDue returns the items in order of their deadlines, with their dueAt set.
-func (q *Queue[K]) byDue(now time.Time, took time.Duration) []int {
-	order := q.order[:0]
+// byDue puts the items in order of their deadlines.
+func (q *Queue[K]) byDue(now time.Time, took time.Duration) {
+	q.order = q.order[:0]
 	for i := range q.items {
 		q.items[i].dueAt = q.items[i].due(now, took)
-		order = append(order, i)
+		q.order = append(q.order, i)
 	}
-	slices.SortFunc(order, func(a, b int) int { return q.items[a].dueAt.Compare(q.items[b].dueAt) })
-	q.order = order
-	return order
+	slices.SortFunc(q.order, func(a, b int) int { return q.items[a].dueAt.Compare(q.items[b].dueAt) })
 }
 
 // bestFresh returns the item that can meet its objective and has the highest
 // priority, of those the newest.
-func (q *Queue[K]) bestFresh(order []int, done time.Time) (int, bool) {
+func (q *Queue[K]) bestFresh(done time.Time) (int, bool) {
 	best := -1
-	for _, at := range order {
-		if q.items[at].fresh(done) && (best < 0 || q.items[at].before(&q.items[best])) {
-			best = at
+	for i := range q.items {
+		if q.items[i].fresh(done) && (best < 0 || q.items[i].before(&q.items[best])) {
+			best = i
 		}
 	}
 	return best, best >= 0
@@ -181,11 +176,13 @@
 	return i.Began.After(other.Began)
 }
 
-// canWait tells whether every other item of a priority or a higher one can be
-// answered in time, in order of their deadlines, after one that goes first.
-func (q *Queue[K]) canWait(order []int, first int, priority uint8, done time.Time, step time.Duration) bool {
-	for _, at := range order {
-		if at == first || q.items[at].Priority > priority {
+// canWait tells whether every other item can be answered in time, in order of their
+// deadlines, after one that goes first. Those that cannot be answered at all do not
+// count.
+func (q *Queue[K]) canWait(first int, done time.Time, step time.Duration) bool {
+	earliest := done
+	for _, at := range q.order {
+		if at == first || q.items[at].dueAt.Before(earliest) {
 			continue
 		}
 		done = done.Add(step)
@@ -196,16 +193,50 @@
 	return true
 }
 
-// firstDue returns the item with the earliest deadline, unless one of a higher
-// priority would be too late after it.
-func (q *Queue[K]) firstDue(order []int, done time.Time, step time.Duration) int {
-	first := order[0]
-	for _, at := range order {
-		higher := q.items[at].Priority
-		if higher >= q.items[first].Priority || q.canWait(order, first, higher, done, step) {
+// sacrifice leaves in order those that can be answered in time one after the other
+// (Moore, 1968): whenever one comes too late, the one of those up to it is given up
+// whose loss would be the least.
+func (q *Queue[K]) sacrifice(done time.Time, step time.Duration) {
+	kept := q.order[:0]
+	for _, at := range q.order {
+		kept = append(kept, at)
+		if !q.items[at].dueAt.Before(done) {
+			done = done.Add(step)
 			continue
 		}
-		first = at
+		least := 0
+		for i := range kept {
+			if q.items[kept[i]].lessThan(&q.items[kept[least]]) {
+				least = i
+			}
+		}
+		kept = slices.Delete(kept, least, least+1)
+	}
+	q.order = kept
+}
+
+// lessThan tells whether the loss of an item is less than that of another one: that
+// of a lower priority, then of one whose deadline is only guessed. Of those the
+// earlier one: the earlier it began, the longer the outage must have been for it to
+// be a caller that was here before.
+func (i *item[K]) lessThan(other *item[K]) bool {
+	switch {
+	case i.Priority != other.Priority:
+		return i.Priority > other.Priority
+	case (i.Hidden > 0) != (other.Hidden > 0):
+		return i.Hidden > 0
+	default:
+		return i.Began.Before(other.Began)
+	}
+}
+
+// lastExpiring returns the item whose caller waits longest.
+func (q *Queue[K]) lastExpiring() int {
+	best := 0
+	for i := range q.items {
+		if q.items[i].expires().After(q.items[best].expires()) {
+			best = i
+		}
 	}
-	return first
+	return best
 }
--- a/backlog/queue_test.go
+++ b/backlog/queue_test.go
@@ -20,6 +20,13 @@
 	return Request{Priority: 2, Began: at(began), Objective: 150 * time.Millisecond, Deadline: 2500 * time.Millisecond}
 }
 
+// hidden is a read whose caller may have begun one try earlier.
+func hidden(began time.Duration) Request {
+	r := read(began)
+	r.Hidden = TryTime + RetryPause
+	return r
+}
+
 func write(began time.Duration) Request {
 	r := read(began)
 	r.Priority = 1
@@ -40,6 +47,10 @@
 			map[string]Request{"old": read(-445 * time.Millisecond), "write": write(1990 * time.Millisecond)}, "old"},
 		"the higher priority where one of both would be lost": {
 			map[string]Request{"read": read(-460 * time.Millisecond), "write": write(-455 * time.Millisecond)}, "write"},
+		"of two whose deadlines are guesses the one that began later, where one is lost": {
+			map[string]Request{"early": hidden(1140 * time.Millisecond), "later": hidden(1141 * time.Millisecond)}, "later"},
+		"a known deadline before a guessed one, where one is lost": {
+			map[string]Request{"known": read(-455 * time.Millisecond), "guessed": hidden(1142 * time.Millisecond)}, "known"},
 		"the earliest deadline where none is fresh": {
 			map[string]Request{"b": read(600 * time.Millisecond), "a": read(500 * time.Millisecond)}, "a"},
 		"what can be answered before what cannot": {
@@ -47,8 +58,7 @@
 		"the least late where nothing can": {
 			map[string]Request{"b": read(-480 * time.Millisecond), "a": read(-490 * time.Millisecond)}, "b"},
 		"a caller that may have begun earlier first": {
-			map[string]Request{"known": read(1200 * time.Millisecond), "unsure": {Priority: 2, Began: at(1300 * time.Millisecond),
-				Hidden: 1600 * time.Millisecond, Objective: 150 * time.Millisecond, Deadline: 2500 * time.Millisecond}}, "unsure"},
+			map[string]Request{"known": read(1200 * time.Millisecond), "unsure": hidden(1300 * time.Millisecond)}, "unsure"},
 		"a route without objective or deadline in order": {
 			map[string]Request{"b": {Began: at(1900 * time.Millisecond)}, "a": {Began: at(1800 * time.Millisecond)}}, "a"},
 	} {
@@ -105,7 +115,7 @@
 		n := rapid.IntRange(1, 60).Draw(t, "n")
 		for i := range n {
 			// The i-th has time for twice the work of those before it, and its own.
-			least := time.Duration(spare*float64(i)*float64(each)) + 2*steady().Took()
+			least := time.Duration(spareFresh*float64(i)*float64(each)) + 2*steady().Took()
 			left := least + time.Duration(rapid.IntRange(0, 300).Draw(t, "ms"))*time.Millisecond
 			r := Request{Priority: uint8(rapid.IntRange(0, 2).Draw(t, "priority")), Began: start, Objective: 100 * time.Millisecond, Deadline: left}
 			if rapid.Bool().Draw(t, "fresh") {
--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -259,7 +259,9 @@
 		return
 	}
 	c.limbo.drop(key)
-	if host, known := c.table.get(now, key); known && h.Ack > 0 {
+	host, known := c.table.get(now, key)
+	repeated := known && h.Ack > 0
+	if repeated {
 		candidates = toFront(candidates, host)
 	}
 	chosen := candidates[0]
@@ -268,14 +270,17 @@
 	} else {
 		c.table.put(now, key, chosen.Host)
 	}
-	host, _ := c.view.Host(chosen.Host)
-	host.Sent++
-	c.events.Opened(Decision{Key: key, Route: route.Name, Service: backend.Name, Host: host, Config: c.config.Version,
-		Age: now.Sub(host.HeardAt), Candidates: len(candidates), Copy: h.Ack})
+	target, _ := c.view.Host(chosen.Host)
+	target.Sent++
+	c.events.Opened(Decision{Key: key, Route: route.Name, Service: backend.Name, Host: target, Config: c.config.Version,
+		Age: now.Sub(target.HeardAt), Candidates: len(candidates), Copy: h.Ack})
 	c.env = envelope.Envelope{
 		Kind: envelope.Deliver, Balancer: c.opts.Self, Service: chosen.Service, Priority: route.Priority,
 		Objective: route.Objective, Deadline: route.Deadline,
 	}
+	if repeated {
+		c.env.Flags |= envelope.Repeated
+	}
 	c.env.SetCandidates(candidates[1:])
 	c.send(chosen.Host, packet)
 }
--- a/balancer/packetfront/core_test.go
+++ b/balancer/packetfront/core_test.go
@@ -168,6 +168,12 @@
 	require.Equal(t, sent[0].to, sent[2].to)
 	require.Equal(t, 1, sent[0].env.Count, "the other host, in case this one refuses")
 	require.Equal(t, alpha, sent[0].env.Service)
+	require.Zero(t, sent[0].env.Flags)
+	require.Equal(t, envelope.Repeated, sent[1].env.Flags)
+
+	lone := newFixture()
+	lone.client(packet(true, 2))
+	require.Zero(t, lone.port.delivered()[0].env.Flags, "nobody has seen the copies before")
 }
 
 func TestNewFlowsAvoidHostsThatTakeNone(t *testing.T) {
--- a/flow/envelope/envelope.go
+++ b/flow/envelope/envelope.go
@@ -53,6 +53,9 @@
 	// Settle marks a new flow that every candidate was offered: the receiver has
 	// the shortest wait of them.
 	Settle
+	// Repeated marks a copy of an opening packet whose flow the balancer knows: an
+	// earlier one has met somebody.
+	Repeated
 )
 
 // Limits of the format.
