--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 export CGO_ENABLED = 1
 
-.PHONY: trial soak test fuzz build lint capacity ejection choice overload costs fleet relay packets startup bench experiments modules mutants
+.PHONY: trial soak test fuzz build lint model ablation capacity ejection choice overload costs fleet relay packets startup bench experiments modules mutants
 
 # The QUIC front in one process, then the packet front as processes under a few faults.
 trial: build
@@ -54,11 +54,15 @@
 	go test ./balancer/packetfront -run '^$$' -fuzz FuzzHandleNode -fuzztime 20s
 
 # The measurements that docs/ quotes.
-choice ejection overload capacity costs fleet relay packets startup: build
+choice ejection overload capacity costs fleet relay packets startup model: build
 	bin/poppywall-measure $@
 
+# What each mechanism of the packet front is worth to callers, in the model.
+ablation:
+	tools/ablation.sh
+
 bench:
-	go test -run '^$$' -bench . ./route ./relay/... ./choose ./forward ./platform ./balancer/packetfront
+	go test -run '^$$' -bench . ./route ./relay/... ./choose ./forward ./platform ./balancer/packetfront ./backlog
 
 experiments: build
 	bin/poppywall-load --settings experiments/tafelrond.json
--- a/binaries/poppywall-measure/main.go
+++ b/binaries/poppywall-measure/main.go
@@ -33,6 +33,8 @@
 	startup := add("startup", "Time and processor time of a packet front's start.", func(w io.Writer) error { return measure.PrintStartup(w, binary) })
 	startup.String(&binary, "b", "binary", "The balancer's binary.")
 	fleet := add("fleet", "Cost of control and time to agree of real balancers (part of capacity).", measure.PrintFleet)
+	var flags modelFlags
+	flags.attach(add("model", "Load and faults on a simulated deployment: what callers get.", flags.run))
 	add("capacity", "Costs of control over the size of the fleet.", measure.PrintCapacity)
 	fleet.Int(&only, "n", "balancers", "Only this number of balancers.")
 	if err := p.ParseArgs(os.Args[1:]); err != nil {
--- /dev/null
+++ b/binaries/poppywall-measure/model.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/go-faster/errors"
+	"github.com/integrii/flaggy"
+
+	"github.com/poppywall/poppywall/binaries/internal/process"
+	"github.com/poppywall/poppywall/model"
+	"github.com/poppywall/poppywall/settings"
+)
+
+// modelFlags are the flags of the subcommand model.
+type modelFlags struct {
+	settings, plot, pattern string
+	seeds, drawn            int
+	brief                   bool
+}
+
+func (f *modelFlags) attach(sub *flaggy.Subcommand) {
+	sub.String(&f.settings, "s", "settings", "Path of the JSON settings; the default deployment without.")
+	sub.String(&f.pattern, "p", "pattern", "Only this pattern.")
+	sub.String(&f.plot, "o", "plot", "Path of an HTML page with charts to write.")
+	sub.Bool(&f.brief, "b", "brief", "Leave the classes out.")
+	sub.Int(&f.seeds, "n", "seeds", "Number of seeds.")
+	sub.Int(&f.drawn, "d", "drawn", "Number of deployments drawn at random besides.")
+}
+
+// run plays an experiment; the table goes to w, progress to the standard error.
+func (f *modelFlags) run(w io.Writer) error {
+	s, err := f.load()
+	if err == nil {
+		err = s.Check()
+	}
+	if err != nil {
+		process.Fail(process.ExitUsage, err)
+	}
+	rows := model.Run(s, func(done, of int) {
+		fmt.Fprintf(os.Stderr, "\r%d of %d runs", done, of)
+		if done == of {
+			fmt.Fprintln(os.Stderr)
+		}
+	})
+	if f.plot != "" {
+		if err := writePlot(f.plot, rows); err != nil {
+			return err
+		}
+	}
+	return model.Print(w, rows, f.brief)
+}
+
+// load returns the settings, with what the flags say.
+func (f *modelFlags) load() (model.Settings, error) {
+	s := model.DefaultSettings()
+	if f.settings != "" {
+		var err error
+		if s, err = settings.Load(f.settings, s); err != nil {
+			return s, err
+		}
+	}
+	if f.pattern != "" {
+		s.Patterns = []string{f.pattern}
+	}
+	if f.seeds > 0 {
+		s.Seeds = f.seeds
+	}
+	if f.drawn > 0 {
+		s.Drawn = f.drawn
+	}
+	return s, nil
+}
+
+func writePlot(path string, rows []model.Row) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return errors.Wrap(err, "plot")
+	}
+	if err := model.Plot(file, rows); err != nil {
+		_ = file.Close()
+		return errors.Wrap(err, "plot")
+	}
+	return errors.Wrap(file.Close(), "plot")
+}
