--- a/binaries/poppywall-soak/main.go
+++ b/binaries/poppywall-soak/main.go
@@ -1,4 +1,4 @@
-// Command poppywall-soak runs the packet front under faults, seed after seed.
+// Command poppywall-soak runs either front under faults, seed after seed.
 package main
 
 import (
@@ -21,9 +21,9 @@
 
 func main() {
 	seed, seeds := 0, 1
-	dir, bin := "", "bin"
+	dir, bin, quic := "", "bin", false
 	cfg := soak.Config{Balancers: defaultBalancers, Agents: defaultAgents, Clients: defaultClients, Faults: defaultFaults}
-	p := process.NewParser("poppywall-soak", "Runs the packet front under faults and checks its promises.")
+	p := process.NewParser("poppywall-soak", "Runs a front under faults and checks its promises.")
 	p.Int(&seed, "s", "seed", "First seed; 0 draws one.")
 	p.Int(&seeds, "n", "seeds", "Number of seeds.")
 	p.Int(&cfg.Balancers, "", "balancers", "Balancers of a site.")
@@ -31,6 +31,7 @@
 	p.Int(&cfg.Clients, "", "clients", "Client machines.")
 	p.Int(&cfg.Faults, "", "faults", "Faults of a run.")
 	p.Int(&cfg.Slot, "", "slot", "Keeps the addresses of runs at the same time apart, 0 to 100.")
+	p.Bool(&quic, "q", "quic", "Run the QUIC front; the packet front by default.")
 	p.String(&dir, "d", "dir", "Where settings and logs go; a temporary folder by default.")
 	p.String(&bin, "b", "bin", "Folder of the binaries.")
 	if err := p.ParseArgs(os.Args[1:]); err != nil {
@@ -42,10 +43,14 @@
 	if dir == "" {
 		dir = filepath.Join(os.TempDir(), "poppywall-soak")
 	}
-	os.Exit(run(cfg, bin, dir, seed, seeds))
+	front := soak.Run
+	if quic {
+		front = soak.RunQUIC
+	}
+	os.Exit(run(front, cfg, bin, dir, seed, seeds))
 }
 
-func run(cfg soak.Config, bin, dir string, seed, seeds int) int {
+func run(front func(soak.Config) (soak.Report, error), cfg soak.Config, bin, dir string, seed, seeds int) int {
 	failed := 0
 	for i := range seeds {
 		cfg.Seed = uint64(seed + i)
@@ -54,12 +59,12 @@
 		if err := os.MkdirAll(cfg.Dir, 0o755); err != nil {
 			process.Fail(process.ExitFailure, err)
 		}
-		report, err := soak.Run(cfg)
+		report, err := front(cfg)
 		if err != nil {
 			process.Fail(process.ExitFailure, err)
 		}
-		fmt.Printf("seed %d: %d requests, %d resets, %d silent, %d broken promises\n",
-			report.Seed, report.Requests, report.Resets, report.Silent, len(report.Violations))
+		fmt.Printf("seed %d: %d requests, %d refused, %d resets, %d silent, %d broken promises\n",
+			report.Seed, report.Requests, report.Refused, report.Resets, report.Silent, len(report.Violations))
 		if len(report.Violations) == 0 {
 			_ = os.RemoveAll(cfg.Dir)
 			continue
@@ -71,7 +76,7 @@
 		for _, line := range report.Journal {
 			fmt.Println("      ", line)
 		}
-		fmt.Printf("   again: poppywall-soak --seed %d; logs in %s\n", cfg.Seed, cfg.Dir)
+		fmt.Printf("   again: poppywall-soak --seed %d, with the same flags; logs in %s\n", cfg.Seed, cfg.Dir)
 	}
 	fmt.Printf("%d passed, %d failed\n", seeds-failed, failed)
 	if failed > 0 {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -2,87 +2,118 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
 	"github.com/poppywall/poppywall/standin"
 )
 
+// deployment is a site of either front.
+type deployment interface {
+	// balancerNodes and agentNodes are the processes of the system.
+	balancerNodes() []*node
+	agentNodes() []*node
+	// faultStore sets what the store does wrong.
+	faultStore(standin.Faults)
+}
+
+// nodes returns all processes of the system.
+func nodes(s deployment) []*node { return append(s.balancerNodes(), s.agentNodes()...) }
+
+// withWay returns those that reach the store.
+func withWay(s deployment) []*node {
+	return slices.DeleteFunc(nodes(s), func(n *node) bool { return n.way == nil })
+}
+
 // fault is something that happens to a site; it returns what ends it, nil when
 // it ends by itself.
-type fault struct {
+type fault[S deployment] struct {
 	name string
-	do   func(s *site, rnd *rand.Rand, rec *recorder) (end func())
+	do   func(s S, rnd *rand.Rand, rec *recorder) (end func())
 }
 
-// faults are all kinds, each as likely as the others.
-var faults = []fault{
-	{"balancer killed", func(s *site, rnd *rand.Rand, rec *recorder) func() {
-		return restart(pick(s.balancers, rnd), syscall.SIGKILL, rec)
-	}},
-	{"balancer stopped", func(s *site, rnd *rand.Rand, rec *recorder) func() {
-		return restart(pick(s.balancers, rnd), syscall.SIGTERM, rec)
-	}},
-	{"balancer paused", func(s *site, rnd *rand.Rand, rec *recorder) func() { return pause(pick(s.balancers, rnd), rec) }},
-	{"agent killed", func(s *site, rnd *rand.Rand, rec *recorder) func() {
-		return restart(pick(s.agents, rnd), syscall.SIGKILL, rec)
-	}},
-	{"agent stopped", func(s *site, rnd *rand.Rand, rec *recorder) func() {
-		return restart(pick(s.agents, rnd), syscall.SIGTERM, rec)
-	}},
-	{"agent paused", func(s *site, rnd *rand.Rand, rec *recorder) func() { return pause(pick(s.agents, rnd), rec) }},
-	{"settings reloaded", reload},
-	{"host crashes", crashHost},
-	{"host drains and is replaced", drainHost},
-	{"host is replaced by one of another service", replaceHost},
-	{"store down", storeFault(standin.Faults{Down: true})},
-	{"store slow", storeFault(standin.Faults{DelayMillis: 700})},
-	{"store answers lost", storeFault(standin.Faults{LoseAnswers: 4})},
-	{"store lapses and drops its history", lapse},
-	{"a way to the store goes silent", wayFault(func(p *standin.Proxy) func() { p.Silence(); return nil })},
-	{"a way to the store is cut in one direction", wayFault(func(p *standin.Proxy) func() { p.Cut(standin.FromTarget); return nil })},
-	{"a way to the store is reset", wayFault(func(p *standin.Proxy) func() { p.Reset(); return nil })},
-	{"a way to the store is closed", wayFault(func(p *standin.Proxy) func() {
-		p.Refuse(true)
-		p.Reset()
-		return func() { p.Refuse(false) }
-	})},
-	{"a way to the store is slow", wayFault(func(p *standin.Proxy) func() {
-		p.Delay(slowWay)
-		return func() { p.Delay(0) }
-	})},
-	{"all connections to the store go silent", func(s *site, _ *rand.Rand, _ *recorder) func() {
-		for _, n := range s.nodes() {
-			n.way.Silence()
-		}
-		return nil
-	}},
-	{"configuration changes", func(s *site, _ *rand.Rand, rec *recorder) func() {
+// systemFaults are the kinds that meet the processes and the store of either front.
+func systemFaults[S deployment]() []fault[S] {
+	return []fault[S]{
+		{"balancer killed", signalOne(S.balancerNodes, syscall.SIGKILL)},
+		{"balancer stopped", signalOne(S.balancerNodes, syscall.SIGTERM)},
+		{"balancer paused", pauseOne(S.balancerNodes)},
+		{"agent killed", signalOne(S.agentNodes, syscall.SIGKILL)},
+		{"agent stopped", signalOne(S.agentNodes, syscall.SIGTERM)},
+		{"agent paused", pauseOne(S.agentNodes)},
+		{"settings reloaded", reload[S]},
+		{"store down", storeFault[S](standin.Faults{Down: true})},
+		{"store slow", storeFault[S](standin.Faults{DelayMillis: 700})},
+		{"store answers lost", storeFault[S](standin.Faults{LoseAnswers: 4})},
+		{"a way to the store goes silent", wayFault[S](func(p *standin.Proxy) func() { p.Silence(); return nil })},
+		{"a way to the store is cut in one direction", wayFault[S](func(p *standin.Proxy) func() { p.Cut(standin.FromTarget); return nil })},
+		{"a way to the store is reset", wayFault[S](func(p *standin.Proxy) func() { p.Reset(); return nil })},
+		{"a way to the store is closed", wayFault[S](func(p *standin.Proxy) func() {
+			p.Refuse(true)
+			p.Reset()
+			return func() { p.Refuse(false) }
+		})},
+		{"a way to the store is slow", wayFault[S](func(p *standin.Proxy) func() {
+			p.Delay(slowWay)
+			return func() { p.Delay(0) }
+		})},
+		{"all connections to the store go silent", func(s S, _ *rand.Rand, _ *recorder) func() {
+			for _, n := range withWay(s) {
+				n.way.Silence()
+			}
+			return nil
+		}},
+	}
+}
+
+// packetFaults are all kinds for the packet front, each as likely as the others.
+var packetFaults = append(systemFaults[*site](),
+	fault[*site]{"host crashes", crashHost},
+	fault[*site]{"host drains and is replaced", drainHost},
+	fault[*site]{"host is replaced by one of another service", replaceHost},
+	fault[*site]{"store lapses and drops its history", lapse},
+	fault[*site]{"configuration changes", func(s *site, _ *rand.Rand, rec *recorder) func() {
 		if err := s.putConfig(); err != nil {
 			rec.violate("configuration: %v", err)
 		}
 		return nil
 	}},
-	{"all processes killed", blackout},
-}
+	fault[*site]{"all processes killed", blackout},
+)
 
 // slowWay is the delay of a slow way to the store, in each direction: calls at it
 // take longer than the programs wait for some of them.
 const slowWay = 350 * time.Millisecond
 
 // wayFault does something to one node's way to the store.
-func wayFault(do func(*standin.Proxy) func()) func(*site, *rand.Rand, *recorder) func() {
-	return func(s *site, rnd *rand.Rand, rec *recorder) func() {
-		n := pick(s.nodes(), rnd)
+func wayFault[S deployment](do func(*standin.Proxy) func()) func(S, *rand.Rand, *recorder) func() {
+	return func(s S, rnd *rand.Rand, rec *recorder) func() {
+		n := pick(withWay(s), rnd)
 		rec.note("%s's way to the store", n.name)
 		return do(n.way)
 	}
 }
 
-func pick(list []*node, rnd *rand.Rand) *node { return list[rnd.IntN(len(list))] }
+func signalOne[S deployment](of func(S) []*node, how syscall.Signal) func(S, *rand.Rand, *recorder) func() {
+	return func(s S, rnd *rand.Rand, rec *recorder) func() { return restart(pick(of(s), rnd), how, rec) }
+}
+
+func pauseOne[S deployment](of func(S) []*node) func(S, *rand.Rand, *recorder) func() {
+	return func(s S, rnd *rand.Rand, rec *recorder) func() { return pause(pick(of(s), rnd), rec) }
+}
+
+func storeFault[S deployment](f standin.Faults) func(S, *rand.Rand, *recorder) func() {
+	return func(s S, _ *rand.Rand, _ *recorder) func() {
+		s.faultStore(f)
+		return func() { s.faultStore(standin.Faults{}) }
+	}
+}
+
+func pick[T any](list []T, rnd *rand.Rand) T { return list[rnd.IntN(len(list))] }
 
 // inject lets the faults come one after the other; some overlap.
-func (s *site) inject(rnd *rand.Rand, rec *recorder) {
+func inject[S deployment](s S, cfg Config, faults []fault[S], rnd *rand.Rand, rec *recorder) {
 	type running struct {
 		end func()
 		at  time.Time
@@ -99,7 +130,7 @@
 		}
 		open = left
 	}
-	for range s.cfg.Faults {
+	for range cfg.Faults {
 		f := faults[rnd.IntN(len(faults))]
 		rec.note("%s", f.name)
 		if end := f.do(s, rnd, rec); end != nil {
@@ -107,14 +138,14 @@
 		}
 		time.Sleep(time.Duration(50+rnd.IntN(900)) * time.Millisecond)
 		finish(false)
-		s.checkProcesses(rec)
+		checkProcesses(s, rec)
 	}
 	finish(true)
 }
 
 // checkProcesses finds processes that ended by themselves.
-func (s *site) checkProcesses(rec *recorder) {
-	for _, n := range s.nodes() {
+func checkProcesses(s deployment, rec *recorder) {
+	for _, n := range nodes(s) {
 		if n.running() || n.asked {
 			continue
 		}
@@ -133,6 +164,7 @@
 	}
 	rec.note("%s: %v", n.name, how)
 	n.asked = true
+	n.cut()
 	n.signal(how)
 	return func() {
 		<-n.exited
@@ -157,8 +189,8 @@
 	}
 }
 
-func reload(s *site, rnd *rand.Rand, _ *recorder) func() {
-	n := pick(s.nodes(), rnd)
+func reload[S deployment](s S, rnd *rand.Rand, _ *recorder) func() {
+	n := pick(nodes(s), rnd)
 	if n.free() && time.Since(n.started) > signalAge {
 		n.signal(syscall.SIGHUP)
 	}
@@ -170,7 +202,7 @@
 const signalAge = 200 * time.Millisecond
 
 // startAgain starts a host where none is.
-func startAgain(s *site, n *node, rec *recorder) {
+func startAgain(s *site, n *hostNode, rec *recorder) {
 	if n.current() != nil {
 		return
 	}
@@ -229,7 +261,7 @@
 	n.kill()
 	n.service = (n.service + 1) % len(services)
 	return func() {
-		if err := s.prepare(n, "poppywall-agent", n.name, s.agentSettings(n)); err != nil {
+		if err := n.prepare(s.cfg, "poppywall-agent", n.name, s.agentSettings(n), frontPackets); err != nil {
 			rec.violate("restart: %v", err)
 		}
 		startAgain(s, n, rec)
@@ -237,7 +269,7 @@
 }
 
 // lastOfService tells whether a service would be left without a host.
-func lastOfService(s *site, n *node) bool {
+func lastOfService(s *site, n *hostNode) bool {
 	for _, other := range s.agents {
 		if other != n && other.service == n.service && other.current() != nil {
 			return false
@@ -246,13 +278,6 @@
 	return true
 }
 
-func storeFault(f standin.Faults) func(*site, *rand.Rand, *recorder) func() {
-	return func(s *site, _ *rand.Rand, _ *recorder) func() {
-		s.store.SetFaults(f)
-		return func() { s.store.SetFaults(standin.Faults{}) }
-	}
-}
-
 func lapse(s *site, _ *rand.Rand, _ *recorder) func() {
 	s.store.LapseLeases()
 	s.store.Compact()
@@ -262,7 +287,7 @@
 // blackout ends all processes of the system at once; the hosts live on.
 func blackout(s *site, rnd *rand.Rand, rec *recorder) func() {
 	var ends []func()
-	for _, n := range s.nodes() {
+	for _, n := range nodes(s) {
 		if end := restart(n, syscall.SIGKILL, rec); end != nil {
 			ends = append(ends, end)
 		}
--- a/soak/site.go
+++ b/soak/site.go
@@ -1,15 +1,11 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http/httptest"
 	"net/netip"
-	"os"
-	"os/exec"
-	"path/filepath"
+	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -30,6 +26,9 @@
 	portControl  = 21006
 )
 
+// frontPackets is the argument that selects the packet front.
+const frontPackets = "packets"
+
 // zones are the availability zones that nodes are spread over.
 var zones = []string{"z1", "z2", "z3"}
 
@@ -39,78 +38,11 @@
 // front returns the address of a service's entrance.
 func front(service int) flow.Front { return flow.Front{IP: 0xc6120001 + flow.IPv4(service), Port: 443} }
 
-// Process is one process of the system that may be ended and started again.
-type process struct {
-	name string
-	args []string
-	log  string
-	cmd  *exec.Cmd
-	// exited is closed when the process has ended.
-	exited chan struct{}
-	paused bool
-	// asked is set before the process is told to end.
-	asked   bool
-	started time.Time
-}
-
-func (p *process) start() error {
-	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	if err != nil {
-		return err
-	}
-	p.asked, p.started = false, time.Now()
-	p.cmd = exec.Command(p.args[0], p.args[1:]...)
-	p.cmd.Stdout, p.cmd.Stderr = out, out
-	// A group of its own: a group that is orphaned while a member is paused gets
-	// SIGHUP from the kernel, which would end the soak.
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
-	if err := p.cmd.Start(); err != nil {
-		return errors.Wrapf(err, "start %s", p.name)
-	}
-	exited := make(chan struct{})
-	p.exited = exited
-	go func(cmd *exec.Cmd) {
-		// How it ended was asked for; what it said stands in its log.
-		_ = cmd.Wait()
-		_ = out.Close()
-		close(exited)
-	}(p.cmd)
-	return nil
-}
-
-func (p *process) running() bool {
-	select {
-	case <-p.exited:
-		return false
-	default:
-		return true
-	}
-}
-
-// free tells whether nothing happens to the process at the moment: one that is
-// ending must not be paused, for whoever waits for its end would wait for ever.
-func (p *process) free() bool { return p.running() && !p.paused && !p.asked }
-
-// signal sends a signal; a process that is gone by now needs none.
-func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
-
-// kill ends the process and waits for its end.
-func (p *process) kill() {
-	p.asked = true
-	p.signal(syscall.SIGKILL)
-	<-p.exited
-	p.paused = false
-}
-
-// node is a process with its address; an agent has a host beside it.
-type node struct {
-	process
-	addr netip.Addr
-	zone string
-	// service is the index of the service of an agent's host.
+// hostNode is an agent with the host beside it.
+type hostNode struct {
+	node
+	// service is the index of the host's service.
 	service int
-	// way is the node's way to the store.
-	way *standin.Proxy
 
 	// mu guards host.
 	mu   sync.Mutex
@@ -119,7 +51,7 @@
 	hosts int
 }
 
-func (n *node) current() *platformtest.Host {
+func (n *hostNode) current() *platformtest.Host {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.host
@@ -131,14 +63,14 @@
 	store     *standin.Store
 	storeHTTP *httptest.Server
 	balancers []*node
-	agents    []*node
+	agents    []*hostNode
 	routers   *platformtest.Routers
 	version   int64
 }
 
-// address gives each node an address of its own; base keeps runs apart.
-func (s *site) address(kind, i int) netip.Addr {
-	return netip.AddrFrom4([4]byte{127, byte(100 + s.cfg.Slot), byte(kind), byte(1 + i)})
+// address gives each node an address of its own; the slot keeps runs apart.
+func (c *Config) address(kind, i int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, byte(100 + c.Slot), byte(kind), byte(1 + i)})
 }
 
 // Kinds of addresses.
@@ -155,22 +87,22 @@
 		return nil, err
 	}
 	for i := range cfg.Balancers {
-		n := &node{addr: s.address(kindBalancer, i), zone: zones[i%len(zones)]}
+		n := &node{addr: s.cfg.address(kindBalancer, i), zone: zones[i%len(zones)]}
 		s.balancers = append(s.balancers, n)
-		if err := s.connect(n); err != nil {
+		if err := n.connect(s.storeHTTP.Listener.Addr().String()); err != nil {
 			return nil, err
 		}
-		if err := s.prepare(n, "poppywall-balancer", fmt.Sprintf("balancer-%d", i), s.balancerSettings(n)); err != nil {
+		if err := n.prepare(cfg, "poppywall-balancer", fmt.Sprintf("balancer-%d", i), s.balancerSettings(n), frontPackets); err != nil {
 			return nil, err
 		}
 	}
 	for i := range cfg.Agents {
-		n := &node{addr: s.address(kindAgent, i), zone: zones[i%len(zones)], service: i % len(services)}
+		n := &hostNode{node: node{addr: s.cfg.address(kindAgent, i), zone: zones[i%len(zones)]}, service: i % len(services)}
 		s.agents = append(s.agents, n)
-		if err := s.connect(n); err != nil {
+		if err := n.connect(s.storeHTTP.Listener.Addr().String()); err != nil {
 			return nil, err
 		}
-		if err := s.prepare(n, "poppywall-agent", fmt.Sprintf("agent-%d", i), s.agentSettings(n)); err != nil {
+		if err := n.prepare(cfg, "poppywall-agent", fmt.Sprintf("agent-%d", i), s.agentSettings(n), frontPackets); err != nil {
 			return nil, err
 		}
 		if err := s.startHost(n); err != nil {
@@ -188,38 +120,25 @@
 	return s, err
 }
 
-// connect makes a node's own way to the store.
-func (s *site) connect(n *node) (err error) {
-	n.way, err = standin.NewProxy(s.storeHTTP.Listener.Addr().String())
-	return err
-}
-
-// nodes returns all nodes.
-func (s *site) nodes() []*node { return append(append([]*node{}, s.balancers...), s.agents...) }
+// balancerNodes implements deployment.
+func (s *site) balancerNodes() []*node { return slices.Clone(s.balancers) }
 
-// prepare writes a node's settings and starts it.
-func (s *site) prepare(n *node, binary, name string, settings map[string]any) error {
-	path := filepath.Join(s.cfg.Dir, name+".json")
-	data, err := json.Marshal(settings)
-	if err != nil {
-		return err
+// agentNodes implements deployment.
+func (s *site) agentNodes() []*node {
+	var out []*node
+	for _, n := range s.agents {
+		out = append(out, &n.node)
 	}
-	if err := os.WriteFile(path, data, 0o644); err != nil {
-		return err
-	}
-	n.process = process{
-		name: name, log: filepath.Join(s.cfg.Dir, name+".log"),
-		args: []string{filepath.Join(s.cfg.Bin, binary), "packets", "--settings", path},
-	}
-	return n.start()
+	return out
 }
 
-func at(a netip.Addr, port int) string { return netip.AddrPortFrom(a, uint16(port)).String() }
+// faultStore implements deployment.
+func (s *site) faultStore(f standin.Faults) { s.store.SetFaults(f) }
 
 func (s *site) seeds() []string {
 	var out []string
 	for i := range min(3, s.cfg.Balancers) {
-		out = append(out, at(s.address(kindBalancer, i), portControl))
+		out = append(out, at(s.cfg.address(kindBalancer, i), portControl))
 	}
 	return out
 }
@@ -231,7 +150,7 @@
 	}
 }
 
-func (s *site) agentSettings(n *node) map[string]any {
+func (s *site) agentSettings(n *hostNode) map[string]any {
 	return map[string]any{
 		"name": "agent", "zone": n.zone, "service": services[n.service], "data": at(n.addr, portData),
 		"internal": at(n.addr, portInternal), "outbound": at(n.addr, portOutbound), "host": at(n.addr, portApp),
@@ -248,7 +167,7 @@
 const drainGrace = 3 * time.Second
 
 // startHost starts a fresh host beside an agent.
-func (s *site) startHost(n *node) error {
+func (s *site) startHost(n *hostNode) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.hosts++
@@ -265,7 +184,7 @@
 }
 
 // crashHost ends the host beside an agent.
-func (n *node) crashHost() {
+func (n *hostNode) crashHost() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.host != nil {
@@ -295,11 +214,13 @@
 
 // stop ends everything.
 func (s *site) stop() {
-	for _, n := range s.nodes() {
+	for _, n := range nodes(s) {
 		n.kill()
-		n.crashHost()
 		n.way.Close()
 	}
+	for _, n := range s.agents {
+		n.crashHost()
+	}
 	s.routers.Close()
 	s.storeHTTP.CloseClientConnections()
 	s.storeHTTP.Close()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -32,9 +32,9 @@
 	Seed uint64
 	// Journal says what was injected when.
 	Journal []string
-	// Requests were answered, Resets and Silent are flows that ended otherwise
-	// for a reason that the promises allow.
-	Requests, Resets, Silent int
+	// Requests were answered, Refused were answered by an error; Resets and Silent
+	// are flows that ended otherwise for a reason that the promises allow.
+	Requests, Refused, Resets, Silent int
 	// Violations are broken promises.
 	Violations []string
 }
@@ -105,7 +105,7 @@
 			c.work(done)
 		}()
 	}
-	s.inject(rand.New(rand.NewPCG(cfg.Seed, 1)), rec)
+	inject(s, cfg, packetFaults, rand.New(rand.NewPCG(cfg.Seed, 1)), rec)
 	time.Sleep(settle)
 	close(done)
 	wg.Wait()
@@ -145,7 +145,7 @@
 func newClients(s *site, rec *recorder) ([]*client, error) {
 	var out []*client
 	for i := range s.cfg.Clients {
-		addr := netip.AddrPortFrom(s.address(kindClient, i), portData)
+		addr := netip.AddrPortFrom(s.cfg.address(kindClient, i), portData)
 		machine, err := platformtest.NewClient(addr, s.routers.Send)
 		if err != nil {
 			return nil, err
@@ -253,7 +253,7 @@
 			rec.violate("routers: %v", err)
 			return
 		}
-		machine, err := platformtest.NewClient(netip.AddrPortFrom(s.address(kindClient, 200+i), portData), one.Send)
+		machine, err := platformtest.NewClient(netip.AddrPortFrom(s.cfg.address(kindClient, 200+i), portData), one.Send)
 		if err != nil {
 			rec.violate("client: %v", err)
 			return
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -8,16 +8,18 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestShortSoak runs one seed against the real programs; poppywall-soak runs
-// more and longer ones.
+// TestShortSoak runs one seed of each front against the real programs;
+// poppywall-soak runs more and longer ones.
 func TestShortSoak(t *testing.T) {
 	bin := t.TempDir()
 	for _, name := range []string{"poppywall-balancer", "poppywall-agent"} {
 		out, err := exec.Command("go", "build", "-o", filepath.Join(bin, name), "../binaries/"+name).CombinedOutput()
 		require.NoError(t, err, string(out))
 	}
-	report, err := Run(Config{Bin: bin, Dir: t.TempDir(), Seed: 7, Slot: 90, Balancers: 3, Agents: 4, Clients: 4, Faults: 8})
-	require.NoError(t, err)
-	require.Empty(t, report.Violations, "%q", report.Journal)
-	require.Positive(t, report.Requests)
+	for name, front := range map[string]func(Config) (Report, error){"packets": Run, "QUIC": RunQUIC} {
+		report, err := front(Config{Bin: bin, Dir: t.TempDir(), Seed: 7, Slot: 90, Balancers: 3, Agents: 4, Clients: 4, Faults: 8})
+		require.NoError(t, err, name)
+		require.Empty(t, report.Violations, "%s: %q", name, report.Journal)
+		require.Positive(t, report.Requests, name)
+	}
 }
