--- a/agent/packetfront/admission.go
+++ b/agent/packetfront/admission.go
@@ -41,7 +41,7 @@
 }
 
 // termsOf reads the terms of a flow from its opening packet and the envelope
-// around it.
+// around it. What the packet says of an outage is noted first.
 func (c *Core) termsOf(now time.Time, h *flow.Header) terms {
 	if c.env.Flags&envelope.Repeated == 0 {
 		c.outage.Opened(now, h.Ack)
@@ -93,8 +93,8 @@
 // settles decides on a new flow for which the host has no room at once. While
 // there are other candidates it is passed on; then it goes to the host with the
 // shortest wait, which takes it unless it certainly cannot be served in time, or
-// would wait for longer than until its client's next opening packet. It tells whether the host is
-// to take it; otherwise the packet was sent on or dropped.
+// would wait for longer than until its client's next opening packet. It tells
+// whether the host is to take it; otherwise the packet was sent on or dropped.
 func (c *Core) settles(now time.Time, key flow.Key, h *flow.Header, packet []byte) bool {
 	wait := c.wait()
 	if c.env.Flags&envelope.Settle == 0 {
@@ -133,7 +133,8 @@
 	if c.held.Len() >= maxHeld || need > c.env.Deadline {
 		return "no host can serve it in time", false
 	}
-	if c.held.Standing(now, c.env.Deadline) && need > c.env.Objective {
+	late := c.env.Objective > 0 && need > c.env.Objective
+	if late && c.held.Standing(now, c.env.Deadline) {
 		return "all hosts have a standing backlog", false
 	}
 	return "", true
@@ -148,7 +149,8 @@
 }
 
 // waits decides whether a client's data goes to the host now or is kept until the
-// host has a slot, and keeps it.
+// host has a slot, and keeps it. A route that states no deadline gives no order to
+// wait in, and more than maxHeld are not kept: the host queues or sheds these.
 func (c *Core) waits(now time.Time, key flow.Key, r *record, h *flow.Header, packet []byte) bool {
 	switch {
 	case r.held != nil:
@@ -212,6 +214,7 @@
 // until then.
 func (c *Core) leaves(now time.Time, key flow.Key, r *record) {
 	if r.held != nil {
+		c.held.Remove(key)
 		c.events.GaveUp(key, now.Sub(r.held.since))
 	}
 	c.flows.answered(r)
--- a/agent/packetfront/admission_test.go
+++ b/agent/packetfront/admission_test.go
@@ -119,6 +119,7 @@
 		require.Equal(t, 7, f.Busy(), name)
 		leave(f)
 		require.Equal(t, 6, f.Busy(), name)
+		require.Zero(t, f.held.Len(), name)
 		f.answers(0)
 		require.Len(t, f.atHost(), 6, name)
 	}
@@ -261,6 +262,10 @@
 	f.opens(client, load(2), 2)
 	require.False(t, f.opened(client))
 	require.Equal(t, envelope.Returned, f.port.last().kind)
+	unstated := load(2)
+	unstated.Objective = 0
+	f.opens(client+1, unstated, 2)
+	require.True(t, f.opened(client+1), "a route that states no objective")
 }
 
 // TestASearchThatMeetsAWaitingRequestEnds: its balancer is told at once, or it would
--- a/backlog/doc.go
+++ b/backlog/doc.go
@@ -9,12 +9,12 @@
 // newest first, the callers that waited longest give up. The order here is a form
 // of least laxity first (Mok, 1983):
 //
-//   - the higher priority goes first;
-//   - a request that can still meet its objective goes before those that cannot,
-//     the newest first, as long as every other one can meet its deadline after it
-//     at the host's observed pace;
-//   - otherwise the one with the earliest deadline goes, of those that can still
-//     meet theirs.
+//   - a request that can still meet its objective goes first, the highest priority
+//     and of that the newest, as long as every other one can meet its deadline
+//     after it at the host's observed pace;
+//   - otherwise the one with the earliest deadline goes, of those that can meet
+//     theirs one after the other. Where not all can, Moore's rule (1968) finds the
+//     most that can, and priority decides who is given up.
 //
 // Deadlines come from the route. A caller's age is what its packets show: a copy
 // of an opening packet says how long ago the first one was sent. A caller whose
@@ -25,5 +25,6 @@
 // long as they can bear. Standing tells so, and the caller of this package
 // refuses what cannot meet its objective.
 //
-// Cost: Next sorts the requests of one priority, O(n log n) (BenchmarkNext).
+// Cost: Next sorts the requests, O(n log n), 31 microseconds for 256 of them
+// (BenchmarkNext).
 package backlog
