--- a/model/doc.go
+++ b/model/doc.go
@@ -10,5 +10,6 @@
 // answers (an answer is one packet), lost datagrams, and the routers' choice among
 // balancers that are about to be taken out of rotation.
 //
-// Cost: about 0.1 ms of a core for each request.
+// Cost: 0.05 ms of a core for each request, 0.2 ms on a busy machine
+// (BenchmarkPlay).
 package model
--- a/model/host.go
+++ b/model/host.go
@@ -23,7 +23,7 @@
 const (
 	// handshake is the time of a host for a new flow.
 	handshake = 300 * time.Microsecond
-	// mostWork bounds the work on one request, in means.
+	// longestWork bounds the work on one request, in means.
 	longestWork = 6
 )
 
--- a/model/model_test.go
+++ b/model/model_test.go
@@ -38,3 +38,12 @@
 func TestARunRepeats(t *testing.T) {
 	require.Equal(t, play("return", 1), play("return", 1))
 }
+
+func BenchmarkPlay(b *testing.B) {
+	asked := 0
+	for b.Loop() {
+		r := Play(Options{Deployment: Defaults(), Pattern: "return", At: 3 * time.Second, Length: 9 * time.Second, Seed: 1})
+		asked += r.All.Asked
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(asked), "ns/request")
+}
--- a/model/pattern.go
+++ b/model/pattern.go
@@ -10,8 +10,8 @@
 // Pattern is what happens to a deployment under load, from the given moment on.
 type Pattern struct {
 	Name string
-	// Answers says what the pattern is there for.
-	Answers string
+	// Happens says what, in a few words.
+	Happens string
 	begin   func(*run)
 }
 
--- a/model/plot.go
+++ b/model/plot.go
@@ -21,8 +21,9 @@
 
 func overTime(r *Row) *charts.Bar {
 	bar := charts.NewBar()
+	p, _ := patternOf(r.Pattern)
 	bar.SetGlobalOptions(
-		charts.WithTitleOpts(opts.Title{Title: r.Pattern, Subtitle: r.Deployment}),
+		charts.WithTitleOpts(opts.Title{Title: r.Pattern + ": " + p.Happens, Subtitle: r.Deployment}),
 		charts.WithXAxisOpts(opts.XAxis{Name: "s"}),
 		charts.WithYAxisOpts(opts.YAxis{Type: "value", Max: 1}),
 	)
