--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -103,8 +103,9 @@
 func New(opts Options, port Port, codec flow.Codec, events Events) *Core {
 	return &Core{
 		opts: opts, port: port, codec: codec, events: events,
-		view: fleet.NewView(), flows: newFlows(), notes: newNotes(), acks: newAcks(), health: newHealth(), pace: backlog.NewPace(assumedWork, assumedSlots),
-		buf: make([]byte, 0, 2048),
+		view: fleet.NewView(), flows: newFlows(), notes: newNotes(), acks: newAcks(), health: newHealth(),
+		pace: backlog.NewPace(assumedWork, assumedSlots),
+		buf:  make([]byte, 0, 2048),
 	}
 }
 
--- a/model/experiment.go
+++ b/model/experiment.go
@@ -136,8 +136,8 @@
 }
 
 // Print writes a table of rows, with those of each class unless it is to be brief:
-// shares of what was asked, the share in time in the
-// worst two seconds, tries for each request, and unsafe requests that ran twice.
+// shares of what was asked, the share in time in the worst two seconds, tries for
+// each request, and unsafe requests that ran twice.
 func Print(w io.Writer, rows []Row, brief bool) error {
 	tw := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(tw, "DEPLOYMENT\tPATTERN\tCLASS\tASKED\tIN TIME %\tLATE %\tREFUSED %\tLOST %\tWORST 2 S %\tTRIES\tTWICE")
@@ -145,10 +145,10 @@
 		r := &rows[i]
 		printCount(tw, r, "all", &r.All)
 		fmt.Fprintf(tw, "\t%.1f\t%.3f\t%d\n", 100*r.Worst(), float64(r.Tries)/float64(max(r.All.Asked, 1)), r.Doubled)
+		if brief {
+			continue
+		}
 		for j := range r.Classes {
-			if brief {
-				break
-			}
 			printCount(tw, r, r.Classes[j].Name, &r.Classes[j].Count)
 			fmt.Fprintln(tw, "\t\t\t")
 		}
