Sight: how far a configuration's fetch came, and which version was heard of

The collected logs could not tell whether a fetch between balancers ended after part of the answer, before its first byte, or with a whole one that was refused. The line of a fetch now has the version in force, the bytes that came and the time; metrics show the version in force, the highest one heard of, the size and the outcomes of fetches. No decision is changed.

--- a/balancer/packetfront/front.go
+++ b/balancer/packetfront/front.go
@@ -44,6 +44,8 @@
 	store store.Watcher
 	entry *registry.Registry
 	reg   *prometheus.Registry
+	// transfers counts how the configuration comes here.
+	transfers *transfers
 
 	data, internal *relay.Datagrams
 	port           uint16
@@ -63,6 +65,7 @@
 // NewFront opens the sockets of a front.
 func NewFront(cfg Settings, log *zap.Logger) (*Front, error) {
 	f := &Front{cfg: cfg, log: log, store: platform.NewStore(cfg.Store, storeTimeout), reg: prometheus.NewRegistry()}
+	f.transfers = newTransfers(f.reg)
 	f.self, f.port = flow.ParseAddrPort(cfg.Internal)
 	dataAddr := netip.MustParseAddrPort(cfg.Data)
 	f.clientPort = dataAddr.Port()
@@ -136,6 +139,11 @@
 	return []string{"seeds"}
 }
 
+func (f *Front) version() (v int64) {
+	f.locked(func(time.Time) { v = f.core.ConfigVersion() })
+	return v
+}
+
 func (f *Front) locked(do func(now time.Time)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -189,8 +197,9 @@
 			return
 		}
 		f.raw = raw
+		f.transfers.applied(c.Version, len(raw))
 		f.log.Info("configuration in force", zap.Int64(fieldConfig, c.Version), zap.Int64("former", former),
-			zap.Int("routes", len(c.Routes)), zap.String("from", from))
+			zap.Int("routes", len(c.Routes)), zap.Int(fieldBytes, len(raw)), zap.String("from", from))
 	})
 }
 
--- a/balancer/packetfront/front_test.go
+++ b/balancer/packetfront/front_test.go
@@ -34,11 +34,6 @@
 	return f
 }
 
-func (f *Front) version() (v int64) {
-	f.locked(func(time.Time) { v = f.core.ConfigVersion() })
-	return v
-}
-
 func putVersion(t *testing.T, s *standin.Store, version int64) {
 	t.Helper()
 	require.NoError(t, platformtest.PutConfig(s, &flow.Config{Version: version, IdleTimeout: time.Second, Routes: config(1).Routes}))
--- a/balancer/packetfront/observer.go
+++ b/balancer/packetfront/observer.go
@@ -25,6 +25,8 @@
 	fieldHops       = "hops"
 	fieldReason     = "reason"
 	fieldState      = "state"
+	fieldBytes      = "bytes"
+	fieldTookMS     = "took_ms"
 )
 
 // Lines a second of each kind; what is above is counted and said with the next
--- a/balancer/packetfront/peerconfig.go
+++ b/balancer/packetfront/peerconfig.go
@@ -31,7 +31,8 @@
 func (f *Front) staleBehind() (peer flow.IPv4, due bool) {
 	f.locked(func(now time.Time) {
 		own := f.core.ConfigVersion()
-		ip, newer := f.core.view.Newest(own)
+		ip, version, newer := f.core.view.Newest(own)
+		f.transfers.heardOf(max(own, version))
 		if !newer {
 			f.staleSince = time.Time{}
 			return
@@ -47,11 +48,18 @@
 func (f *Front) fetch(ctx context.Context, peer flow.IPv4) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
+	began := time.Now()
 	raw, err := fetchConfig(ctx, netip.AddrPortFrom(peer.Addr(), f.port))
+	f.transfers.fetched(err)
+	fields := []zap.Field{
+		zap.Stringer(telemetry.FieldPeer, peer), zap.Int64(fieldConfig, f.version()),
+		zap.Int(fieldBytes, len(raw)), zap.Int64(fieldTookMS, time.Since(began).Milliseconds()),
+	}
 	if err != nil {
-		f.log.Warn("configuration not fetched", zap.Stringer(telemetry.FieldPeer, peer), zap.Error(err))
+		f.log.Warn("configuration not fetched", append(fields, zap.Error(err))...)
 		return
 	}
+	f.log.Info("configuration fetched", fields...)
 	c, err := platform.DecodeConfig(raw)
 	if err != nil {
 		f.log.Error("configuration of another balancer refused", zap.Stringer(telemetry.FieldPeer, peer), zap.Error(err))
@@ -66,6 +74,8 @@
 // connection may have gone silent since.
 var peerClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 
+// fetchConfig returns the configuration of another balancer, or with an error
+// what of it has come.
 func fetchConfig(ctx context.Context, peer netip.AddrPort) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.String()+pathConfig, nil)
 	if err != nil {
--- /dev/null
+++ b/balancer/packetfront/transfers_test.go
@@ -0,0 +1,34 @@
+package packetfront
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/stretchr/testify/require"
+)
+
+// TestTransfersShowABalancerThatIsBehind by its metrics alone.
+func TestTransfersShowABalancerThatIsBehind(t *testing.T) {
+	reg := prometheus.NewRegistry()
+	tr := newTransfers(reg)
+	tr.applied(12, 4096)
+	tr.heardOf(15)
+	tr.fetched(errors.New("deadline"))
+	rec := httptest.NewRecorder()
+	promhttp.HandlerFor(reg, promhttp.HandlerOpts{}).ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	text, err := io.ReadAll(rec.Body)
+	require.NoError(t, err)
+	for _, line := range []string{
+		"poppywall_packetfront_configuration_version 12", "poppywall_packetfront_configuration_version_heard 15",
+		"poppywall_packetfront_configuration_bytes 4096",
+		`poppywall_packetfront_configuration_fetches_total{outcome="failed"} 1`,
+		`poppywall_packetfront_configuration_fetches_total{outcome="fetched"} 0`,
+	} {
+		require.Contains(t, string(text), line)
+	}
+}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -203,14 +203,15 @@
 
 func TestNewestConfiguration(t *testing.T) {
 	v := NewView()
-	_, newer := v.Newest(0)
+	_, _, newer := v.Newest(0)
 	require.False(t, newer)
 	v.Beacon(start, ip1, Beacon{Identity: Identity{1, 1}, ConfigVersion: 5})
 	v.Beacon(start, ip2, Beacon{Identity: Identity{2, 1}, ConfigVersion: 7})
-	best, newer := v.Newest(5)
+	best, version, newer := v.Newest(5)
 	require.True(t, newer)
 	require.Equal(t, ip2, best)
-	_, newer = v.Newest(7)
+	require.EqualValues(t, 7, version)
+	_, _, newer = v.Newest(7)
 	require.False(t, newer)
 }
 
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -289,16 +289,15 @@
 	return Same
 }
 
-// Newest returns the other balancer that has the highest configuration, if it
-// is higher than the given version.
-func (v *View) Newest(above int64) (flow.IPv4, bool) {
-	best := flow.IPv4(0)
-	for ip, p := range v.peers {
-		if p.ConfigVersion > above {
-			above, best = p.ConfigVersion, ip
+// Newest returns the other balancer that has the highest configuration, and its
+// version, if that is higher than the given one.
+func (v *View) Newest(above int64) (ip flow.IPv4, version int64, ok bool) {
+	for peer, p := range v.peers {
+		if p.ConfigVersion > max(above, version) {
+			ip, version = peer, p.ConfigVersion
 		}
 	}
-	return best, best != 0
+	return ip, version, ip != 0
 }
 
 // Expire forgets who was not heard for long and returns them.
--- a/telemetry/lines.go
+++ b/telemetry/lines.go
@@ -51,6 +51,13 @@
 	}, []string{label})
 }
 
+// Gauge returns a new gauge.
+func (c Counters) Gauge(name, help string) prometheus.Gauge {
+	return promauto.With(c.Registry).NewGauge(prometheus.GaugeOpts{
+		Namespace: namespace, Subsystem: c.Subsystem, Name: name, Help: help,
+	})
+}
+
 // Histogram returns a new histogram.
 func (c Counters) Histogram(name, help string, buckets []float64) prometheus.Histogram {
 	return promauto.With(c.Registry).NewHistogram(prometheus.HistogramOpts{
