--- a/balancer/packetfront/front.go
+++ b/balancer/packetfront/front.go
@@ -42,6 +42,8 @@
 	cfg   Settings
 	log   *zap.Logger
 	store store.Watcher
+	// peers calls other balancers.
+	peers *http.Client
 	entry *registry.Registry
 	reg   *prometheus.Registry
 	// transfers counts how the configuration comes here.
@@ -64,7 +66,7 @@
 
 // NewFront opens the sockets of a front.
 func NewFront(cfg Settings, log *zap.Logger) (*Front, error) {
-	f := &Front{cfg: cfg, log: log, store: platform.NewStore(cfg.Store, storeTimeout), reg: prometheus.NewRegistry()}
+	f := &Front{cfg: cfg, log: log, store: platform.NewStore(cfg.Store, storeTimeout), reg: prometheus.NewRegistry(), peers: newPeerClient()}
 	f.transfers = newTransfers(f.reg)
 	f.self, f.port = flow.ParseAddrPort(cfg.Internal)
 	dataAddr := netip.MustParseAddrPort(cfg.Data)
--- a/balancer/packetfront/peerconfig.go
+++ b/balancer/packetfront/peerconfig.go
@@ -49,7 +49,7 @@
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	began := time.Now()
-	raw, err := fetchConfig(ctx, netip.AddrPortFrom(peer.Addr(), f.port))
+	raw, err := fetchConfig(ctx, f.peers, netip.AddrPortFrom(peer.Addr(), f.port))
 	f.transfers.fetched(err)
 	fields := []zap.Field{
 		zap.Stringer(telemetry.FieldPeer, peer), zap.Int64(fieldConfig, f.version()),
@@ -70,18 +70,20 @@
 
 const pathConfig = "/config"
 
-// peerClient opens a connection for each call: calls are rare, and a kept
-// connection may have gone silent since.
-var peerClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+// newPeerClient returns a client that opens a connection for each call: calls are
+// rare, and a kept connection may have gone silent since.
+func newPeerClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+}
 
 // fetchConfig returns the configuration of another balancer, or with an error
 // what of it has come.
-func fetchConfig(ctx context.Context, peer netip.AddrPort) ([]byte, error) {
+func fetchConfig(ctx context.Context, client *http.Client, peer netip.AddrPort) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.String()+pathConfig, nil)
 	if err != nil {
 		return nil, err
 	}
-	resp, err := peerClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return nil, err
 	}
--- a/standin/proxy.go
+++ b/standin/proxy.go
@@ -18,6 +18,8 @@
 	links   map[*link]bool
 	refuses bool
 	delay   time.Duration
+	// link carries what the target sends.
+	link *Link
 }
 
 // Way is a direction of a connection.
@@ -63,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: listener, target: target, links: map[*link]bool{}}
+	p := &Proxy{listener: listener, target: target, links: map[*link]bool{}, link: NewLink(0)}
 	go p.accept()
 	return p, nil
 }
@@ -107,6 +109,14 @@
 	p.delay = d
 }
 
+// Narrow bounds the rate of what the target sends, of all connections together,
+// in bytes a second.
+func (p *Proxy) Narrow(bytesPerSecond int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.link = NewLink(bytesPerSecond)
+}
+
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
@@ -160,11 +170,25 @@
 	p.mu.Unlock()
 }
 
+// wide is a link that bounds nothing.
+var wide = NewLink(0)
+
+func (p *Proxy) linkOf(w Way) *Link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if w == FromTarget {
+		return p.link
+	}
+	return wide
+}
+
 // pump copies one direction. A cut direction swallows everything, its end too.
 func (p *Proxy) pump(l *link, w Way, from, to net.Conn) {
 	buf := make([]byte, 32<<10)
 	for {
-		n, err := from.Read(buf)
+		narrow := p.linkOf(w)
+		n, err := from.Read(buf[:narrow.piece(len(buf))])
+		narrow.pass(n)
 		if l.isCut(w) {
 			if err != nil {
 				return
