A fetch between balancers ends by silence, not by its length

Cause: 500 ms bounded the whole of a fetch. Over a link of 10 Mbit/s that is 0.6 MB; a larger configuration was thrown away each time and asked for anew, for good, and the tries filled the link. Class: a bound on the whole of a transfer, which is a bound on its size for each link, and progress thrown away at it.

TestPeersAreAskedOnFreshConnections had its own context of 500 ms; the same bound is inside now.

--- a/balancer/packetfront/front.go
+++ b/balancer/packetfront/front.go
@@ -28,8 +28,11 @@
 	// peerPatience is how long a balancer waits for its own watch before it
 	// fetches a newer configuration from another balancer.
 	peerPatience = 250 * time.Millisecond
-	// peerTimeout bounds that fetch.
+	// peerTimeout bounds the time until that balancer begins to answer.
 	peerTimeout = 500 * time.Millisecond
+	// peerSilence bounds the pauses within its answer: a packet that was lost is sent
+	// again after 200 ms, then after 400 ms more.
+	peerSilence = 900 * time.Millisecond
 	// warmingFactor weighs the load of a host that is slow after its start.
 	warmingFactor = 1.6
 	// maxConfig bounds a configuration that another balancer sends, in bytes.
--- a/balancer/packetfront/front_test.go
+++ b/balancer/packetfront/front_test.go
@@ -1,7 +1,6 @@
 package packetfront
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -150,9 +149,7 @@
 	require.NoError(t, err)
 	defer proxy.Close()
 	for range 3 {
-		ctx, cancel := context.WithTimeout(t.Context(), peerTimeout)
-		_, err = fetchConfig(ctx, newPeerClient(), netip.MustParseAddrPort(proxy.Addr()))
-		cancel()
+		_, err = fetchConfig(t.Context(), newPeerClient(), netip.MustParseAddrPort(proxy.Addr()))
 		require.NoError(t, err)
 		proxy.Silence()
 	}
--- a/balancer/packetfront/peerconfig.go
+++ b/balancer/packetfront/peerconfig.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/netip"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/poppywall/poppywall/flow"
 	"github.com/poppywall/poppywall/platform"
 	"github.com/poppywall/poppywall/telemetry"
+	"github.com/poppywall/poppywall/transfer"
 	"github.com/poppywall/poppywall/worker"
 )
 
@@ -46,14 +46,12 @@
 }
 
 func (f *Front) fetch(ctx context.Context, peer flow.IPv4) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
 	began := time.Now()
 	raw, err := fetchConfig(ctx, f.peers, netip.AddrPortFrom(peer.Addr(), f.port))
 	f.transfers.fetched(err)
 	fields := []zap.Field{
 		zap.Stringer(telemetry.FieldPeer, peer), zap.Int64(fieldConfig, f.version()),
-		zap.Int(fieldBytes, len(raw)), zap.Int64(fieldTookMS, time.Since(began).Milliseconds()),
+		zap.Int(fieldBytes, bytesOf(raw, err)), zap.Int64(fieldTookMS, time.Since(began).Milliseconds()),
 	}
 	if err != nil {
 		f.log.Warn("configuration not fetched", append(fields, zap.Error(err))...)
@@ -68,6 +66,15 @@
 	f.apply(c, raw, peer.String())
 }
 
+// bytesOf is how much of an answer has come, whole or not.
+func bytesOf(whole []byte, err error) int {
+	var part *transfer.Error
+	if errors.As(err, &part) {
+		return part.Got
+	}
+	return len(whole)
+}
+
 const pathConfig = "/config"
 
 // newPeerClient returns a client that opens a connection for each call: calls are
@@ -76,22 +83,25 @@
 	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 }
 
-// fetchConfig returns the configuration of another balancer, or with an error
-// what of it has come.
+// fetchLimits bound a fetch. Only silence ends one: the link of a small VM takes
+// most of a second for a large configuration, and a fetch that is begun anew would
+// take as long again.
+var fetchLimits = transfer.Limits{Begin: peerTimeout, Silence: peerSilence, Most: maxConfig}
+
+// fetchConfig returns the configuration of another balancer.
 func fetchConfig(ctx context.Context, client *http.Client, peer netip.AddrPort) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.String()+pathConfig, nil)
 	if err != nil {
 		return nil, err
 	}
-	resp, err := client.Do(req)
+	answer, err := transfer.Do(client, req, fetchLimits)
 	if err != nil {
 		return nil, err
 	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("answered %s", resp.Status)
+	if answer.Status != http.StatusOK {
+		return nil, errors.Errorf("answered %d", answer.Status)
 	}
-	return io.ReadAll(io.LimitReader(resp.Body, maxConfig))
+	return answer.Body, nil
 }
 
 func (f *Front) peerHandler() http.Handler {
