A watch with more than one answer may hold is read anew

A watch tells every change since its revision. After an absence from the store several configurations of 0.9 MB together passed the 4 MiB that are read of an answer; the rest was cut off, the answer did not decode, and the same watch was asked again until the store's history was gone.

--- a/balancer/packetfront/configsource.go
+++ b/balancer/packetfront/configsource.go
@@ -9,6 +9,7 @@
 
 	"github.com/poppywall/poppywall/flow"
 	"github.com/poppywall/poppywall/store"
+	"github.com/poppywall/poppywall/telemetry"
 	"github.com/poppywall/poppywall/verdict"
 	"github.com/poppywall/poppywall/worker"
 )
@@ -80,8 +81,8 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		if isCompacted(err) {
-			s.log.Info("history of the store is gone, read again")
+		if revision != 0 && wantsRead(err) {
+			s.log.Info("changes cannot be watched from here, read anew", zap.Int64(telemetry.FieldRevision, revision), zap.Error(err))
 			revision = 0
 			continue
 		}
@@ -148,7 +149,9 @@
 	}
 }
 
-func isCompacted(err error) bool {
+// wantsRead tells whether a watch from the same revision would fail again, be the
+// store as well as it may.
+func wantsRead(err error) bool {
 	var v *verdict.Error
-	return errors.As(err, &v) && v.Reason == store.ReasonCompacted
+	return errors.As(err, &v) && (v.Reason == store.ReasonCompacted || v.Reason == store.ReasonTooLarge)
 }
--- a/store/store.go
+++ b/store/store.go
@@ -158,3 +158,7 @@
 
 // ReasonCompacted is the verdict.Error reason of a watch whose history is gone.
 const ReasonCompacted = "store-compacted"
+
+// ReasonTooLarge is the verdict.Error reason of a watch that has more to tell than
+// one answer may hold: the watcher reads anew what is in force.
+const ReasonTooLarge = "store-answer-too-large"
--- a/transfer/transfer.go
+++ b/transfer/transfer.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -89,8 +90,8 @@
 // cause returns why a call was ended, where the error only says that it was. The
 // error is kept for what it tells of the connection.
 func cause(ctx context.Context, err error) error {
-	if errors.Is(context.Cause(ctx), ErrSilent) {
-		return errors.Join(ErrSilent, err)
+	if errors.Is(context.Cause(ctx), ErrSilent) && !errors.Is(err, ErrSilent) {
+		return fmt.Errorf("%w: %w", ErrSilent, err)
 	}
 	return err
 }
