Failing test: a grown configuration is late after connections went silent

The same cause in a budget of time: the watch's waiting time leaves 0.5 s for what follows a silence, whatever the size.

--- a/balancer/packetfront/largeconfig_test.go
+++ b/balancer/packetfront/largeconfig_test.go
@@ -127,3 +127,23 @@
 	proxy.Refuse(false)
 	require.Eventually(t, func() bool { return f.version() == last }, f.cfg.CatchUpWithin.D(), 5*time.Millisecond)
 }
+
+// TestAGrownConfigurationIsFollowedAfterConnectionsWentSilent: the bound counts
+// from the silence on, and the transfer is a part of it.
+func TestAGrownConfigurationIsFollowedAfterConnectionsWentSilent(t *testing.T) {
+	s := standin.NewStore(time.Now)
+	putGrown(t, s, 1, largestRoutes)
+	server := httptest.NewServer(platformtest.Store(s))
+	defer server.Close()
+	proxy, err := standin.NewProxy(server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer proxy.Close()
+	proxy.Narrow(narrowLink)
+	f := startFront(t, 75, proxy.Addr())
+	require.Eventually(t, func() bool { return f.version() == 1 }, inForceWithin, 5*time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
+
+	proxy.Silence()
+	putGrown(t, s, 2, largestRoutes)
+	require.Eventually(t, func() bool { return f.version() == 2 }, f.cfg.CatchUpWithin.D(), 5*time.Millisecond)
+}
