Configurations travel compressed between balancers

A fetch fills the link of a small VM for its whole length, while clients' packets wait behind it; and several at one balancer add up: seven fetches of 0.7 MB at one behind 10 Mbit/s would take 4 s, more than a change may take. gzip at the fastest level, worked out once a version and only where asked for; a balancer that does not ask for it gets the plain one.

--- a/balancer/packetfront/front.go
+++ b/balancer/packetfront/front.go
@@ -57,11 +57,11 @@
 	clientPort     uint16
 	self           flow.IPv4
 
-	// mu guards core and raw; nothing else is locked under it.
+	// mu guards core and stored; nothing else is locked under it.
 	mu   sync.Mutex
 	core *Core
-	// raw is the configuration in force as it is stored.
-	raw []byte
+	// stored is the configuration in force as it is stored, nil before the first.
+	stored *storedConfig
 	// staleSince is when a newer configuration was heard of first.
 	staleSince time.Time
 	alone      fleet.Alone
@@ -201,7 +201,7 @@
 		if !f.core.SetConfig(now, c) {
 			return
 		}
-		f.raw = raw
+		f.stored = &storedConfig{raw: raw}
 		f.transfers.applied(c.Version, len(raw))
 		f.log.Info("configuration in force", zap.Int64(fieldConfig, c.Version), zap.Int64("former", former),
 			zap.Int("routes", len(c.Routes)), zap.Int(fieldBytes, len(raw)), zap.String("from", from))
--- a/balancer/packetfront/peerconfig.go
+++ b/balancer/packetfront/peerconfig.go
@@ -1,9 +1,14 @@
 package packetfront
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"net/http"
 	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -104,17 +109,49 @@
 	return answer.Body, nil
 }
 
+// storedConfig is a configuration as it is stored and as other balancers get it.
+type storedConfig struct {
+	raw []byte
+
+	pack   sync.Once
+	packed []byte
+}
+
+// gzipped returns the configuration compressed, worked out at the first call: most
+// balancers are never asked. The fastest level: a balancer may have a twentieth of a
+// core and is asked by several others at once.
+func (s *storedConfig) gzipped() []byte {
+	s.pack.Do(func() {
+		var b bytes.Buffer
+		w, _ := gzip.NewWriterLevel(&b, gzip.BestSpeed)
+		// Writes to a buffer do not fail.
+		_, _ = w.Write(s.raw)
+		_ = w.Close()
+		s.packed = b.Bytes()
+	})
+	return s.packed
+}
+
+const encodingGzip = "gzip"
+
 func (f *Front) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+pathConfig, func(w http.ResponseWriter, _ *http.Request) {
-		var raw []byte
-		f.locked(func(time.Time) { raw = f.raw })
-		if raw == nil {
+	mux.HandleFunc("GET "+pathConfig, func(w http.ResponseWriter, r *http.Request) {
+		var stored *storedConfig
+		f.locked(func(time.Time) { stored = f.stored })
+		if stored == nil {
 			http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
 			return
 		}
+		body := stored.raw
+		if strings.Contains(r.Header.Get("Accept-Encoding"), encodingGzip) {
+			w.Header().Set("Content-Encoding", encodingGzip)
+			body = stored.gzipped()
+		}
+		w.Header().Set("Content-Type", "application/octet-stream")
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		// The peer sees a broken answer and asks again.
-		_, _ = w.Write(raw)
+		_, _ = w.Write(body)
 	})
 	return mux
 }
