Failing test: a balancer that others do not serve keeps its configuration for good

A balancer that relies on others for the configuration hears of a newer one and has no second way to it while their answers do not get through, though the store is at hand. In the incident this made a slow fetch a lasting one.

--- a/balancer/packetfront/front_test.go
+++ b/balancer/packetfront/front_test.go
@@ -1,7 +1,9 @@
 package packetfront
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -31,7 +33,7 @@
 	cfg := Defaults()
 	cfg.Name, cfg.Zone, cfg.Store = "b", "z1", store
 	cfg.Data, cfg.Internal, cfg.Ready = at(host, 22001), at(host, 22002), at(host, 22003)
-	cfg.Seeds = []string{at(71, 22004)}
+	cfg.Seeds = []string{at(71, 22004), at(81, 22004)}
 	cfg.LeaveDelay = settings.Duration(0)
 	f, err := NewFront(cfg, zap.NewNop())
 	require.NoError(t, err)
@@ -184,3 +186,33 @@
 	putVersion(t, s, 4)
 	require.Eventually(t, func() bool { return f.version() == 4 }, f.cfg.CatchUpWithin.D(), 5*time.Millisecond)
 }
+
+// TestAFollowerThatItsPeersDoNotServeReadsTheStore: it hears from them that there
+// is a newer configuration, but none of their answers gets through.
+func TestAFollowerThatItsPeersDoNotServeReadsTheStore(t *testing.T) {
+	s := standin.NewStore(time.Now)
+	putVersion(t, s, 1)
+	server := httptest.NewServer(platformtest.Store(s))
+	defer server.Close()
+	for host := 81; host < 84; host++ {
+		startFront(t, host, server.Listener.Addr().String())
+	}
+	follower := newFront(t, 84, server.Listener.Addr().String())
+	follower.peers.Transport.(*http.Transport).DialContext = func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	t.Cleanup(worker.Start(follower.Run))
+	feeds := func() (yes bool) {
+		follower.locked(func(now time.Time) { yes = follower.core.Feeds(now) })
+		return yes
+	}
+	require.Eventually(t, func() bool { return follower.version() == 1 && !feeds() }, 10*time.Second, 20*time.Millisecond)
+	// Its own watch ends without an answer, and it relies on the others from then on.
+	time.Sleep(watchWait(follower.cfg.CatchUpWithin.D(), 0) + 200*time.Millisecond)
+
+	for version := int64(2); version < 5; version++ {
+		putVersion(t, s, version)
+		require.Eventually(t, func() bool { return follower.version() == version }, inForceWithin, 5*time.Millisecond, "version %d", version)
+	}
+}
