A balancer that others do not serve reads the store itself

A balancer that relies on others fetched from one after the other, for good, and never asked the store, which would have ended the incident after a second. A read that does not close the gap is repeated with a pause that doubles; a configuration that does not decode here is not fetched again each 0.1 s.

--- a/balancer/packetfront/configsource.go
+++ b/balancer/packetfront/configsource.go
@@ -58,9 +58,9 @@
 	// apply takes a configuration and its stored bytes.
 	apply func(c *flow.Config, raw []byte, from string)
 	log   *zap.Logger
-	// needed tells whether this balancer has to ask the store; others tell it
-	// otherwise. answered hears of each answer.
-	needed   func() bool
+	// duty tells what this balancer has to do at the store. answered hears of each
+	// answer.
+	duty     func() StoreDuty
 	answered func()
 	// lost tells that the store does not answer.
 	lost bool
@@ -70,26 +70,35 @@
 func (s *configSource) run(ctx context.Context) error {
 	revision, pause := int64(0), retryPause
 	for ctx.Err() == nil {
-		if !s.needed() {
+		duty := s.duty()
+		switch duty {
+		case DutyNone:
 			worker.Sleep(ctx, idlePause)
 			continue
+		case DutyRead:
+			s.log.Info("behind other balancers, the store is read")
+			revision = 0
 		}
 		next, err := s.step(ctx, revision)
-		if err == nil {
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case err == nil:
 			s.answered()
-			revision, pause = next, retryPause
+			revision = next
 			s.noteStore(nil)
-			continue
-		}
-		if ctx.Err() != nil {
-			return nil
-		}
-		if revision != 0 && wantsRead(err) {
+			if duty == DutyWatch {
+				pause = retryPause
+				continue
+			}
+			// A read that does not close the gap is not repeated without a pause.
+		case revision != 0 && wantsRead(err):
 			s.log.Info("changes cannot be watched from here, read anew", zap.Int64(telemetry.FieldRevision, revision), zap.Error(err))
 			revision = 0
 			continue
+		default:
+			s.noteStore(err)
 		}
-		s.noteStore(err)
 		worker.Sleep(ctx, worker.Jitter(pause))
 		pause = min(2*pause, mostRetryWait)
 	}
--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -70,10 +70,13 @@
 	rnd    *rand.Rand
 	events Events
 
-	config    *flow.Config
-	view      *fleet.View
-	table     *table
-	startedAt time.Time
+	config *flow.Config
+	// refusedConfig is the highest version of others that does not decode here.
+	refusedConfig int64
+	gap           gap
+	view          *fleet.View
+	table         *table
+	startedAt     time.Time
 	// peerJoinedAt is when another balancer was heard for the first time, the last
 	// one.
 	peerJoinedAt time.Time
--- a/balancer/packetfront/front.go
+++ b/balancer/packetfront/front.go
@@ -25,10 +25,8 @@
 
 // Times of the shell.
 const (
-	// peerPatience is how long a balancer waits for its own watch before it
-	// fetches a newer configuration from another balancer.
-	peerPatience = 250 * time.Millisecond
-	// peerTimeout bounds the time until that balancer begins to answer.
+	// peerTimeout bounds the time until a balancer that is asked for its configuration
+	// begins to answer.
 	peerTimeout = 500 * time.Millisecond
 	// peerSilence bounds the pauses within its answer: a packet that was lost is sent
 	// again after 200 ms, then after 400 ms more.
@@ -65,9 +63,7 @@
 	core *Core
 	// stored is the configuration in force as it is stored, nil before the first.
 	stored *storedConfig
-	// staleSince is when a newer configuration was heard of first.
-	staleSince time.Time
-	alone      fleet.Alone
+	alone  fleet.Alone
 }
 
 // NewFront opens the sockets of a front.
@@ -189,9 +185,9 @@
 	return &configSource{
 		store: f.store, key: platform.ConfigKey, decode: decode, apply: f.apply, log: f.log,
 		catchUp: f.cfg.CatchUpWithin.D(),
-		needed: func() (yes bool) {
-			f.locked(func(now time.Time) { yes = f.core.ConfigVersion() == 0 || f.core.Feeds(now) })
-			return yes
+		duty: func() (d StoreDuty) {
+			f.locked(func(now time.Time) { d = f.core.StoreDuty(now) })
+			return d
 		},
 		answered: func() { f.locked(f.core.Fed) },
 	}
--- /dev/null
+++ b/balancer/packetfront/gap.go
@@ -0,0 +1,92 @@
+package packetfront
+
+import (
+	"time"
+
+	"github.com/poppywall/poppywall/flow"
+)
+
+// Times of a balancer that is behind others.
+const (
+	// peerPatience is how long a balancer waits for its own watch before it
+	// fetches a newer configuration from another balancer.
+	peerPatience = 250 * time.Millisecond
+	// storePatience is how long a balancer that relies on others tries to fetch a newer
+	// configuration before it reads the store as well: a fetch that works takes 0.2 s,
+	// one that does not 0.5 s, and a change has to be in force within 3 s.
+	storePatience = time.Second
+)
+
+// StoreDuty is what a balancer has to do at the store for the configuration.
+type StoreDuty uint8
+
+// The duties.
+const (
+	// DutyNone: others watch, this one hears of changes from them.
+	DutyNone StoreDuty = iota
+	// DutyWatch: follow the changes.
+	DutyWatch
+	// DutyRead: others have a newer configuration and this one does not get it; read
+	// what is in force.
+	DutyRead
+)
+
+// gap is a newer configuration that others have in force.
+type gap struct {
+	// since is when it was first seen, zero time without one; each progress of the
+	// own version begins a new one.
+	since time.Time
+	// own is the version in force here.
+	own int64
+	// peer has the newest version.
+	peer    flow.IPv4
+	version int64
+}
+
+// look compares the own configuration with those that others are known to have.
+func (c *Core) look(now time.Time) gap {
+	own := c.ConfigVersion()
+	peer, version, newer := c.view.Newest(max(own, c.refusedConfig))
+	switch {
+	case !newer:
+		c.gap = gap{own: own, version: own}
+	case c.gap.since.IsZero() || c.gap.own != own:
+		c.gap = gap{since: now, own: own, peer: peer, version: version}
+	default:
+		c.gap.peer, c.gap.version = peer, version
+	}
+	return c.gap
+}
+
+// wide tells whether the gap has been there for a time.
+func (g *gap) wide(now time.Time, patience time.Duration) bool {
+	return !g.since.IsZero() && now.Sub(g.since) >= patience
+}
+
+// FetchFrom returns a balancer to fetch a newer configuration from, and its
+// version, when that is due: at once for a balancer that relies on others, after
+// its own watch had its time for one that does not.
+func (c *Core) FetchFrom(now time.Time) (peer flow.IPv4, version int64, due bool) {
+	g := c.look(now)
+	if g.since.IsZero() {
+		return 0, 0, false
+	}
+	return g.peer, g.version, g.own == 0 || !c.Feeds(now) || g.wide(now, peerPatience)
+}
+
+// StoreDuty returns what to do at the store now.
+func (c *Core) StoreDuty(now time.Time) StoreDuty {
+	g := c.look(now)
+	switch {
+	case g.own != 0 && g.wide(now, storePatience):
+		return DutyRead
+	case g.own == 0 || c.Feeds(now):
+		return DutyWatch
+	default:
+		return DutyNone
+	}
+}
+
+// RefuseConfig notes that a version that another balancer has does not decode here:
+// it is not fetched again.
+func (c *Core) RefuseConfig(version int64) { c.refusedConfig = max(c.refusedConfig, version) }
--- a/balancer/packetfront/observer.go
+++ b/balancer/packetfront/observer.go
@@ -26,6 +26,7 @@
 	fieldReason     = "reason"
 	fieldState      = "state"
 	fieldBytes      = "bytes"
+	fieldHeard      = "heard"
 	fieldTookMS     = "took_ms"
 )
 
--- a/balancer/packetfront/peerconfig.go
+++ b/balancer/packetfront/peerconfig.go
@@ -24,37 +24,27 @@
 // does not get from the store.
 func (f *Front) followPeers(ctx context.Context) error {
 	return worker.Every(ctx, tickPeriod, func() {
-		if peer, due := f.staleBehind(); due {
-			f.fetch(ctx, peer)
+		var peer flow.IPv4
+		var version int64
+		due := false
+		f.locked(func(now time.Time) {
+			peer, version, due = f.core.FetchFrom(now)
+			f.transfers.heardOf(max(version, f.core.ConfigVersion()))
+		})
+		if due {
+			f.fetch(ctx, peer, version)
 		}
 	})
 }
 
-// staleBehind returns a balancer with a newer configuration once the own watch
-// had its time.
-func (f *Front) staleBehind() (peer flow.IPv4, due bool) {
-	f.locked(func(now time.Time) {
-		own := f.core.ConfigVersion()
-		ip, version, newer := f.core.view.Newest(own)
-		f.transfers.heardOf(max(own, version))
-		if !newer {
-			f.staleSince = time.Time{}
-			return
-		}
-		if f.staleSince.IsZero() {
-			f.staleSince = now
-		}
-		peer, due = ip, own == 0 || !f.core.Feeds(now) || now.Sub(f.staleSince) >= peerPatience
-	})
-	return peer, due
-}
-
-func (f *Front) fetch(ctx context.Context, peer flow.IPv4) {
+// fetch takes over the configuration of another balancer, which has told of a
+// version.
+func (f *Front) fetch(ctx context.Context, peer flow.IPv4, version int64) {
 	began := time.Now()
 	raw, err := fetchConfig(ctx, f.peers, netip.AddrPortFrom(peer.Addr(), f.port))
 	f.transfers.fetched(err)
 	fields := []zap.Field{
-		zap.Stringer(telemetry.FieldPeer, peer), zap.Int64(fieldConfig, f.version()),
+		zap.Stringer(telemetry.FieldPeer, peer), zap.Int64(fieldConfig, f.version()), zap.Int64(fieldHeard, version),
 		zap.Int(fieldBytes, bytesOf(raw, err)), zap.Int64(fieldTookMS, time.Since(began).Milliseconds()),
 	}
 	if err != nil {
@@ -64,7 +54,8 @@
 	f.log.Info("configuration fetched", fields...)
 	c, err := decode(raw)
 	if err != nil {
-		f.log.Error("configuration of another balancer refused", zap.Stringer(telemetry.FieldPeer, peer), zap.Error(err))
+		f.log.Error("configuration of another balancer refused", zap.Stringer(telemetry.FieldPeer, peer), zap.Int64(fieldHeard, version), zap.Error(err))
+		f.locked(func(time.Time) { f.core.RefuseConfig(version) })
 		return
 	}
 	f.apply(c, raw, peer.String())
