A configuration is given to others under a bound on silence

Seven balancers that ask one behind 10 Mbit/s for 1 MB at once need 6 s, sixteen 13 s (arithmetic), and are cut off and begin anew. transfer.Write gives each piece its own bound; TestAnAnswerIsWrittenAsLongAsItIsTaken is red with a plain write.

--- a/balancer/packetfront/peerconfig.go
+++ b/balancer/packetfront/peerconfig.go
@@ -140,8 +140,11 @@
 		}
 		w.Header().Set("Content-Type", "application/octet-stream")
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-		// The peer sees a broken answer and asks again.
-		_, _ = w.Write(body)
+		// Several may ask at once, and this VM's link may be a small one: the server's bound
+		// on the whole answer would cut off the last of them.
+		if err := transfer.Write(w, body, peerSilence); err != nil {
+			f.log.Info("configuration not given", zap.String(telemetry.FieldPeer, r.RemoteAddr), zap.Error(err))
+		}
 	})
 	return mux
 }
--- a/transfer/transfer.go
+++ b/transfer/transfer.go
@@ -1,4 +1,4 @@
-// Package transfer makes an HTTP call and reads its answer under bounds on
+// Package transfer makes HTTP calls and writes their answers under bounds on
 // silence instead of a bound on the whole. A bound on the whole is a bound on
 // the answer's size for each link: an answer that outgrows it never arrives,
 // however often it is asked for, and the tries fill the link meanwhile.
@@ -124,3 +124,20 @@
 		}
 	}
 }
+
+// Write writes an answer's body under a bound on silence: each piece has to be
+// taken within it. It takes the place of the server's bound on the whole answer.
+func Write(w http.ResponseWriter, body []byte, silence time.Duration) error {
+	control := http.NewResponseController(w)
+	for len(body) > 0 {
+		if err := control.SetWriteDeadline(time.Now().Add(silence)); err != nil {
+			return err
+		}
+		n, err := w.Write(body[:min(len(body), leastPiece)])
+		if err != nil {
+			return err
+		}
+		body = body[n:]
+	}
+	return nil
+}
