Failing test: the other store client ends answers that come slowly

A contract that both clients of a store have to keep, storetest.Narrowed: an answer that takes longer over the link than the store may stay silent. platform's client keeps it, store/gateway's does not.

--- a/store/gateway/contract_test.go
+++ b/store/gateway/contract_test.go
@@ -32,3 +32,13 @@
 	defer proxy.Close()
 	storetest.Silenced(t, gateway.NewClient("http://"+proxy.Addr(), 400*time.Millisecond), proxy.Silence)
 }
+
+// TestAnswersComeOverANarrowLink, however long they take.
+func TestAnswersComeOverANarrowLink(t *testing.T) {
+	server := httptest.NewServer(standin.Gateway(standin.NewStore(time.Now)))
+	defer server.Close()
+	proxy, err := standin.NewProxy(strings.TrimPrefix(server.URL, "http://"))
+	require.NoError(t, err)
+	defer proxy.Close()
+	storetest.Narrowed(t, gateway.NewClient("http://"+proxy.Addr(), storetest.NarrowedTimeout), proxy.Narrow)
+}
--- a/store/storetest/contract.go
+++ b/store/storetest/contract.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -167,3 +168,31 @@
 	require.Error(t, call(), "the connection is silent")
 	require.NoError(t, call(), "a new connection works")
 }
+
+// Sizes of what Narrowed reads: 0.5 MB, twice as much as passes at its rate in the
+// time that the client waits for an answer.
+const (
+	narrowPairs = 5
+	narrowValue = 100_000
+	narrowRate  = 640_000
+)
+
+// NarrowedTimeout is the time-out of the client that Narrowed is given.
+const NarrowedTimeout = 400 * time.Millisecond
+
+// Narrowed checks that a client reads an answer over a link that takes longer for it
+// than the store may stay silent. narrow bounds the link, in bytes a second.
+func Narrowed(t *testing.T, s store.Store, narrow func(bytesPerSecond int)) {
+	t.Helper()
+	ctx := context.Background()
+	for i := range narrowPairs {
+		_, err := s.Txn(ctx, store.Txn{Puts: []store.Put{{Key: "n/" + strconv.Itoa(i), Value: make([]byte, narrowValue)}}})
+		require.NoError(t, err)
+	}
+	narrow(narrowRate)
+	began := time.Now()
+	resp, err := s.Range(ctx, store.RangeRequest{Key: "n/", End: store.PrefixEnd("n/")})
+	require.NoError(t, err)
+	require.Len(t, resp.KVs, narrowPairs)
+	require.Greater(t, time.Since(began), NarrowedTimeout, "the link was narrow enough")
+}
