--- /dev/null
+++ b/control/pages_test.go
@@ -0,0 +1,67 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/poppywall/poppywall/catalog"
+	"github.com/poppywall/poppywall/route"
+)
+
+// largeServices returns a state of services that each are allowed many authorities:
+// 70 KB of JSON a record.
+func largeServices(t *testing.T, count int) *catalog.State {
+	t.Helper()
+	state := catalog.NewState()
+	for i := 1; i <= count; i++ {
+		service := &catalog.Service{
+			Name: fmt.Sprintf("s%d", i), ID: route.ServiceID(i), Address: fmt.Sprintf("10.0.0.%d:443", i),
+			Selector: catalog.Labels{"app": "a"},
+		}
+		for n := range 1000 {
+			service.Authorities = append(service.Authorities, fmt.Sprintf("%s-%d.example", strings.Repeat("a", 50), n))
+		}
+		r := catalog.Record{Key: catalog.ServiceKey(service.Name), Revision: catalog.Revision(i), Service: service}
+		require.NoError(t, r.Validate())
+		to := catalog.Revision(i)
+		_, err := state.Apply(catalog.Update{From: to - 1, To: to, Horizon: to, Records: []catalog.Record{r}})
+		require.NoError(t, err)
+	}
+	return state
+}
+
+// TestLargeRecordsReachANodeThatKnowsNothing, a page after the other: a page that is
+// bounded by the number of its records alone does not pass in one message, and the
+// node would ask for the same one again for ever.
+func TestLargeRecordsReachANodeThatKnowsNothing(t *testing.T) {
+	const services = 60
+	full := largeServices(t, services)
+	s, err := Listen("127.0.0.1:0", []route.Secret{oldSecret}, &Traffic{}, zap.NewNop())
+	require.NoError(t, err)
+	s.Register(MethodSync, Handle(func(_ context.Context, r SyncRequest) (SyncReply, error) {
+		return SyncReply{Update: full.Since(r.Revision, catalog.Everything)}, nil
+	}))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = s.Serve(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+
+	client := NewClient([]route.Secret{oldSecret}, &Traffic{}, 5*time.Second, time.Minute)
+	defer client.Close()
+	fresh := catalog.NewState()
+	for fresh.InForce() < full.InForce() {
+		var reply SyncReply
+		before := fresh.Revision()
+		require.NoError(t, client.Call(t.Context(), s.Addr().String(), MethodSync, SyncRequest{Revision: before}, &reply))
+		_, err := fresh.Apply(*reply.Update)
+		require.NoError(t, err)
+		require.Greater(t, fresh.Revision(), before, "each page is progress")
+	}
+	require.Equal(t, services, fresh.Len())
+}
