Pages of the configuration are bounded by their bytes as well (QUIC front)

Cause: 512 records bounded a page, 2 MiB a message. A page above that failed each time, and the node that lacked it asked for the same one again, so that no later change reached it either. Pages end at about 256 KiB now (0.2 s over 10 Mbit/s; the call has 2 s), and a change of more than 1 MiB is refused when it is made, for a revision travels whole: accepted, it would never be in force.

A record above the bound that was accepted earlier still does not travel.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -28,9 +28,14 @@
 	// MaxRecords bounds the records that a node holds: services plus targets,
 	// tombstones included. 15,000 hosts of 8 targets, 890 services, and room.
 	MaxRecords = 1 << 18
-	// MaxPage is the number of records in one update; records of one revision
-	// are never split.
-	MaxPage = 512
+	// MaxPage is the number of records in one update, MaxPageBytes about their size
+	// as JSON; records of one revision are never split. 256 KiB pass a link of 10 Mbit/s
+	// in 0.2 s, so that a call of two seconds brings a page over one of 1 Mbit/s, too.
+	MaxPage      = 512
+	MaxPageBytes = 256 << 10
+	// MaxChangeBytes bounds the records of one revision, as JSON, for an update carries
+	// them together. The platform holds values up to a megabyte.
+	MaxChangeBytes = 1 << 20
 	// MaxLabels bounds the labels of a target or selector.
 	MaxLabels = 32
 )
@@ -105,6 +110,39 @@
 	Target  *Target  `json:"target,omitempty"`
 }
 
+// overhead is about what a record takes as JSON besides its texts, and what each
+// text takes besides its characters.
+const (
+	recordOverhead = 200
+	textOverhead   = 6
+)
+
+// size is about how many bytes the record takes as JSON, without encoding it.
+func (r *Record) size() int {
+	n := recordOverhead + len(r.Key) + len(r.Change)
+	if r.Service != nil {
+		n += len(r.Service.Name) + len(r.Service.Address) + r.Service.Selector.size()
+		for _, a := range r.Service.Authorities {
+			n += textOverhead + len(a)
+		}
+		for m := range r.Service.Members {
+			n += 2*textOverhead + len(m)
+		}
+	}
+	if r.Target != nil {
+		n += len(r.Target.Host) + len(r.Target.Name) + r.Target.Labels.size()
+	}
+	return n
+}
+
+// size is about how many bytes the labels take as JSON.
+func (selector Labels) size() (n int) {
+	for k, v := range selector {
+		n += 2*textOverhead + len(k) + len(v)
+	}
+	return n
+}
+
 // Key prefixes of records.
 const (
 	ServicePrefix = "services/"
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -1,7 +1,9 @@
 package catalog
 
 import (
+	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -153,3 +155,40 @@
 	}
 	require.LessOrEqual(t, len(s.order), MaxPage+3)
 }
+
+// TestPagesAreBoundedByTheirBytes: no page of valid records is much larger, however
+// large the records are, but for one change that alone is.
+func TestPagesAreBoundedByTheirBytes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		state := NewState()
+		changes := rapid.IntRange(1, 40).Draw(t, "changes")
+		largest := 0
+		for rev := Revision(1); rev <= Revision(changes); rev++ {
+			var records []Record
+			changed := 0
+			for i := range rapid.IntRange(1, 3).Draw(t, "records") {
+				labels := Labels{}
+				for l := range rapid.IntRange(0, MaxLabels).Draw(t, "labels") {
+					labels[fmt.Sprintf("label-%057d", l)] = strings.Repeat("v", rapid.IntRange(0, 63).Draw(t, "value"))
+				}
+				host := fmt.Sprintf("h%d-%d", rev, i)
+				r := Record{Key: TargetKey(host, ""), Revision: rev, Target: &Target{Host: host, Labels: labels}}
+				raw, err := json.Marshal(r)
+				require.NoError(t, err)
+				require.InDelta(t, len(raw), r.size(), recordOverhead+0.1*float64(len(raw)))
+				records, changed = append(records, r), changed+len(raw)
+			}
+			largest = max(largest, changed)
+			_, err := state.Apply(Update{From: rev - 1, To: rev, Horizon: rev, Records: records})
+			require.NoError(t, err)
+		}
+		for from := Revision(0); from < state.Revision(); {
+			u := state.Since(from, Everything)
+			raw, err := json.Marshal(u)
+			require.NoError(t, err)
+			require.LessOrEqual(t, len(raw), MaxPageBytes+largest+recordOverhead)
+			require.Greater(t, u.To, from)
+			from = u.To
+		}
+	})
+}
--- a/catalog/state.go
+++ b/catalog/state.go
@@ -116,12 +116,16 @@
 		return cmp.Compare(c.revision, r)
 	})
 	u := &Update{From: from, To: s.revision, Horizon: s.horizon}
+	bytes := 0
 	for _, c := range s.order[start:] {
 		r := s.records[c.key]
 		if r.Revision != c.revision || !keep(&r) {
 			continue
 		}
-		if len(u.Records) >= s.page && r.Revision != u.Records[len(u.Records)-1].Revision {
+		size := r.size()
+		full := len(u.Records) >= s.page || (len(u.Records) > 0 && bytes+size > MaxPageBytes)
+		bytes += size
+		if full && r.Revision != u.Records[len(u.Records)-1].Revision {
 			u.To = u.Records[len(u.Records)-1].Revision
 			return u
 		}
--- a/change/change.go
+++ b/change/change.go
@@ -93,6 +93,18 @@
 			return errors.Wrapf(err, "items[%d]", i)
 		}
 	}
+	return d.validateSize()
+}
+
+// validateSize keeps a change within what nodes send each other in one message.
+func (d *Document) validateSize() error {
+	encoded, err := json.Marshal(d.Items)
+	if err != nil {
+		return errors.Wrap(err, "field \"items\"")
+	}
+	if len(encoded) > catalog.MaxChangeBytes {
+		return errors.Errorf("field \"items\": %d bytes in one change, at most %d", len(encoded), catalog.MaxChangeBytes)
+	}
 	return nil
 }
 
--- a/change/change_test.go
+++ b/change/change_test.go
@@ -274,3 +274,17 @@
 	require.Equal(t, 1, res.Malformed)
 	require.Len(t, res.Update.Records, 1)
 }
+
+// TestAChangeThatNoMessageHoldsIsRefused: it would be accepted and never in force.
+func TestAChangeThatNoMessageHoldsIsRefused(t *testing.T) {
+	service := func(authorities int) Document {
+		s := &catalog.Service{Name: "large", Address: "10.0.0.1:443", Selector: catalog.Labels{"app": "a"}}
+		for n := range authorities {
+			s.Authorities = append(s.Authorities, fmt.Sprintf("%0255d.example", n))
+		}
+		return Document{Items: []Item{{Service: s}}}
+	}
+	fits, tooLarge := service(3900), service(4096)
+	require.NoError(t, fits.Validate())
+	require.ErrorContains(t, tooLarge.Validate(), "field \"items\": ")
+}
