Soak: configurations that grow, ways to the store that are narrow

A configuration grows by 1,400 routes at a time up to 0.9 MB, and a node's way to the store is bounded to 10 Mbit/s.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -58,6 +58,10 @@
 			p.Delay(slowWay)
 			return func() { p.Delay(0) }
 		})},
+		{"a way to the store is narrow", wayFault[S](func(p *standin.Proxy) func() {
+			p.Narrow(narrowWay)
+			return func() { p.Narrow(0) }
+		})},
 		{"all connections to the store go silent", func(s S, _ *rand.Rand, _ *recorder) func() {
 			for _, n := range withWay(s) {
 				n.way.Silence()
@@ -73,15 +77,34 @@
 	fault[*site]{"host drains and is replaced", drainHost},
 	fault[*site]{"host is replaced by one of another service", replaceHost},
 	fault[*site]{"store lapses and drops its history", lapse},
-	fault[*site]{"configuration changes", func(s *site, _ *rand.Rand, rec *recorder) func() {
-		if err := s.putConfig(); err != nil {
-			rec.violate("configuration: %v", err)
-		}
-		return nil
+	fault[*site]{"configuration changes", reconfigure},
+	fault[*site]{"configuration grows", func(s *site, rnd *rand.Rand, rec *recorder) func() {
+		s.grown = min(s.grown+growth, mostGrown)
+		rec.note("%d more routes", s.grown)
+		return reconfigure(s, rnd, rec)
 	}},
 	fault[*site]{"all processes killed", blackout},
 )
 
+// reconfigure writes the next configuration.
+func reconfigure(s *site, _ *rand.Rand, rec *recorder) func() {
+	if err := s.putConfig(); err != nil {
+		rec.violate("configuration: %v", err)
+	}
+	return nil
+}
+
+// narrowWay is the rate of a narrow way to the store, in bytes a second: 10 Mbit/s,
+// over which the largest configuration takes a second.
+const narrowWay = 1_250_000
+
+// growth is how many routes come with a configuration that grows, mostGrown how many
+// there are in the end: 0.9 MB, close to the largest value of the store.
+const (
+	growth    = 1400
+	mostGrown = 5600
+)
+
 // slowWay is the delay of a slow way to the store, in each direction: calls at it
 // take longer than the programs wait for some of them.
 const slowWay = 350 * time.Millisecond
--- a/soak/site.go
+++ b/soak/site.go
@@ -66,6 +66,8 @@
 	agents    []*hostNode
 	routers   *platformtest.Routers
 	version   int64
+	// grown is how many routes a configuration has that see no traffic.
+	grown int
 }
 
 // address gives each node an address of its own; the slot keeps runs apart.
@@ -199,8 +201,11 @@
 	return flow.Front{IP: 0xc6130000 + flow.IPv4(version), Port: 443}
 }
 
-// putConfig writes the next configuration: the services' routes and one of its
-// own.
+// idleFront is the entrance of a route that sees no traffic.
+func idleFront(i int) flow.Front { return flow.Front{IP: 0xc6140000 + flow.IPv4(i), Port: 443} }
+
+// putConfig writes the next configuration: the services' routes, one of its own and
+// those that see no traffic.
 func (s *site) putConfig() error {
 	s.version++
 	c := &flow.Config{Version: s.version, IdleTimeout: 15 * time.Second, Routes: map[flow.Front]*flow.Route{
@@ -209,6 +214,9 @@
 	for i, service := range services {
 		c.Routes[front(i)] = &flow.Route{Name: service, Backends: []flow.Backend{{Name: service}}}
 	}
+	for i := range s.grown {
+		c.Routes[idleFront(i)] = &flow.Route{Name: fmt.Sprintf("idle-%064d", i), Backends: []flow.Backend{{Name: services[0]}}}
+	}
 	return platformtest.PutConfig(s.store, c)
 }
 
