--- /dev/null
+++ b/balancer/packetfront/fixture_test.go
@@ -0,0 +1,153 @@
+package packetfront
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/poppywall/poppywall/choose"
+	"github.com/poppywall/poppywall/fleet"
+	"github.com/poppywall/poppywall/flow"
+	"github.com/poppywall/poppywall/flow/envelope"
+	"github.com/poppywall/poppywall/platform"
+	"github.com/poppywall/poppywall/platform/platformtest"
+)
+
+const (
+	self  = flow.IPv4(0x0a000001)
+	hostA = flow.IPv4(0x0a010001)
+	hostB = flow.IPv4(0x0a010002)
+	other = flow.IPv4(0x0a010003)
+	peer  = flow.IPv4(0x0a000002)
+)
+
+var (
+	alpha = flow.TagOf("alpha")
+	front = flow.Front{IP: 7, Port: 80}
+)
+
+// port records what a core sends.
+type port struct {
+	nodes  []sent
+	resets []flow.Key
+}
+
+type sent struct {
+	to   flow.IPv4
+	kind envelope.Kind
+	env  envelope.Envelope
+	raw  []byte
+}
+
+func (p *port) ToNode(to flow.IPv4, head, packet []byte) {
+	raw := append(append([]byte(nil), head...), packet...)
+	kind, _ := envelope.KindOf(raw)
+	s := sent{to: to, kind: kind, raw: raw}
+	// Messages of the fleet are no envelopes; their kind says so.
+	_, _ = s.env.Decode(raw)
+	p.nodes = append(p.nodes, s)
+}
+func (p *port) Reset(key flow.Key, _ uint32) { p.resets = append(p.resets, key) }
+
+// delivered returns the envelopes that carried packets.
+func (p *port) delivered() []sent {
+	var out []sent
+	for _, s := range p.nodes {
+		if s.kind == envelope.Deliver {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// quiet hears nothing but the last doubt.
+type quiet struct{ doubt *Doubt }
+
+func (quiet) Forwarded()                                     {}
+func (quiet) Opened(Decision)                                {}
+func (quiet) Refused(flow.Key, string, string)               {}
+func (quiet) Searching(flow.Key, int, int)                   {}
+func (quiet) OwnerFound(flow.Key, flow.IPv4, int)            {}
+func (q quiet) Lost(_ flow.Key, _ int, d Doubt, _ flow.IPv4) { *q.doubt = d }
+func (quiet) Kept(flow.Key, Keep)                            {}
+func (quiet) Dropped(Drop)                                   {}
+func (quiet) HostChanged(*fleet.Host, fleet.Change)          {}
+func (quiet) HostForgotten(flow.IPv4)                        {}
+func (quiet) PeerChanged(flow.IPv4, string)                  {}
+
+// fixture is a settled balancer with two hosts of a service.
+type fixture struct {
+	*Core
+	port  *port
+	now   time.Time
+	seq   uint32
+	doubt Doubt
+}
+
+func newFixture() *fixture {
+	f := &fixture{port: &port{}, now: time.Unix(1_700_000_000, 0)}
+	opts := Options{Self: self, Epoch: 1, Weights: choose.Weights{OtherZone: 1, Warming: 1.6}}
+	f.Core = New(f.now, opts, f.port, platform.Codec{}, quiet{&f.doubt}, rand.New(rand.NewPCG(1, 1)))
+	f.SetConfig(f.now, config(5))
+	f.now = f.now.Add(settleTime + time.Second)
+	f.announce(hostA, fleet.Ready)
+	f.announce(hostB, fleet.Ready)
+	f.Surveyed(f.now, f.now, registered(hostA, hostB))
+	f.port.nodes = nil
+	return f
+}
+
+// registered are entries of the registry.
+func registered(ips ...flow.IPv4) []fleet.Entry {
+	var out []fleet.Entry
+	for _, ip := range ips {
+		out = append(out, fleet.Entry{IP: ip, Epoch: uint64(ip), Revision: 1})
+	}
+	return out
+}
+
+func config(version int64) *flow.Config {
+	return &flow.Config{Version: version, Routes: map[flow.Front]*flow.Route{
+		front: {Name: "r", Backends: []flow.Backend{{Name: "alpha", Tag: alpha, Weight: 1}}},
+	}}
+}
+
+func (f *fixture) announce(ip flow.IPv4, state fleet.State) {
+	f.seq++
+	a := fleet.Announcement{Identity: fleet.Identity{Epoch: uint64(ip), Seq: f.seq}, Service: alpha, State: state, Slots: 4}
+	f.HandleNode(f.now, ip, a.Append(nil))
+}
+
+var key = flow.Key{ClientIP: 0x64400001, ClientPort: 1024, FrontIP: front.IP, FrontPort: front.Port}
+
+// packet writes a client's packet.
+func packet(syn bool, ack byte) []byte {
+	flags := flow.ACK
+	if syn {
+		flags = flow.SYN
+	}
+	return platformtest.FromClient(key, flags, 0, uint32(ack), nil)
+}
+
+func (f *fixture) client(p []byte) {
+	h, err := platform.DecodePacket(p)
+	if err != nil {
+		panic(err)
+	}
+	f.HandleClient(f.now, &h, p)
+}
+
+// answer returns the last packet sent to a host as an agent would.
+func (f *fixture) answer(from flow.IPv4, flags envelope.Flags, p []byte) {
+	sent := f.port.delivered()
+	e := sent[len(sent)-1].env
+	e.Kind, e.Count = envelope.Returned, 0
+	e.Flags |= flags
+	f.HandleNode(f.now, from, append(e.Append(nil), p...))
+}
+
+// wait lets time go by while the two hosts are heard.
+func (f *fixture) wait(d time.Duration) {
+	f.now = f.now.Add(d)
+	f.announce(hostA, fleet.Ready)
+	f.announce(hostB, fleet.Ready)
+}
--- a/balancer/packetfront/front_test.go
+++ b/balancer/packetfront/front_test.go
@@ -40,6 +40,29 @@
 	return f
 }
 
+// serveStore serves a store and returns its address.
+func serveStore(t *testing.T, s *standin.Store) string {
+	server := httptest.NewServer(platformtest.Store(s))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// silentStore returns the address of a store that takes calls and answers none.
+func silentStore(t *testing.T) string {
+	release := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	t.Cleanup(func() { close(release); server.Close() })
+	return server.Listener.Addr().String()
+}
+
+// wayTo returns a proxy before an address.
+func wayTo(t *testing.T, address string) *standin.Proxy {
+	proxy, err := standin.NewProxy(address)
+	require.NoError(t, err)
+	t.Cleanup(proxy.Close)
+	return proxy
+}
+
 func putVersion(t *testing.T, s *standin.Store, version int64) {
 	t.Helper()
 	require.NoError(t, platformtest.PutConfig(s, &flow.Config{Version: version, IdleTimeout: time.Second, Routes: config(1).Routes}))
@@ -51,16 +74,9 @@
 func TestConfigurationComesThroughPeers(t *testing.T) {
 	s := standin.NewStore(time.Now)
 	putVersion(t, s, 3)
-	healthy := httptest.NewServer(platformtest.Store(s))
-	defer healthy.Close()
-	release := make(chan struct{})
-	silent := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
-	defer silent.Close()
-	defer close(release)
-
-	first := startFront(t, 71, healthy.Listener.Addr().String())
+	first := startFront(t, 71, serveStore(t, s))
 	require.Eventually(t, func() bool { return first.version() == 3 }, 5*time.Second, 5*time.Millisecond)
-	cut := startFront(t, 72, silent.Listener.Addr().String())
+	cut := startFront(t, 72, silentStore(t))
 	began := time.Now()
 	require.Eventually(t, func() bool { return cut.version() == 3 }, 5*time.Second, 5*time.Millisecond)
 	require.Less(t, time.Since(began), storeTimeout, "before the first call to the store was given up")
@@ -73,11 +89,10 @@
 func TestFedBalancersLeaveTheStoreAlone(t *testing.T) {
 	s := standin.NewStore(time.Now)
 	putVersion(t, s, 1)
-	server := httptest.NewServer(platformtest.Store(s))
-	defer server.Close()
+	address := serveStore(t, s)
 	var fronts []*Front
 	for host := 71; host < 76; host++ {
-		fronts = append(fronts, startFront(t, host, server.Listener.Addr().String()))
+		fronts = append(fronts, startFront(t, host, address))
 	}
 	feeders := func() (n int) {
 		for _, f := range fronts {
@@ -107,9 +122,8 @@
 // TestConfigurationFollowsTheStore through an outage and a dropped history.
 func TestConfigurationFollowsTheStore(t *testing.T) {
 	s := standin.NewStore(time.Now)
-	server := httptest.NewServer(platformtest.Store(s))
-	defer server.Close()
-	f := startFront(t, 73, server.Listener.Addr().String())
+	address := serveStore(t, s)
+	f := startFront(t, 73, address)
 	time.Sleep(50 * time.Millisecond)
 	require.Zero(t, f.version(), "there is none yet")
 	for version := int64(1); version <= 3; version++ {
@@ -127,9 +141,8 @@
 // TestReadinessIsServed: 503 before a configuration, 200 after.
 func TestReadinessIsServed(t *testing.T) {
 	s := standin.NewStore(time.Now)
-	server := httptest.NewServer(platformtest.Store(s))
-	defer server.Close()
-	f := startFront(t, 74, server.Listener.Addr().String())
+	address := serveStore(t, s)
+	f := startFront(t, 74, address)
 	status := func() int {
 		resp, err := http.Get("http://" + netip.MustParseAddrPort(f.cfg.Ready).String() + "/poppywall/ready")
 		if err != nil {
@@ -174,11 +187,7 @@
 func TestConfigurationIsFollowedAfterConnectionsWentSilent(t *testing.T) {
 	s := standin.NewStore(time.Now)
 	putVersion(t, s, 3)
-	server := httptest.NewServer(platformtest.Store(s))
-	defer server.Close()
-	proxy, err := standin.NewProxy(server.Listener.Addr().String())
-	require.NoError(t, err)
-	defer proxy.Close()
+	proxy := wayTo(t, serveStore(t, s))
 	f := startFront(t, 77, proxy.Addr())
 	require.Eventually(t, func() bool { return f.version() == 3 }, 5*time.Second, 5*time.Millisecond)
 	time.Sleep(50 * time.Millisecond)
@@ -192,13 +201,12 @@
 func TestAFollowerThatItsPeersDoNotServeReadsTheStore(t *testing.T) {
 	s := standin.NewStore(time.Now)
 	putVersion(t, s, 1)
-	server := httptest.NewServer(platformtest.Store(s))
-	defer server.Close()
+	address := serveStore(t, s)
 	// Two of the zone and one of another: these watch the store, whatever they hear.
-	startFront(t, 81, server.Listener.Addr().String())
-	startFront(t, 82, server.Listener.Addr().String())
-	t.Cleanup(worker.Start(newFront(t, 83, server.Listener.Addr().String(), "z2").Run))
-	follower := newFront(t, 84, server.Listener.Addr().String(), "z1")
+	startFront(t, 81, address)
+	startFront(t, 82, address)
+	t.Cleanup(worker.Start(newFront(t, 83, address, "z2").Run))
+	follower := newFront(t, 84, address, "z1")
 	follower.peers.Transport.(*http.Transport).DialContext = func(ctx context.Context, _, _ string) (net.Conn, error) {
 		<-ctx.Done()
 		return nil, ctx.Err()
--- a/balancer/packetfront/largeconfig_test.go
+++ b/balancer/packetfront/largeconfig_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -67,15 +66,8 @@
 func TestAGrownConfigurationReachesEveryBalancer(t *testing.T) {
 	s := standin.NewStore(time.Now)
 	putVersion(t, s, 1)
-	healthy := httptest.NewServer(platformtest.Store(s))
-	defer healthy.Close()
-	release := make(chan struct{})
-	silent := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
-	defer silent.Close()
-	defer close(release)
-
-	feeder := startFront(t, 71, healthy.Listener.Addr().String())
-	follower := newFront(t, 72, silent.Listener.Addr().String(), "z1")
+	feeder := startFront(t, 71, serveStore(t, s))
+	follower := newFront(t, 72, silentStore(t), "z1")
 	follower.peers.Transport.(*http.Transport).DialContext = standin.NewLink(narrowLink).DialContext
 	t.Cleanup(worker.Start(follower.Run))
 	require.Eventually(t, func() bool { return feeder.version() == 1 && follower.version() == 1 }, 5*time.Second, 5*time.Millisecond)
@@ -93,11 +85,7 @@
 	s := standin.NewStore(time.Now)
 	size := putGrown(t, s, 1, largestRoutes)
 	require.Greater(t, size, 1_000_000)
-	server := httptest.NewServer(platformtest.Store(s))
-	defer server.Close()
-	proxy, err := standin.NewProxy(server.Listener.Addr().String())
-	require.NoError(t, err)
-	defer proxy.Close()
+	proxy := wayTo(t, serveStore(t, s))
 	proxy.Narrow(narrowLink)
 
 	f := startFront(t, 73, proxy.Addr())
@@ -110,11 +98,7 @@
 func TestLargeConfigurationsThatWereMissedAreCaughtUp(t *testing.T) {
 	s := standin.NewStore(time.Now)
 	putVersion(t, s, 1)
-	server := httptest.NewServer(platformtest.Store(s))
-	defer server.Close()
-	proxy, err := standin.NewProxy(server.Listener.Addr().String())
-	require.NoError(t, err)
-	defer proxy.Close()
+	proxy := wayTo(t, serveStore(t, s))
 	f := startFront(t, 74, proxy.Addr())
 	require.Eventually(t, func() bool { return f.version() == 1 }, 5*time.Second, 5*time.Millisecond)
 
@@ -133,11 +117,7 @@
 func TestAGrownConfigurationIsFollowedAfterConnectionsWentSilent(t *testing.T) {
 	s := standin.NewStore(time.Now)
 	putGrown(t, s, 1, largestRoutes)
-	server := httptest.NewServer(platformtest.Store(s))
-	defer server.Close()
-	proxy, err := standin.NewProxy(server.Listener.Addr().String())
-	require.NoError(t, err)
-	defer proxy.Close()
+	proxy := wayTo(t, serveStore(t, s))
 	proxy.Narrow(narrowLink)
 	f := startFront(t, 75, proxy.Addr())
 	require.Eventually(t, func() bool { return f.version() == 1 }, inForceWithin, 5*time.Millisecond)
--- a/measure/choice.go
+++ b/measure/choice.go
@@ -31,7 +31,7 @@
 	Seed   uint64
 }
 
-// DefaultChoice is the setting of issue 5: 35 targets, 2,000 flows a host.
+// DefaultChoice is 35 targets, 2,000 flows a host.
 func DefaultChoice() ChoiceOptions {
 	return ChoiceOptions{
 		Hosts:        35,
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -108,7 +108,7 @@
 }
 
 // WriteTo reports the failure as an HTTP answer at once; the client is told
-// when to come back instead of being held (issue 2).
+// when to come back instead of being held.
 func (e *Error) WriteTo(w http.ResponseWriter) {
 	h := w.Header()
 	h.Set(HeaderVerdict, e.Verdict.String())
