--- a/balancer/packetfront/gap.go
+++ b/balancer/packetfront/gap.go
@@ -43,13 +43,13 @@
 	version int64
 }
 
-// look compares the own configuration with those that others are known to have.
-func (c *Core) look(now time.Time) gap {
+// compareConfigs looks for a configuration of others that is newer than the own one.
+func (c *Core) compareConfigs(now time.Time) gap {
 	own := c.ConfigVersion()
 	peer, version, newer := c.view.Newest(max(own, c.refusedConfig))
 	switch {
 	case !newer:
-		c.gap = gap{own: own, version: own}
+		c.gap = gap{own: own}
 	case c.gap.since.IsZero() || c.gap.own != own:
 		c.gap = gap{since: now, own: own, peer: peer, version: version}
 	default:
@@ -58,8 +58,8 @@
 	return c.gap
 }
 
-// wide tells whether the gap has been there for a time.
-func (g *gap) wide(now time.Time, patience time.Duration) bool {
+// lasted tells whether the gap has been there for a time.
+func (g *gap) lasted(now time.Time, patience time.Duration) bool {
 	return !g.since.IsZero() && now.Sub(g.since) >= patience
 }
 
@@ -67,18 +67,18 @@
 // version, when that is due: at once for a balancer that relies on others, after
 // its own watch had its time for one that does not.
 func (c *Core) FetchFrom(now time.Time) (peer flow.IPv4, version int64, due bool) {
-	g := c.look(now)
+	g := c.compareConfigs(now)
 	if g.since.IsZero() {
 		return 0, 0, false
 	}
-	return g.peer, g.version, g.own == 0 || !c.Feeds(now) || g.wide(now, peerPatience)
+	return g.peer, g.version, g.own == 0 || !c.Feeds(now) || g.lasted(now, peerPatience)
 }
 
 // StoreDuty returns what to do at the store now.
 func (c *Core) StoreDuty(now time.Time) StoreDuty {
-	g := c.look(now)
+	g := c.compareConfigs(now)
 	switch {
-	case g.own != 0 && g.wide(now, storePatience):
+	case g.own != 0 && g.lasted(now, storePatience):
 		return DutyRead
 	case g.own == 0 || c.Feeds(now):
 		return DutyWatch
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -110,11 +110,12 @@
 	Target  *Target  `json:"target,omitempty"`
 }
 
-// overhead is about what a record takes as JSON besides its texts, and what each
-// text takes besides its characters.
+// Bytes of JSON beside a record's texts, roughly.
 const (
+	// recordOverhead is for the names of fields and for numbers.
 	recordOverhead = 200
-	textOverhead   = 6
+	// textOverhead is for the quotes, the comma and what has to be escaped in a text.
+	textOverhead = 6
 )
 
 // size is about how many bytes the record takes as JSON, without encoding it.
