--- a/balancer/packetfront/gap.go
+++ b/balancer/packetfront/gap.go
@@ -33,8 +33,9 @@
 
 // gap is a newer configuration that others have in force.
 type gap struct {
-	// since is when it was first seen, zero time without one; each progress of the
-	// own version begins a new one.
+	// since is when it was first seen, or when a newer configuration came that is
+	// not decoded yet, zero time without one; each progress of the own version begins a
+	// new one.
 	since time.Time
 	// own is the version in force here.
 	own int64
@@ -87,6 +88,15 @@
 	}
 }
 
+// Fetched notes that a newer configuration has come from another balancer: to read it
+// at the store as well would take the link and the processor that its decoding
+// needs.
+func (c *Core) Fetched(now time.Time) {
+	if !c.gap.since.IsZero() {
+		c.gap.since = now
+	}
+}
+
 // RefuseConfig notes that a version that another balancer has does not decode here:
 // it is not fetched again.
 func (c *Core) RefuseConfig(version int64) { c.refusedConfig = max(c.refusedConfig, version) }
--- a/balancer/packetfront/gap_test.go
+++ b/balancer/packetfront/gap_test.go
@@ -43,12 +43,18 @@
 		"a follower that just heard":               {func(f *fixture) { f.hearVersion(7) }, 0, want{true, DutyNone}},
 		"a follower just before its patience ends": {func(f *fixture) { f.hearVersion(7) }, storePatience - 1, want{true, DutyNone}},
 		"a follower for its patience":              {func(f *fixture) { f.hearVersion(7) }, storePatience, want{true, DutyRead}},
-		"one that watches and just heard":          {func(f *fixture) { f.opts.Zone = 9; f.hearVersion(7) }, 0, want{false, DutyWatch}},
-		"one that watches, after a moment":         {func(f *fixture) { f.opts.Zone = 9; f.hearVersion(7) }, peerPatience, want{true, DutyWatch}},
-		"one that watches, for its patience":       {func(f *fixture) { f.opts.Zone = 9; f.hearVersion(7) }, storePatience, want{true, DutyRead}},
-		"without any configuration":                {func(f *fixture) { f.config = nil; f.hearVersion(7) }, storePatience, want{true, DutyWatch}},
-		"what does not decode here":                {func(f *fixture) { f.RefuseConfig(7); f.hearVersion(7) }, time.Minute, want{false, DutyNone}},
-		"a newer one than does not decode":         {func(f *fixture) { f.RefuseConfig(7); f.hearVersion(8) }, 0, want{true, DutyNone}},
+		"a follower that has fetched and decodes": {func(f *fixture) {
+			f.hearVersion(7)
+			f.FetchFrom(f.now)
+			f.now = f.now.Add(storePatience - 1)
+			f.Fetched(f.now)
+		}, storePatience - 1, want{true, DutyNone}},
+		"one that watches and just heard":    {func(f *fixture) { f.opts.Zone = 9; f.hearVersion(7) }, 0, want{false, DutyWatch}},
+		"one that watches, after a moment":   {func(f *fixture) { f.opts.Zone = 9; f.hearVersion(7) }, peerPatience, want{true, DutyWatch}},
+		"one that watches, for its patience": {func(f *fixture) { f.opts.Zone = 9; f.hearVersion(7) }, storePatience, want{true, DutyRead}},
+		"without any configuration":          {func(f *fixture) { f.config = nil; f.hearVersion(7) }, storePatience, want{true, DutyWatch}},
+		"what does not decode here":          {func(f *fixture) { f.RefuseConfig(7); f.hearVersion(7) }, time.Minute, want{false, DutyNone}},
+		"a newer one than does not decode":   {func(f *fixture) { f.RefuseConfig(7); f.hearVersion(8) }, 0, want{true, DutyNone}},
 	} {
 		f := follower()
 		c.prepare(f)
@@ -77,3 +83,11 @@
 	_, _, due := f.FetchFrom(f.now)
 	require.False(t, due)
 }
+
+// TestWhatWasFetchedMakesNoGap where there is none.
+func TestWhatWasFetchedMakesNoGap(t *testing.T) {
+	f := follower()
+	f.Fetched(f.now)
+	f.now = f.now.Add(time.Minute)
+	require.Equal(t, DutyNone, f.StoreDuty(f.now))
+}
--- a/balancer/packetfront/peerconfig.go
+++ b/balancer/packetfront/peerconfig.go
@@ -52,6 +52,7 @@
 		return
 	}
 	f.log.Info("configuration fetched", fields...)
+	f.locked(f.core.Fetched)
 	c, err := decode(raw)
 	if err != nil {
 		f.log.Error("configuration of another balancer refused", zap.Stringer(telemetry.FieldPeer, peer), zap.Int64(fieldHeard, version), zap.Error(err))
