A test that had lost its teeth: peers are asked on fresh connections

Passing the client as an argument had given each of the three calls a client of its own, so that none could meet a former connection. Found by its mutant, which stayed green; one client for all three again, and the mutant is red.

--- a/balancer/packetfront/front_test.go
+++ b/balancer/packetfront/front_test.go
@@ -163,8 +163,9 @@
 	proxy, err := standin.NewProxy(peer.Listener.Addr().String())
 	require.NoError(t, err)
 	defer proxy.Close()
+	client := newPeerClient()
 	for range 3 {
-		_, err = fetchConfig(t.Context(), newPeerClient(), netip.MustParseAddrPort(proxy.Addr()))
+		_, err = fetchConfig(t.Context(), client, netip.MustParseAddrPort(proxy.Addr()))
 		require.NoError(t, err)
 		proxy.Silence()
 	}
