--- a/balancer/packetfront/front_test.go
+++ b/balancer/packetfront/front_test.go
@@ -20,13 +20,14 @@
 	"github.com/poppywall/poppywall/worker"
 )
 
-// startFront runs a front at 127.0.HOST.1 before a store.
+// startFront runs a front of zone z1; newFront tells the rest.
 func startFront(t *testing.T, host int, store string) *Front {
 	f := newFront(t, host, store, "z1")
 	t.Cleanup(worker.Start(f.Run))
 	return f
 }
 
+// newFront returns a front at 127.0.HOST.1 before a store, not running yet.
 func newFront(t *testing.T, host int, store, zone string) *Front {
 	t.Helper()
 	at := func(host, port int) string { return fmt.Sprintf("127.0.%d.1:%d", host, port) }
--- a/balancer/packetfront/largeconfig_test.go
+++ b/balancer/packetfront/largeconfig_test.go
@@ -34,15 +34,10 @@
 	t.Helper()
 	rnd := rand.New(rand.NewPCG(uint64(version), 1))
 	c := &flow.Config{Version: version, IdleTimeout: time.Second, Routes: config(1).Routes}
-	grown := map[flow.Front]*flow.Route{}
-	for at, r := range c.Routes {
-		grown[at] = r
-	}
 	for i := range routes {
 		name := fmt.Sprintf("r-%016x%016x%016x%016x%016x", rnd.Uint64(), rnd.Uint64(), rnd.Uint64(), rnd.Uint64(), rnd.Uint64())
-		grown[flow.Front{IP: 0xc6120000 + flow.IPv4(i), Port: 443}] = &flow.Route{Name: name, Backends: config(1).Routes[front].Backends}
+		c.Routes[flow.Front{IP: 0xc6120000 + flow.IPv4(i), Port: 443}] = &flow.Route{Name: name, Backends: config(1).Routes[front].Backends}
 	}
-	c.Routes = grown
 	require.NoError(t, platformtest.PutConfig(s, c))
 	resp, err := s.Range(t.Context(), store.RangeRequest{Key: platform.ConfigKey})
 	require.NoError(t, err)
--- a/balancer/packetfront/peerconfig.go
+++ b/balancer/packetfront/peerconfig.go
@@ -114,6 +114,7 @@
 func (s *storedConfig) gzipped() []byte {
 	s.pack.Do(func() {
 		var b bytes.Buffer
+		// Only a level that does not exist is refused.
 		w, _ := gzip.NewWriterLevel(&b, gzip.BestSpeed)
 		// Writes to a buffer do not fail.
 		_, _ = w.Write(s.raw)
