An end that is certain is told at once; an agent that is back is asked, whatever it said last

Cause (traced again on the code before, by a test without network and the users' trace): a host that says farewell stays in the registry for 2 s. A power loss of everything within that time leaves balancers that know nothing, for 4 s, about one agent that the registry lists: no search ends with a certain no, and nobody's dead flow is reset. With 263 hosts under release there is always one. The same doubt stands where the agent is back and says that nothing runs there: its word was not taken, for its host may have started since, unheard.

Ruled out: hosts that are not heard in time (all are, 0.5 s after the start), searches that lose packets (the test loses none).

Now - the agent probes a host that has said farewell until its exit is seen, and then takes its entry away; one that crashed after more than 2 s too. A host that goes down and up by turns is still written at most each 2 s. - a registered agent that is heard is asked, whatever it said last; silence after "gone" keeps flows in doubt for absentTime since it was heard, not since the reading. - an agent says whether it is registered: one that was heard to be only after the reading of the registry is newer than it, no sign that others are missing there.

A farewell in the very moment of the power loss is waited for as before, 4 s.

--- a/agent/packetfront/host.go
+++ b/agent/packetfront/host.go
@@ -139,7 +139,9 @@
 }
 
 // endedTime is how long a host has to be away before its agent's entry in the
-// registry goes: one that is back soon costs no writes.
+// registry goes if it was there for less: one that goes down and up by turns costs
+// no writes. The end of any other host is told at once, for balancers that start
+// just then wait for every agent on the list.
 const endedTime = 2 * time.Second
 
 // HostEnded tells whether the host has ended for certain, so that no flow can be
@@ -153,8 +155,7 @@
 	switch {
 	case h.up && h.left.IsZero():
 		return fleet.PresenceHere
-	case c.HostEnded() && now.Sub(h.downSince) > endedTime && now.Sub(h.left) > endedTime:
-		// The one of the two times that is not set is long ago.
+	case h.holdsNothing() && h.stayedAway(now):
 		c.registered = false
 		return fleet.PresenceEnded
 	default:
@@ -162,6 +163,13 @@
 	}
 }
 
+// stayedAway tells whether a host that has ended is not expected back at once: it
+// has said farewell, was there for long before, or has been away for long.
+func (h *host) stayedAway(now time.Time) bool {
+	steady := !h.upSince.IsZero() && h.downSince.Sub(h.upSince) > endedTime
+	return !h.left.IsZero() || steady || now.Sub(h.downSince) > endedTime
+}
+
 // kill ends all flows of a host that has ended: each client is told at once.
 func (c *Core) kill(now time.Time, reason string) {
 	if c.host.killed {
@@ -176,11 +184,12 @@
 }
 
 // WantsProbe tells whether the host should be probed by a connection: it is not
-// known to be up, its heartbeats fail to come, or it owes answers.
+// known to be up, its heartbeats fail to come, it owes answers, or it has said
+// farewell and its end was not seen yet.
 func (c *Core) WantsProbe(now time.Time) bool {
 	h := &c.host
 	if !h.left.IsZero() {
-		return false
+		return !h.killed
 	}
 	if !h.up {
 		return true
--- a/agent/packetfront/nodes.go
+++ b/agent/packetfront/nodes.go
@@ -170,6 +170,7 @@
 		Open:         uint16(min(c.flows.open, 1<<16-1)),
 		WarmupMillis: uint16(min(c.warmup(now).Milliseconds(), 1<<16-1)),
 		Ejected:      c.health.ejected,
+		Registered:   c.registered,
 	}
 }
 
--- a/balancer/packetfront/fixture_test.go
+++ b/balancer/packetfront/fixture_test.go
@@ -117,6 +117,13 @@
 	f.HandleNode(f.now, ip, a.Append(nil))
 }
 
+// announceRegistered announces a ready host whose agent is in the registry.
+func (f *fixture) announceRegistered(ip flow.IPv4) {
+	f.seq++
+	a := fleet.Announcement{Identity: fleet.Identity{Epoch: uint64(ip), Seq: f.seq}, Service: alpha, State: fleet.Ready, Slots: 4, Registered: true}
+	f.HandleNode(f.now, ip, a.Append(nil))
+}
+
 var key = flow.Key{ClientIP: 0x64400001, ClientPort: 1024, FrontIP: front.IP, FrontPort: front.Port}
 
 // packet writes a client's packet.
--- a/balancer/packetfront/limbo.go
+++ b/balancer/packetfront/limbo.go
@@ -93,7 +93,9 @@
 }
 
 // by tells whether a host has denied the flow.
-func (d denials) by(h *fleet.Host) bool { return d.any && !h.MayHoldSince(d.upTo) }
+func (d denials) by(now time.Time, h *fleet.Host) bool {
+	return d.any && !h.MayHoldSince(now, d.upTo)
+}
 
 // denials returns what is known of a flow that may not be kept.
 func (k *keptFlow) denials() denials {
--- a/balancer/packetfront/plan.go
+++ b/balancer/packetfront/plan.go
@@ -152,7 +152,7 @@
 	picked := route.Pick(hash).Tag
 	for _, tag := range c.view.Services() {
 		for _, h := range c.view.Service(tag) {
-			if h.State == fleet.Gone || denied.by(h) {
+			if !h.MayHold(now) || denied.by(now, h) {
 				continue
 			}
 			offered++
--- a/balancer/packetfront/roll.go
+++ b/balancer/packetfront/roll.go
@@ -32,11 +32,6 @@
 	r.entries, r.unheard = entries, unheard
 }
 
-// lists tells whether a node is on the roll.
-func (r *roll) lists(ip flow.IPv4) bool {
-	return slices.ContainsFunc(r.entries, func(e fleet.Entry) bool { return e.IP == ip })
-}
-
 // missing returns a node that was not heard, though not for so long that it
 // counts as gone.
 func (r *roll) missing(now time.Time, heard func(flow.IPv4) bool) (flow.IPv4, bool) {
--- a/balancer/packetfront/search.go
+++ b/balancer/packetfront/search.go
@@ -124,7 +124,7 @@
 // once when the flow is certainly over, and while that is not certain it is looked
 // at again.
 func (c *Core) conclude(now time.Time, key flow.Key, k *keptFlow, h *flow.Header, hops int) {
-	if c.view.Generation() != k.deniedUpTo && c.anyoneSince(k.deniedUpTo) {
+	if c.view.Generation() != k.deniedUpTo && c.anyoneSince(now, k.deniedUpTo) {
 		c.seek(now, key, h, k.first)
 		return
 	}
@@ -145,10 +145,10 @@
 
 // anyoneSince tells whether a host that may hold flows came after a generation of
 // the view.
-func (c *Core) anyoneSince(generation uint32) bool {
+func (c *Core) anyoneSince(now time.Time, generation uint32) bool {
 	for _, tag := range c.view.Services() {
 		for _, h := range c.view.Service(tag) {
-			if h.MayHoldSince(generation) {
+			if h.MayHoldSince(now, generation) {
 				return true
 			}
 		}
--- a/balancer/packetfront/survey.go
+++ b/balancer/packetfront/survey.go
@@ -114,7 +114,7 @@
 
 // unheard returns a host that may hold flows and could not be asked.
 func (c *Core) unheard(now time.Time) (flow.IPv4, bool) {
-	if ip, missing := c.survey.missing(now, c.askable); missing {
+	if ip, missing := c.survey.missing(now, c.view.KnowsHost); missing {
 		// It may have been taken out of the registry since.
 		c.survey.wanted = true
 		return ip, true
@@ -127,24 +127,33 @@
 		return ip, true
 	}
 	for _, ip := range c.view.Hosts() {
-		if h, _ := c.view.Host(ip); h.Quiet(now) && h.State != fleet.Gone {
+		if h, _ := c.view.Host(ip); h.Quiet(now) && c.mayLive(now, h) {
 			return ip, true
 		}
 	}
 	return 0, false
 }
 
-// askable tells whether a search asks a host. One that is registered and said last
-// that it holds nothing may have started since, unheard.
-func (c *Core) askable(ip flow.IPv4) bool {
-	h, known := c.view.Host(ip)
-	return known && h.State != fleet.Gone
+// mayLive tells whether a host whose agent has fallen silent may hold flows. One
+// that said before that it holds nothing may have started since, if the registry
+// lists it; after a while its VM counts as gone.
+func (c *Core) mayLive(now time.Time, h *fleet.Host) bool {
+	if h.State != fleet.Gone {
+		return true
+	}
+	if !h.Listed || now.Sub(h.HeardAt) >= absentTime {
+		return false
+	}
+	c.survey.wanted = true
+	return true
 }
 
-// unregistered returns an agent that is heard and not in the registry.
+// unregistered returns an agent that is heard and not in the registry. One that was
+// heard to be there only after the reading began is newer than it.
 func (c *Core) unregistered() (flow.IPv4, bool) {
 	for _, ip := range c.view.Hosts() {
-		if h, _ := c.view.Host(ip); h.State != fleet.Gone && !c.survey.lists(ip) {
+		h, _ := c.view.Host(ip)
+		if h.State != fleet.Gone && !h.Listed && !h.RegisteredAt.After(c.survey.readAt) {
 			return ip, true
 		}
 	}
@@ -171,7 +180,8 @@
 // Surveyed takes a reading of the agents' registry that began at the given time.
 // Flows that waited for it are looked at again.
 func (c *Core) Surveyed(now, began time.Time, agents []fleet.Entry) {
-	c.survey.take(began, agents, c.askable)
+	c.survey.take(began, agents, c.view.KnowsHost)
+	c.view.List(now, agents)
 	c.survey.readAt, c.survey.wanted = began, false
 	c.Greet(now, nil, fleet.Addresses(agents))
 	c.limbo.wake(now)
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -72,6 +72,8 @@
 	WarmupMillis uint16
 	// Ejected hosts fail their requests.
 	Ejected bool
+	// Registered agents are in the registry, as far as they know.
+	Registered bool
 	// Period is how soon the receiver hears of the sender again, whole
 	// milliseconds.
 	Period time.Duration
@@ -109,7 +111,7 @@
 	Zone, Service, Incarnation            uint32
 	State, WantPeers, WantReply           uint8
 	Slots, Busy, Open, WarmupMilliseconds uint16
-	Ejected                               uint8
+	Ejected, Registered                   uint8
 	PeriodMilliseconds                    uint16
 }
 
@@ -141,7 +143,7 @@
 		Zone: uint32(a.Zone), Service: uint32(a.Service), Incarnation: uint32(a.Incarnation),
 		State: uint8(a.State), WantPeers: bit(a.WantPeers), WantReply: bit(a.WantReply),
 		Slots: a.Slots, Busy: a.Busy, Open: a.Open, WarmupMilliseconds: a.WarmupMillis,
-		Ejected: bit(a.Ejected), PeriodMilliseconds: uint16(a.Period.Milliseconds()),
+		Ejected: bit(a.Ejected), Registered: bit(a.Registered), PeriodMilliseconds: uint16(a.Period.Milliseconds()),
 	})
 }
 
@@ -192,7 +194,7 @@
 		Zone:     flow.Tag(w.Zone), Service: flow.Tag(w.Service), Incarnation: flow.Tag(w.Incarnation),
 		State: State(w.State), WantPeers: w.WantPeers == 1, WantReply: w.WantReply == 1,
 		Slots: w.Slots, Busy: w.Busy, Open: w.Open, WarmupMillis: w.WarmupMilliseconds,
-		Ejected: w.Ejected == 1, Period: time.Duration(w.PeriodMilliseconds) * time.Millisecond,
+		Ejected: w.Ejected == 1, Registered: w.Registered == 1, Period: time.Duration(w.PeriodMilliseconds) * time.Millisecond,
 	}, nil
 }
 
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -58,6 +58,11 @@
 	HeardAt time.Time
 	// Sent counts new flows sent here since the last announcement.
 	Sent int
+	// Listed tells that the registry named the host's agent when it was read last.
+	Listed bool
+	// RegisteredAt is when the agent was heard first to be in the registry, zero
+	// time while it has not said so.
+	RegisteredAt time.Time
 	// Since is the generation of the view from which on the host may hold flows.
 	Since uint32
 	order order
@@ -76,10 +81,17 @@
 	order   order
 }
 
+// MayHold tells whether the host may hold flows and can be asked. One that is in
+// the registry and said last that it holds nothing may have started since, and the
+// message that says so may be lost; its agent knows.
+func (h *Host) MayHold(now time.Time) bool {
+	return h.State != Gone || (h.Listed && !h.Quiet(now))
+}
+
 // MayHoldSince tells whether the host has come to be one that may hold flows after
 // a generation of the view.
-func (h *Host) MayHoldSince(generation uint32) bool {
-	return h.State != Gone && int32(h.Since-generation) > 0
+func (h *Host) MayHoldSince(now time.Time, generation uint32) bool {
+	return h.MayHold(now) && int32(h.Since-generation) > 0
 }
 
 // onDuty tells whether the balancer was heard so lately that others may rely on it.
@@ -95,13 +107,18 @@
 	// tags are the keys of services, sorted.
 	tags  []flow.Tag
 	peers map[flow.IPv4]*Peer
+	// listed are the agents that the registry named last.
+	listed map[flow.IPv4]struct{}
 	// generation rises with each host that comes to be one that may hold a flow.
 	generation uint32
 }
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{hosts: map[flow.IPv4]*Host{}, services: map[flow.Tag][]*Host{}, peers: map[flow.IPv4]*Peer{}}
+	return &View{
+		hosts: map[flow.IPv4]*Host{}, services: map[flow.Tag][]*Host{}, peers: map[flow.IPv4]*Peer{},
+		listed: map[flow.IPv4]struct{}{},
+	}
 }
 
 // Host returns a host by its address.
@@ -219,8 +236,9 @@
 	h, known := v.hosts[ip]
 	if !known {
 		h = &Host{IP: ip}
+		_, h.Listed = v.listed[ip]
 	}
-	former := h.Announcement
+	former, held := h.Announcement, h.MayHold(now)
 	if !h.order.accept(a.Identity, h.Quiet(now)) {
 		return Stale
 	}
@@ -231,13 +249,18 @@
 		a.State = Draining
 	}
 	h.Announcement, h.HeardAt, h.Sent = a, now, 0
+	if !known || former.Epoch != a.Epoch || !a.Registered {
+		h.RegisteredAt = time.Time{}
+	}
+	if a.Registered && h.RegisteredAt.IsZero() {
+		h.RegisteredAt = now
+	}
 	if !known || former.Service != a.Service {
 		v.reindex(h, former.Service)
 	}
 	another := !known || former.Epoch != a.Epoch || former.Service != a.Service
-	if a.State != Gone && (another || former.State == Gone) {
-		v.generation++
-		h.Since = v.generation
+	if h.MayHold(now) && (another || former.State == Gone && a.State != Gone || !held) {
+		v.begin(h)
 	}
 	switch {
 	case !known || former.Epoch != a.Epoch:
@@ -249,6 +272,28 @@
 	}
 }
 
+// begin notes that a host may hold flows from now on.
+func (v *View) begin(h *Host) {
+	v.generation++
+	h.Since = v.generation
+}
+
+// List takes a reading of the agents' registry.
+func (v *View) List(now time.Time, agents []Entry) {
+	clear(v.listed)
+	for _, e := range agents {
+		v.listed[e.IP] = struct{}{}
+	}
+	for _, ip := range v.Hosts() {
+		h := v.hosts[ip]
+		held := h.MayHold(now)
+		_, h.Listed = v.listed[ip]
+		if h.MayHold(now) && !held {
+			v.begin(h)
+		}
+	}
+}
+
 // reindex moves a host to the list of its service.
 func (v *View) reindex(h *Host, former flow.Tag) {
 	v.unlist(h, former)
