Searches visit all hosts with several messages at once, whatever their number

Now the 16 likeliest are visited first, alone; then all others at the same time, with at most 16 messages of 16 hosts or more. What does not come back within 150 ms is repeated alone, without the hosts that have ended meanwhile. The bound is gone: hosts are sorted, not ranked up to a limit.

Tried before and left: one inquiry to every agent about up to 64 flows, then visits of those hosts only whose agents do not know.

--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -102,8 +102,8 @@
 	named                   map[flow.IPv4]time.Time
 	limbo                   limbo
 	beaconRounds, farRounds int
-	// searches numbers the searches, from the epoch on: answers to a former
-	// process arrive here.
+	// searches numbers the messages of searches, from the epoch on: answers to a
+	// former process arrive here.
 	searches uint32
 	// lastDigest is the view's digest at a moment, zero time when it has changed.
 	lastDigest uint32
--- a/balancer/packetfront/fixture_test.go
+++ b/balancer/packetfront/fixture_test.go
@@ -66,6 +66,7 @@
 func (quiet) Opened(Decision)                                {}
 func (quiet) Refused(flow.Key, string, string)               {}
 func (quiet) Searching(flow.Key, int, int)                   {}
+func (quiet) Inquired(int, int)                              {}
 func (quiet) OwnerFound(flow.Key, flow.IPv4, int)            {}
 func (q quiet) Lost(_ flow.Key, _ int, d Doubt, _ flow.IPv4) { *q.doubt = d }
 func (quiet) Kept(flow.Key, Keep)                            {}
--- a/balancer/packetfront/limbo.go
+++ b/balancer/packetfront/limbo.go
@@ -54,14 +54,14 @@
 
 	// asking tells that a search is under way: the fields up to unsure are its own.
 	asking bool
-	// searchID tells its answers from those of an earlier one, generation is that
-	// of the view when it began, unasked are the hosts still to ask, round counts
-	// the messages.
-	searchID, generation uint32
-	unasked              []flow.Candidate
-	round                int
-	// unsure is set once a host could not say a certain no, and when not all can
-	// be asked.
+	// visits are the messages that carry the first packet along hosts and have not come
+	// back, by their number.
+	visits map[uint32][]flow.Candidate
+	// unasked are the hosts to ask after those.
+	unasked []flow.Candidate
+	// generation is that of the view when the search began.
+	generation uint32
+	// unsure is set once a host could not say a certain no.
 	unsure bool
 
 	// searches counts the searches so far.
@@ -72,19 +72,18 @@
 	deniedUpTo uint32
 }
 
-// begin starts a search along the candidates, which are all hosts that may hold the
-// flow if they are complete.
-func (k *keptFlow) begin(id, generation uint32, candidates []flow.Candidate, complete bool) {
-	k.asking, k.unsure, k.round = true, !complete, 0
-	k.searchID, k.generation = id, generation
-	k.unasked = append(k.unasked[:0:0], candidates...)
+// begin starts a search that asks the hosts that may hold the flow in a generation of
+// the view.
+func (k *keptFlow) begin(generation uint32) {
+	k.asking, k.unsure, k.generation = true, false, generation
+	k.visits, k.unasked = map[uint32][]flow.Candidate{}, nil
 	k.searches++
 }
 
-// backward tells whether the next search for the flow asks the likeliest hosts
-// last. Each second one does: a packet that is passed on through a VM that has
-// died without a word is lost there, and would be again.
-func (k *keptFlow) backward() bool { return k.searches%2 == 1 }
+// backward tells whether the next messages ask the likeliest hosts last. Each second
+// time they do: a packet that is passed on through a VM that has died without a word
+// is lost there, and would be again.
+func (k *keptFlow) backward() bool { return k.searches%2 == 0 }
 
 // denials tells which hosts have denied a flow.
 type denials struct {
@@ -213,12 +212,13 @@
 	}
 	for _, key := range keys {
 		k := c.limbo.flows[key]
-		k.asking = false
 		h, err := c.codec.Decode(k.first)
 		switch {
 		case err != nil:
 			// It was decoded when it came; a packet that is none is of no use.
 			c.limbo.drop(key)
+		case k.asking:
+			c.askAgain(now, key, k, &h)
 		case k.denied:
 			c.conclude(now, key, k, &h, 0)
 		default:
--- a/balancer/packetfront/plan.go
+++ b/balancer/packetfront/plan.go
@@ -1,6 +1,8 @@
 package packetfront
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/poppywall/poppywall/choose"
@@ -20,39 +22,49 @@
 	openTries = 8
 	// searchRound is how many hosts one message of a search visits.
 	searchRound = envelope.MaxCandidates + 1
-	// maxSearched bounds a search: 8 messages. A flow that more hosts may hold is
-	// never certainly over.
-	maxSearched = 8 * searchRound
 )
 
 // plan is scratch space for candidates.
 type plan struct {
 	// openNear and openFar rank the hosts for a new flow.
 	openNear, openFar *flow.Ranking
-	// near, far, rest and quiet rank those that may hold an open one.
-	near, far, rest, quiet *flow.Ranking
-	out                    []flow.Candidate
+	// holders are those that may hold an open one.
+	holders []holder
+	out     []flow.Candidate
 }
 
+// holder is a host that may hold a flow: the lower its class the likelier it does,
+// then the higher its score.
+type holder struct {
+	class searchClass
+	score uint64
+	flow.Candidate
+}
+
+// searchClass orders the hosts of a search.
+type searchClass uint8
+
+// The classes.
+const (
+	// nearHost and farHost serve what new flows of the route go to.
+	nearHost searchClass = iota
+	farHost
+	// otherHost serves another service.
+	otherHost
+	// quietHost was not heard lately.
+	quietHost
+)
+
 func newPlan() plan {
 	return plan{
 		openNear: flow.NewRanking(openNear), openFar: flow.NewRanking(openFar),
-		near:  flow.NewRanking(maxSearched),
-		far:   flow.NewRanking(maxSearched),
-		rest:  flow.NewRanking(maxSearched),
-		quiet: flow.NewRanking(maxSearched),
-		out:   make([]flow.Candidate, 0, 4*maxSearched),
 	}
 }
 
 func (p *plan) reset() {
 	p.openNear.Reset()
 	p.openFar.Reset()
-	p.near.Reset()
-	p.far.Reset()
-	p.rest.Reset()
-	p.quiet.Reset()
-	p.out = p.out[:0]
+	p.holders, p.out = p.holders[:0], p.out[:0]
 }
 
 // openCandidates returns the hosts for a new flow, the chosen one first, then
@@ -142,42 +154,50 @@
 // of the service that new flows go to, those that a balancer of this zone chooses
 // among, then the others of the own zone, then elsewhere; hosts of other services,
 // for a change of the route leaves open flows where they are; last those that were
-// not heard lately. Hosts that have denied the flow are left out. complete tells
-// that there are no others.
-func (c *Core) searchCandidates(now time.Time, key flow.Key, route *flow.Route, denied denials) (list []flow.Candidate, complete bool) {
+// not heard lately. Hosts that have denied the flow are left out.
+func (c *Core) searchCandidates(now time.Time, key flow.Key, route *flow.Route, denied denials) []flow.Candidate {
 	p := &c.plan
 	p.reset()
 	hash := key.Hash()
-	offered := 0
 	picked := route.Pick(hash).Tag
 	for _, tag := range c.view.Services() {
 		for _, h := range c.view.Service(tag) {
 			if !h.MayHold(now) || denied.by(now, h) {
 				continue
 			}
-			offered++
-			c.searchRanking(now, h, picked).Offer(flow.Score(hash, h.IP), flow.Candidate{Host: h.IP, Service: tag})
+			p.holders = append(p.holders, holder{c.classOf(now, h, picked), flow.Score(hash, h.IP), flow.Candidate{Host: h.IP, Service: tag}})
 		}
 	}
-	near, far := p.near.Items(), p.far.Items()
-	nearFirst, farFirst := first(near, searchFirst), first(far, searchFirst)
-	for _, list := range [...][]flow.Candidate{
-		nearFirst, farFirst, near[len(nearFirst):], far[len(farFirst):], p.rest.Items(), p.quiet.Items(),
-	} {
-		p.out = append(p.out, list...)
+	slices.SortFunc(p.holders, func(a, b holder) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(b.score, a.score), cmp.Compare(a.Host, b.Host))
+	})
+	far := slices.IndexFunc(p.holders, func(h holder) bool { return h.class != nearHost })
+	if far < 0 {
+		far = len(p.holders)
+	}
+	near, others := p.holders[:far], p.holders[far:]
+	nearFirst := min(len(near), searchFirst)
+	farFirst := 0
+	for farFirst < min(len(others), searchFirst) && others[farFirst].class == farHost {
+		farFirst++
 	}
-	return first(p.out, maxSearched), offered <= maxSearched
+	for _, list := range [...][]holder{near[:nearFirst], others[:farFirst], near[nearFirst:], others[farFirst:]} {
+		for _, h := range list {
+			p.out = append(p.out, h.Candidate)
+		}
+	}
+	return p.out
 }
 
-func (c *Core) searchRanking(now time.Time, h *fleet.Host, picked flow.Tag) *flow.Ranking {
+func (c *Core) classOf(now time.Time, h *fleet.Host, picked flow.Tag) searchClass {
 	switch {
 	case h.Quiet(now):
-		return c.plan.quiet
+		return quietHost
 	case h.Service != picked:
-		return c.plan.rest
+		return otherHost
 	case h.Zone == c.opts.Zone:
-		return c.plan.near
+		return nearHost
 	default:
-		return c.plan.far
+		return farHost
 	}
 }
--- a/balancer/packetfront/search.go
+++ b/balancer/packetfront/search.go
@@ -1,6 +1,7 @@
 package packetfront
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -19,23 +20,25 @@
 		return
 	}
 	k := c.limbo.flows[key]
-	candidates, complete := c.searchCandidates(now, key, route, k.denials())
+	candidates := c.searchCandidates(now, key, route, k.denials())
 	if len(candidates) == 0 {
 		c.nobodyToAsk(now, key, h, packet)
 		return
 	}
-	c.searches++
 	if k = c.limbo.ask(now, key, packet); k == nil {
 		// There is no room to keep the packet: it is sent along the first hosts, and
 		// its client repeats it if none of them holds the flow.
 		c.sendAlong(packet, first(candidates, searchRound), 0)
 		return
 	}
-	if k.backward() {
-		slices.Reverse(candidates)
+	k.begin(c.view.Generation())
+	// Where there are more than one message visits, the likeliest are asked alone
+	// first: nearly every flow that lives is at one of them.
+	if len(candidates) > searchRound {
+		k.unasked = slices.Clone(candidates[2*searchFirst:])
+		candidates = candidates[:2*searchFirst]
 	}
-	k.begin(c.searches, c.view.Generation(), candidates, complete)
-	c.askOn(now, key, k)
+	c.visit(now, key, k, candidates)
 }
 
 // nobodyToAsk handles a packet of an unknown flow for which there is no host to
@@ -53,13 +56,61 @@
 	c.park(now, key, h, packet, KeepUnsettled)
 }
 
-// askOn sends the first packet of a flow along the next hosts of its search.
-func (c *Core) askOn(now time.Time, key flow.Key, k *keptFlow) {
-	next := first(k.unasked, searchRound)
-	k.unasked, k.next = k.unasked[len(next):], now.Add(limboPause)
-	c.events.Searching(key, len(next), k.round)
-	k.round++
-	c.sendAlong(k.first, next, k.searchID)
+// Sizes of a visit of many hosts.
+const (
+	// mostParts is how many messages visit the hosts at the same time, so that a
+	// packet is passed on a few times, not hundreds of times.
+	mostParts = 16
+	// leastPart is how many hosts each of them visits at least: a message that goes to
+	// one host and back costs twice as much a host as one that visits many.
+	leastPart = 16
+)
+
+// partOf is how many of so many hosts one message visits. A single message visits as
+// many as it can hold.
+func partOf(hosts int) int {
+	if hosts <= searchRound {
+		return searchRound
+	}
+	return min(max((hosts+mostParts-1)/mostParts, leastPart), searchRound)
+}
+
+// visit sends the first packet of a flow along hosts, with several messages at the
+// same time where there are many.
+func (c *Core) visit(now time.Time, key flow.Key, k *keptFlow, hosts []flow.Candidate) {
+	hosts = slices.Clone(hosts)
+	if k.backward() {
+		slices.Reverse(hosts)
+	}
+	c.events.Searching(key, len(hosts), k.searches)
+	k.next = now.Add(limboPause)
+	for part := range slices.Chunk(hosts, partOf(len(hosts))) {
+		c.searches++
+		k.visits[c.searches] = part
+		c.sendAlong(k.first, part, c.searches)
+	}
+}
+
+// askAgain goes on with a search whose messages do not come back: those hosts are
+// asked again that have not answered, unless they hold nothing any more, and the
+// others with them.
+func (c *Core) askAgain(now time.Time, key flow.Key, k *keptFlow, h *flow.Header) {
+	hosts := k.unasked
+	for _, id := range slices.Sorted(maps.Keys(k.visits)) {
+		for _, candidate := range k.visits[id] {
+			if host, known := c.view.Host(candidate.Host); known && host.MayHold(now) {
+				hosts = append(hosts, candidate)
+			}
+		}
+	}
+	clear(k.visits)
+	k.unasked = nil
+	if len(hosts) == 0 {
+		c.allAsked(now, key, k, h, 0)
+		return
+	}
+	k.searches++
+	c.visit(now, key, k, hosts)
 }
 
 // sendAlong sends a packet to the first of some hosts, to be passed on to the
@@ -94,13 +145,18 @@
 		return nil
 	}
 	k, kept := c.limbo.flows[key]
-	if !kept || !k.asking || k.searchID != env.SearchID {
+	if !kept || !k.asking || k.visits[env.SearchID] == nil {
 		c.events.Dropped(DropLateAnswer)
 		return nil
 	}
+	delete(k.visits, env.SearchID)
 	k.unsure = k.unsure || env.Flags&envelope.Unsure != 0
-	if len(k.unasked) > 0 {
-		c.askOn(now, key, k)
+	if len(k.visits) > 0 {
+		return nil
+	}
+	if rest := k.unasked; len(rest) > 0 {
+		k.unasked = nil
+		c.visit(now, key, k, rest)
 		return nil
 	}
 	c.allAsked(now, key, k, &h, int(env.Hops))
--- /dev/null
+++ b/balancer/packetfront/search_test.go
@@ -0,0 +1,242 @@
+package packetfront
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/poppywall/poppywall/fleet"
+	"github.com/poppywall/poppywall/flow"
+	"github.com/poppywall/poppywall/flow/envelope"
+)
+
+// manyHosts is a settled balancer that knows so many hosts.
+func manyHosts(count int) *fixture {
+	f := newFixture()
+	for i := range flow.IPv4(count - 2) {
+		f.announce(0x0a020000+i, fleet.Ready)
+	}
+	f.Surveyed(f.now, f.now, registered(f.View().Hosts()...))
+	f.port.nodes = nil
+	return f
+}
+
+// visiting returns the messages of the flow's search that have not come back.
+func (f *fixture) visiting() []sent {
+	k, kept := f.limbo.flows[key]
+	if !kept {
+		return nil
+	}
+	return slices.DeleteFunc(f.port.delivered(), func(s sent) bool { return k.visits[s.env.SearchID] == nil })
+}
+
+// hostsOf returns the hosts that messages visit.
+func hostsOf(messages ...sent) []flow.IPv4 {
+	var out []flow.IPv4
+	for _, s := range messages {
+		out = append(out, s.to)
+		for _, c := range s.env.Candidates[:s.env.Count] {
+			out = append(out, c.Host)
+		}
+	}
+	return out
+}
+
+// comeBack lets a message return whose packet no host has taken.
+func (f *fixture) comeBack(s sent, flags envelope.Flags) {
+	e := s.env
+	e.Kind, e.Count = envelope.Returned, 0
+	e.Flags |= envelope.Searched | flags
+	f.HandleNode(f.now, s.to, append(e.Append(nil), packet(false, 9)...))
+}
+
+// TestAFlowIsResetOnceAllHostsHaveDeniedIt: however many there are, each visited
+// once, and none after more than a few others.
+func TestAFlowIsResetOnceAllHostsHaveDeniedIt(t *testing.T) {
+	for _, hosts := range []int{2, searchRound, searchRound + 1, 264, 265, 325, 1000} {
+		f := manyHosts(hosts)
+		f.client(packet(false, 9))
+		var visited []flow.IPv4
+		rounds := 0
+		for ; len(f.visiting()) > 0; rounds++ {
+			messages := f.visiting()
+			for _, s := range messages {
+				require.Empty(t, f.port.resets)
+				require.LessOrEqual(t, len(hostsOf(s)), searchRound)
+				f.comeBack(s, 0)
+			}
+			visited = append(visited, hostsOf(messages...)...)
+		}
+		require.Len(t, f.port.resets, 1)
+		require.ElementsMatch(t, f.View().Hosts(), visited)
+		want := 2
+		if hosts <= searchRound {
+			want = 1
+		}
+		require.Equal(t, want, rounds)
+	}
+}
+
+// TestTheLikeliestHostsAreVisitedAlone: nearly every flow that lives is at one of them.
+func TestTheLikeliestHostsAreVisitedAlone(t *testing.T) {
+	f := manyHosts(200)
+	likeliest := f.searchCandidates(f.now, key, f.config.Routes[front], denials{})[:2*searchFirst]
+	f.client(packet(false, 9))
+	first := f.visiting()
+	require.Len(t, first, 1)
+	var want []flow.IPv4
+	for _, c := range likeliest {
+		want = append(want, c.Host)
+	}
+	require.Equal(t, want, hostsOf(first...))
+}
+
+// TestALostVisitIsRepeatedAlone: those that came back are not sent again, and hosts
+// that have ended meanwhile are not waited for.
+func TestALostVisitIsRepeatedAlone(t *testing.T) {
+	f := manyHosts(200)
+	f.client(packet(false, 9))
+	f.comeBack(f.visiting()[0], 0)
+	parts := f.visiting()
+	for _, s := range parts[1:] {
+		f.comeBack(s, 0)
+	}
+	lost := hostsOf(parts[0])
+	f.announce(lost[2], fleet.Gone)
+	f.Surveyed(f.now, f.now, registered(slices.DeleteFunc(f.View().Hosts(), func(ip flow.IPv4) bool { return ip == lost[2] })...))
+	f.pass(limboPause)
+	again := f.visiting()
+	backward := slices.Delete(slices.Clone(lost), 2, 3)
+	slices.Reverse(backward)
+	require.Equal(t, backward, hostsOf(again...), "a VM that is dead is the last one then")
+	f.comeBack(parts[0], 0)
+	require.Empty(t, f.port.resets, "it had visited before the repetition")
+	f.comeBack(again[0], 0)
+	require.Len(t, f.port.resets, 1)
+}
+
+// TestAllAreVisitedWhenTheLikeliestDoNotAnswer: one of them may be dead, and the flow
+// at any other host.
+func TestAllAreVisitedWhenTheLikeliestDoNotAnswer(t *testing.T) {
+	f := manyHosts(200)
+	f.client(packet(false, 9))
+	f.pass(limboPause)
+	require.ElementsMatch(t, f.View().Hosts(), hostsOf(f.visiting()...))
+}
+
+// TestHostsThatEndWhileTheyAreAskedAreNotWaitedFor.
+func TestHostsThatEndWhileTheyAreAskedAreNotWaitedFor(t *testing.T) {
+	f := newFixture()
+	f.client(packet(false, 9))
+	f.announce(hostA, fleet.Gone)
+	f.announce(hostB, fleet.Gone)
+	f.Surveyed(f.now, f.now, nil)
+	f.pass(limboPause)
+	require.Len(t, f.port.resets, 1)
+}
+
+// TestAHostThatIsUnsureKeepsTheFlowInDoubt: whichever of the messages visited it.
+func TestAHostThatIsUnsureKeepsTheFlowInDoubt(t *testing.T) {
+	f := manyHosts(200)
+	f.client(packet(false, 9))
+	f.comeBack(f.visiting()[0], 0)
+	for i, s := range f.visiting() {
+		flags := envelope.Flags(0)
+		if i == 3 {
+			flags = envelope.Unsure
+		}
+		f.comeBack(s, flags)
+	}
+	require.Equal(t, DoubtHost, f.doubt)
+	require.Empty(t, f.port.resets)
+}
+
+// TestOnlyWhatEveryHostHasDeniedIsReset: hosts fall silent, are heard again, end,
+// start and join while messages come back in any order, late, or never.
+func TestOnlyWhatEveryHostHasDeniedIsReset(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := manyHosts(rapid.IntRange(3, 3*searchRound).Draw(t, "hosts"))
+		hosts := f.View().Hosts()
+		denied, ended := map[flow.IPv4]bool{}, map[flow.IPv4]bool{}
+		f.client(packet(false, 9))
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			ip := rapid.SampledFrom(hosts).Draw(t, "host")
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0:
+				f.announce(ip, fleet.Gone)
+				ended[ip] = true
+			case 1:
+				f.announce(ip, fleet.Ready)
+				if ended[ip] {
+					ended[ip], denied[ip] = false, false
+				}
+			case 2:
+				next := 0x0a030000 + flow.IPv4(len(hosts))
+				f.announce(next, fleet.Ready)
+				hosts = append(hosts, next)
+			case 3:
+				f.pass(time.Duration(rapid.IntRange(1, 200).Draw(t, "ms")) * time.Millisecond)
+			default:
+				f.someComeBack(t, denied)
+			}
+			if len(f.port.resets) == 0 {
+				continue
+			}
+			for _, ip := range hosts {
+				require.True(t, denied[ip] || ended[ip], "host %v has not denied the flow", ip)
+			}
+			return
+		}
+	})
+}
+
+// someComeBack lets some of the messages return, late ones among them.
+func (f *fixture) someComeBack(t *rapid.T, denied map[flow.IPv4]bool) {
+	all := rapid.Bool().Draw(t, "all")
+	waiting := f.visiting()
+	for _, s := range f.port.delivered() {
+		if !all && rapid.IntRange(0, 3).Draw(t, "comes back") == 0 {
+			continue
+		}
+		if slices.ContainsFunc(waiting, func(w sent) bool { return w.env.SearchID == s.env.SearchID }) {
+			for _, ip := range hostsOf(s) {
+				denied[ip] = true
+			}
+		}
+		f.comeBack(s, 0)
+	}
+}
+
+// TestTheOrderOfASearch: whom the flow was chosen among, then whom it may be at.
+func TestTheOrderOfASearch(t *testing.T) {
+	f := newFixture()
+	add := func(ip flow.IPv4, zone, service flow.Tag) {
+		f.seq++
+		a := fleet.Announcement{Identity: fleet.Identity{Epoch: 1, Seq: f.seq}, Service: service, Zone: zone, State: fleet.Ready, Slots: 4}
+		f.HandleNode(f.now, ip, a.Append(nil))
+	}
+	f.now = f.now.Add(fleet.Quiet + 1)
+	for i := range flow.IPv4(20) {
+		add(0x0a020000+i, 9, alpha)
+		add(0x0a030000+i, 0, alpha+1)
+		add(0x0a040000+i, 0, alpha)
+	}
+	kinds := ""
+	for _, c := range f.searchCandidates(f.now, key, f.config.Routes[front], denials{}) {
+		switch c.Host >> 16 {
+		case 0x0a01:
+			kinds += "q"
+		case 0x0a02:
+			kinds += "f"
+		case 0x0a03:
+			kinds += "o"
+		default:
+			kinds += "n"
+		}
+	}
+	repeat := func(s string, n int) string { return string(slices.Repeat([]byte(s), n)) }
+	require.Equal(t, repeat("n", 8)+repeat("f", 8)+repeat("n", 12)+repeat("f", 12)+repeat("o", 20)+"qq", kinds)
+}
