--- a/Makefile
+++ b/Makefile
@@ -50,6 +50,8 @@
 	go test ./directory -run '^$$' -fuzz FuzzEntryDecode -fuzztime 20s
 	go test ./platform -run '^$$' -fuzz FuzzDecodePacket -fuzztime 20s
 	go test ./platform -run '^$$' -fuzz FuzzDecodeConfig -fuzztime 20s
+	go test ./platform -run '^$$' -fuzz FuzzReports -fuzztime 20s
+	go test ./platform -run '^$$' -fuzz FuzzStorePages -fuzztime 20s
 	go test ./flow/envelope -run '^$$' -fuzz FuzzDecode -fuzztime 20s
 	go test ./fleet -run '^$$' -fuzz FuzzDecode -fuzztime 20s
 	go test ./agent/packetfront -run '^$$' -fuzz FuzzHandleNode -fuzztime 20s
--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -78,9 +78,12 @@
 	outage  backlog.Outage
 	opening []openingFlow
 
-	// known is set once something was heard of the host, or a probe has told;
-	// registered while the agent is in the registry.
-	known, registered bool
+	// known is set once something was heard of the host, or a probe has told.
+	known bool
+	// wanted is what the registry is to show, listing what it shows as far as that is
+	// known.
+	wanted  fleet.Presence
+	listing fleet.Listing
 	// introduced is set once the balancers may hear of the agent.
 	introduced  bool
 	seq         uint32
--- a/agent/packetfront/core_test.go
+++ b/agent/packetfront/core_test.go
@@ -77,14 +77,20 @@
 	f.Core = New(Options{Self: 9, Service: service, Epoch: 1, HeartbeatPeriod: time.Second, FlowTTL: time.Minute}, f.port, platform.Codec{}, quiet{})
 	f.Probed(f.now, ProbeRefused)
 	f.Probed(f.now, ProbeAccepted)
-	f.Registered(f.now)
+	f.registered()
 	f.beat(false)
 	return f
 }
 
+// registered lets the store take the agent's entry.
+func (f *fixture) registered() {
+	f.Presence(f.now)
+	f.Shown(f.now, fleet.PresenceHere)
+}
+
 func (f *fixture) beat(draining bool) {
 	f.seq++
-	f.Heartbeat(f.now, fleet.Heartbeat{HostID: "i-1", Slots: 4, Draining: draining, Sequence: f.seq})
+	f.Heartbeat(f.now, fleet.Heartbeat{Life: fleet.Life{HostID: "i-1"}, Slots: 4, Draining: draining, Sequence: f.seq})
 }
 
 func (f *fixture) pass(d time.Duration) {
@@ -156,8 +162,8 @@
 		"ready":            {func(*fixture) {}, service, true},
 		"another service":  {func(*fixture) {}, service + 1, false},
 		"draining":         {func(f *fixture) { f.beat(true) }, service, false},
-		"left":             {func(f *fixture) { f.Leave(f.now, "i-1") }, service, false},
-		"another one left": {func(f *fixture) { f.Leave(f.now, "i-0") }, service, true},
+		"left":             {func(f *fixture) { f.Leave(f.now, fleet.Life{HostID: "i-1"}) }, service, false},
+		"another one left": {func(f *fixture) { f.Leave(f.now, fleet.Life{HostID: "i-0"}) }, service, true},
 		"not listening":    {func(f *fixture) { f.Probed(f.now, ProbeRefused) }, service, false},
 		"silent probe":     {func(f *fixture) { f.Probed(f.now, ProbeSilent) }, service, true},
 		"agent stops":      {func(f *fixture) { f.Stop(f.now) }, service, false},
@@ -178,11 +184,11 @@
 func TestLateHeartbeatsChangeNothing(t *testing.T) {
 	f := newFixture()
 	f.beat(true)
-	f.Heartbeat(f.now, fleet.Heartbeat{HostID: "i-1", Slots: 4, Sequence: 1})
+	f.Heartbeat(f.now, fleet.Heartbeat{Life: fleet.Life{HostID: "i-1"}, Slots: 4, Sequence: 1})
 	require.Equal(t, fleet.Draining, f.host.state())
-	f.Heartbeat(f.now, fleet.Heartbeat{HostID: "i-2", Slots: 4, Sequence: 1})
+	f.Heartbeat(f.now, fleet.Heartbeat{Life: fleet.Life{HostID: "i-2"}, Slots: 4, Sequence: 1})
 	require.Equal(t, fleet.Ready, f.host.state())
-	f.Heartbeat(f.now, fleet.Heartbeat{HostID: "i-1", Slots: 4, Draining: true, Sequence: 99})
+	f.Heartbeat(f.now, fleet.Heartbeat{Life: fleet.Life{HostID: "i-1"}, Slots: 4, Draining: true, Sequence: 99})
 	require.Equal(t, fleet.Ready, f.host.state(), "the former host's")
 }
 
@@ -267,7 +273,7 @@
 	})
 	t.Run("it has left", func(t *testing.T) {
 		f := open()
-		f.Leave(f.now, "i-1")
+		f.Leave(f.now, fleet.Life{HostID: "i-1"})
 		f.pass(leaveGrace / 2)
 		require.Empty(t, f.port.resets, "it may still send")
 		f.pass(leaveGrace)
--- a/agent/packetfront/front.go
+++ b/agent/packetfront/front.go
@@ -48,11 +48,12 @@
 	clientPort         uint16
 	host               netip.AddrPort
 
-	// mu guards core; nothing else is locked under it.
-	mu    sync.Mutex
-	core  *Core
-	alone fleet.Alone
-	entry *registry.Registry
+	// mu guards core and observer; nothing else is locked under it.
+	mu       sync.Mutex
+	core     *Core
+	observer *observer
+	alone    fleet.Alone
+	entry    *registry.Registry
 }
 
 // NewFront opens the sockets of a front.
@@ -74,8 +75,9 @@
 		Self: f.self, Zone: flow.TagOf(cfg.Zone), Service: flow.TagOf(cfg.Service), Seeds: flow.ParseAddrs(cfg.Seeds),
 		Epoch: rand.Uint64() | 1, HeartbeatPeriod: cfg.HeartbeatEvery.D(), FlowTTL: cfg.FlowTTL.D(),
 	}
-	f.entry = registry.New(f.store, fleet.RoleAgent, f.self, opts.Epoch, log, func() { f.locked(f.core.Registered) })
-	f.core = New(opts, f, platform.Codec{}, newObserver(log, f.reg))
+	f.entry = registry.New(f.store, fleet.RoleAgent, f.self, opts.Epoch, log, func(p fleet.Presence) { f.locked(func(now time.Time) { f.core.Shown(now, p) }) })
+	f.observer = newObserver(log, f.reg)
+	f.core = New(opts, f, platform.Codec{}, f.observer)
 	return f, nil
 }
 
@@ -117,7 +119,7 @@
 	group.Go(work, "join", f.followRegistry)
 	group.Go(ctx, "registry", f.entry.Run)
 	group.Go(work, "heartbeats", func(ctx context.Context) error {
-		return telemetry.ServeHTTP(ctx, f.cfg.Control, platform.HeartbeatHandler(f))
+		return telemetry.ServeHTTP(ctx, f.cfg.Control, platform.HeartbeatHandler(f.cfg.Service, f))
 	})
 	if f.cfg.Metrics != "" {
 		group.Go(work, "metrics", func(ctx context.Context) error { return telemetry.ServeMetrics(ctx, f.cfg.Metrics, f.reg) })
@@ -144,17 +146,15 @@
 	}
 }
 
-// stop tells the balancers, and takes the agent out of the registry unless its
-// host may live on.
+// stop takes the agent out of the registry unless its host may live on, and tells the
+// balancers.
 func (f *Front) stop() {
-	ended := false
-	f.locked(func(now time.Time) {
-		f.core.Stop(now)
-		ended = f.core.HostEnded()
-	})
-	if ended {
+	leaves := false
+	f.locked(func(time.Time) { leaves = f.core.TakesLeave() })
+	if leaves {
 		f.entry.Leave()
 	}
+	f.locked(f.core.Stop)
 }
 
 // Reload implements process.Reloader: the seeds are taken over.
@@ -185,13 +185,19 @@
 }
 
 // Heartbeat implements platform.Hosts.
-func (f *Front) Heartbeat(b fleet.Heartbeat) {
-	f.locked(func(now time.Time) { f.core.Heartbeat(now, b) })
+func (f *Front) Heartbeat(b fleet.Heartbeat) (present bool) {
+	f.locked(func(now time.Time) { present = f.core.Heartbeat(now, b) })
+	return present
 }
 
 // Leave implements platform.Hosts.
-func (f *Front) Leave(hostID string) {
-	f.locked(func(now time.Time) { f.core.Leave(now, hostID) })
+func (f *Front) Leave(l fleet.Life) {
+	f.locked(func(now time.Time) { f.core.Leave(now, l) })
+}
+
+// Refused implements platform.Hosts.
+func (f *Front) Refused(err *platform.ReportError) {
+	f.locked(func(time.Time) { f.observer.ReportRefused(err.Field, err.Fault) })
 }
 
 // Pauses between probes of a host: short while it is expected to come up.
@@ -241,11 +247,14 @@
 		if !f.lone() {
 			return
 		}
-		balancers, err := registry.List(ctx, f.store, fleet.RoleBalancer)
+		balancers, passed, err := registry.List(ctx, f.store, fleet.RoleBalancer)
 		if err != nil {
 			f.log.Warn("registry not read", zap.Error(err))
 			return
 		}
+		if passed > 0 {
+			f.log.Warn("registry entries that name no node", zap.Int("entries", passed))
+		}
 		f.locked(func(now time.Time) { f.core.Greet(now, fleet.Addresses(balancers)) })
 	})
 }
--- a/agent/packetfront/front_test.go
+++ b/agent/packetfront/front_test.go
@@ -40,7 +40,7 @@
 	defer server.Close()
 	address := strings.TrimPrefix(server.URL, "http://")
 	entries := func() int {
-		got, err := registry.List(context.Background(), s, fleet.RoleAgent)
+		got, _, err := registry.List(context.Background(), s, fleet.RoleAgent)
 		require.NoError(t, err)
 		return len(got)
 	}
--- a/agent/packetfront/host.go
+++ b/agent/packetfront/host.go
@@ -9,11 +9,11 @@
 
 // host is what an agent knows of the host beside it.
 type host struct {
-	// id is the host's ID, empty until it reports; sequence is that of its last
+	// life is the host's, without an ID until it reports; sequence is that of its last
 	// heartbeat.
-	id       string
+	life     fleet.Life
 	sequence uint64
-	// lifetimes are the hosts before it.
+	// lifetimes are the lives before it.
 	lifetimes lifetimes
 	// beat is the last heartbeat, beatAt when it came.
 	beat   fleet.Heartbeat
@@ -35,7 +35,9 @@
 	upSince, downSince time.Time
 	// owesSince is when the oldest packet was delivered since the host was heard.
 	owesSince time.Time
-	probedAt  time.Time
+	// probedAt is when the host was probed last, acceptedAt when it accepted a
+	// connection.
+	probedAt, acceptedAt time.Time
 }
 
 // state returns what the host can do.
@@ -94,43 +96,52 @@
 	h.up, h.killed, h.downSince = true, false, time.Time{}
 }
 
-// Heartbeat takes a report of the host. When it returns, a draining host gets no
-// further new flow.
-func (c *Core) Heartbeat(now time.Time, b fleet.Heartbeat) {
+// Heartbeat takes a report of the host and tells whether it is that of the present
+// one. When it returns, a draining host gets no further new flow.
+func (c *Core) Heartbeat(now time.Time, b fleet.Heartbeat) bool {
 	h := &c.host
-	if !h.believes(now, b, c.opts.HeartbeatPeriod) {
+	switch h.judge(now, b, c.opts.HeartbeatPeriod) {
+	case lateBeat:
 		c.events.HostReport("late heartbeat ignored", b)
-		return
-	}
-	if b.HostID != h.id {
+		return false
+	case firstBeat:
 		c.newHost(b)
 	}
 	changed := h.beat.Draining != b.Draining
 	h.sequence, h.beat, h.beatAt, h.sawEnd = b.Sequence, b, now, false
+	if !h.left.IsZero() && now.Sub(h.left) > leaveGrace {
+		// The farewell was that of a life before this one, under the same ID.
+		h.left = time.Time{}
+		c.events.HostReport("host has not left", b)
+	}
 	if !h.up || changed {
 		c.events.HostReport("host state", b)
 	}
 	h.heard(now)
 	c.learned(now)
 	c.announceChange(now)
+	return true
 }
 
-// newHost notes that another host runs here. Flows of the one before are not
-// ended here, for some of those known may be of the new one already: the host
-// bounces what it does not hold. The agent saw the new host start only if it saw
-// the one before end; the IDs alone do not prove the order of two hosts.
+// newHost notes that another host runs here, or the same one in another life. Flows
+// of the one before are not ended here, for some of those known may be of the new one
+// already: the host bounces what it does not hold. The agent saw the new one start
+// only if it saw the one before end.
 func (c *Core) newHost(b fleet.Heartbeat) {
 	h := &c.host
-	sawStart := h.sawEnd || !h.left.IsZero() || (h.id == "" && h.sawDown)
-	h.lifetimes.retire(h.id)
-	*h = host{id: b.HostID, lifetimes: h.lifetimes, up: h.up, upSince: h.upSince, sawDown: sawStart, sawStart: sawStart, probedAt: h.probedAt}
+	sawStart := h.sawEnd || !h.left.IsZero() || (h.life.HostID == "" && h.sawDown)
+	h.lifetimes.retire(h.life)
+	h.lifetimes.claimant = fleet.Life{}
+	*h = host{life: b.Life, lifetimes: h.lifetimes, up: h.up, upSince: h.upSince, sawDown: sawStart, sawStart: sawStart, probedAt: h.probedAt, acceptedAt: h.acceptedAt}
 	c.events.HostReport("host found", b)
 }
 
-// Leave takes the last word of the host.
-func (c *Core) Leave(now time.Time, hostID string) {
+// Leave takes the last word of a host. One that does not say which life it ends is
+// taken for the present one's.
+func (c *Core) Leave(now time.Time, l fleet.Life) {
 	h := &c.host
-	if hostID != h.id || !h.left.IsZero() {
+	if l.HostID != h.life.HostID || (l.Born != 0 && l.Born != h.life.Born) || !h.left.IsZero() {
+		c.events.HostReport("late farewell ignored", fleet.Heartbeat{Life: l})
 		return
 	}
 	h.left = now
@@ -144,32 +155,57 @@
 // just then wait for every agent on the list.
 const endedTime = 2 * time.Second
 
+// startTime is how long after its own start an agent waits for a host that does not
+// listen before it takes the entry of an earlier process away: VMs start their agent
+// and their host within a tenth of a second of each other.
+const startTime = 300 * time.Millisecond
+
 // HostEnded tells whether the host has ended for certain, so that no flow can be
 // open here.
 func (c *Core) HostEnded() bool { return !c.host.left.IsZero() || c.host.holdsNothing() }
 
+// TakesLeave tells whether the agent, which is about to stop, has to take its entry out
+// of the registry: its host has ended.
+func (c *Core) TakesLeave() bool {
+	if !c.HostEnded() || c.listing == fleet.ListingTakenAway {
+		return false
+	}
+	c.wanted = fleet.PresenceEnded
+	return true
+}
+
 // Presence tells what the agent's entry in the registry is to show: it is there
 // while the host may live.
 func (c *Core) Presence(now time.Time) fleet.Presence {
-	h := &c.host
+	h, wanted := &c.host, fleet.PresenceUnknown
 	switch {
 	case h.up && h.left.IsZero():
-		return fleet.PresenceHere
+		wanted = fleet.PresenceHere
 	case h.holdsNothing() && h.stayedAway(now):
-		c.registered = false
-		return fleet.PresenceEnded
-	default:
-		return fleet.PresenceUnknown
+		wanted = fleet.PresenceEnded
+	}
+	if wanted != fleet.PresenceUnknown && wanted != c.wanted {
+		// Until the store has answered its answer may be either.
+		c.wanted, c.listing = wanted, fleet.ListingUnknown
 	}
+	return wanted
 }
 
 // stayedAway tells whether a host that has ended is not expected back at once: it
-// has said farewell, was there for long before, or has been away for long.
+// has said farewell, was there for long before, or has been away for long. One that
+// this process has never seen may be about to start.
 func (h *host) stayedAway(now time.Time) bool {
-	steady := !h.upSince.IsZero() && h.downSince.Sub(h.upSince) > endedTime
-	return !h.left.IsZero() || steady || now.Sub(h.downSince) > endedTime
+	away := now.Sub(h.downSince)
+	if h.upSince.IsZero() {
+		return away > startTime
+	}
+	return !h.left.IsZero() || h.downSince.Sub(h.upSince) > endedTime || away > endedTime
 }
 
+// listens tells whether the host accepted a connection a moment ago: one that has
+// said farewell is probed several times within that time.
+func (h *host) listens(now time.Time) bool { return now.Sub(h.acceptedAt) <= leaveGrace/2 }
+
 // kill ends all flows of a host that has ended: each client is told at once.
 func (c *Core) kill(now time.Time, reason string) {
 	if c.host.killed {
@@ -199,7 +235,7 @@
 	}
 	silent := !h.owesSince.IsZero() && now.Sub(h.owesSince) > silenceProbe
 	missed := time.Duration(missedHeartbeats * float64(c.opts.HeartbeatPeriod))
-	return silent || (h.id != "" && now.Sub(h.beatAt) > missed && now.Sub(h.probedAt) > c.opts.HeartbeatPeriod)
+	return silent || (h.life.HostID != "" && now.Sub(h.beatAt) > missed && now.Sub(h.probedAt) > c.opts.HeartbeatPeriod)
 }
 
 // Probe is the outcome of a connection to the host.
@@ -219,6 +255,9 @@
 func (c *Core) Probed(now time.Time, p Probe) {
 	h := &c.host
 	h.probedAt = now
+	if p == ProbeAccepted {
+		h.acceptedAt = now
+	}
 	defer c.learned(now)
 	switch {
 	case p == ProbeAccepted && !h.up:
--- /dev/null
+++ b/agent/packetfront/life_test.go
@@ -0,0 +1,275 @@
+package packetfront
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/poppywall/poppywall/fleet"
+	"github.com/poppywall/poppywall/flow"
+	"github.com/poppywall/poppywall/flow/envelope"
+)
+
+// Lives of a host that starts again under its ID.
+var (
+	firstLife  = fleet.Life{HostID: "i-2", Born: 1_700_000_000_000}
+	secondLife = fleet.Life{HostID: "i-2", Born: 1_700_000_060_000}
+	// steppedLife started after the first one on a clock that was stepped back.
+	steppedLife = fleet.Life{HostID: "i-2", Born: 1_699_999_990_000}
+	// silentLife does not say when it started.
+	silentLife = fleet.Life{HostID: "i-2"}
+)
+
+const heartbeatPause = 1200 * time.Millisecond
+
+// report lets a life report after a pause.
+func (f *fixture) report(after time.Duration, l fleet.Life, sequence uint64, draining bool) bool {
+	f.now = f.now.Add(after)
+	return f.Heartbeat(f.now, fleet.Heartbeat{Life: l, Slots: 4, Draining: draining, Sequence: sequence})
+}
+
+// afterALife is an agent that had 300 heartbeats of a life.
+func afterALife(l fleet.Life) *fixture {
+	f := newFixture()
+	f.Core = New(f.opts, f.port, f.codec, f.events)
+	f.opts.HeartbeatPeriod = heartbeatPause
+	f.Probed(f.now, ProbeAccepted)
+	for i := range uint64(300) {
+		f.report(heartbeatPause, l, i+1, i == 299)
+	}
+	f.registered()
+	return f
+}
+
+// TestAHostThatStartsAgainUnderItsIDIsBelieved: its counts start anew. However little
+// its reports tell of the order, it is shut out for two of them at most.
+func TestAHostThatStartsAgainUnderItsIDIsBelieved(t *testing.T) {
+	for name, c := range map[string]struct {
+		former, next fleet.Life
+		seen         bool
+		shutOut      uint64
+	}{
+		"unseen, born later":                  {firstLife, secondLife, false, 0},
+		"seen, born later":                    {firstLife, secondLife, true, 0},
+		"unseen, on a clock stepped back":     {firstLife, steppedLife, false, 2},
+		"seen, on a clock stepped back":       {firstLife, steppedLife, true, 0},
+		"unseen, born in the same ms":         {firstLife, firstLife, false, 2},
+		"seen, born in the same ms":           {firstLife, firstLife, true, 0},
+		"unseen, it does not say when":        {silentLife, silentLife, false, 2},
+		"seen, it does not say when":          {silentLife, silentLife, true, 0},
+		"unseen, it says so from now on only": {silentLife, secondLife, false, 0},
+	} {
+		for _, down := range []time.Duration{300 * time.Millisecond, 3 * time.Second} {
+			f := afterALife(c.former)
+			f.now = f.now.Add(down)
+			if c.seen {
+				f.Probed(f.now, ProbeRefused)
+				f.Probed(f.now, ProbeAccepted)
+			}
+			believed := uint64(0)
+			for i := range uint64(4) {
+				pause := heartbeatPause
+				if i == 0 {
+					pause = 50 * time.Millisecond
+				}
+				if f.report(pause, c.next, i+1, false) && believed == 0 {
+					believed = i + 1
+				}
+			}
+			require.NotZero(t, believed, "%s, down for %v", name, down)
+			require.LessOrEqual(t, believed-1, c.shutOut, "%s, down for %v", name, down)
+			require.Equal(t, fleet.Ready, f.host.state(), "%s: the life before was draining", name)
+			require.Equal(t, c.next, f.host.life, name)
+			require.True(t, f.report(heartbeatPause, c.next, 9, true), name)
+			require.Equal(t, fleet.Draining, f.host.state(), "%s: its own drain counts", name)
+		}
+	}
+}
+
+// TestAFreshAgentBelievesTheLifeThatGoesOn: it started meanwhile and knows neither.
+func TestAFreshAgentBelievesTheLifeThatGoesOn(t *testing.T) {
+	for name, late := range map[string]fleet.Life{"born before": firstLife, "born after, on a clock stepped back since": {HostID: "i-2", Born: secondLife.Born + 5}} {
+		f := freshAgent()
+		require.True(t, f.report(0, late, 298, true), name)
+		require.True(t, f.report(10*time.Millisecond, late, 299, true), name)
+		require.Equal(t, fleet.Draining, f.host.state(), name)
+		believed := 0
+		for i := range uint64(3) {
+			if f.report(heartbeatPause, secondLife, 40+i, false) {
+				believed++
+			}
+		}
+		require.NotZero(t, believed, name)
+		require.Equal(t, secondLife, f.host.life, name)
+		require.Equal(t, fleet.Ready, f.host.state(), name)
+	}
+}
+
+// TestLateWordsOfAFormerLifeChangeNothing: reports and farewells that were held up,
+// while the present life goes on.
+func TestLateWordsOfAFormerLifeChangeNothing(t *testing.T) {
+	for name, late := range map[string]func(f *fixture, i uint64){
+		"reports, one after the other":   func(f *fixture, i uint64) { f.report(0, firstLife, 301+i, true) },
+		"reports of an unknown life":     func(f *fixture, i uint64) { f.report(0, steppedLife, 301+i, true) },
+		"reports that do not say when":   func(f *fixture, i uint64) { f.report(0, silentLife, 301+i, true) },
+		"an earlier one of the own life": func(f *fixture, i uint64) { f.report(0, secondLife, 2+i/8, true) },
+		"its farewell":                   func(f *fixture, _ uint64) { f.Leave(f.now, firstLife) },
+		"the farewell of another host":   func(f *fixture, _ uint64) { f.Leave(f.now, fleet.Life{HostID: "i-1"}) },
+	} {
+		f := afterALife(firstLife)
+		require.True(t, f.report(heartbeatPause, secondLife, 1, false), name)
+		for i := range uint64(20) {
+			require.True(t, f.report(heartbeatPause/2, secondLife, 10+i, false), name)
+			f.now = f.now.Add(heartbeatPause / 4)
+			late(f, 2*i)
+			f.now = f.now.Add(heartbeatPause / 4)
+			late(f, 2*i+1)
+			require.Equal(t, fleet.Ready, f.host.state(), name)
+			require.Equal(t, secondLife, f.host.life, name)
+		}
+	}
+}
+
+// TestAFarewellThatDoesNotSayWhichLifeEndsNoLivingFlow: it may be a former life's. The
+// host still listens, and its next report proves that it has not left.
+func TestAFarewellThatDoesNotSayWhichLifeEndsNoLivingFlow(t *testing.T) {
+	f := afterALife(firstLife)
+	require.True(t, f.report(heartbeatPause, secondLife, 1, false))
+	f.syn(1, 0, 0)
+	f.hostSends(1, flow.SYN|flow.ACK, 500, 0)
+	f.hostSends(1, flow.ACK, 500, 10)
+	f.Leave(f.now, silentLife)
+	require.Equal(t, fleet.Gone, f.host.state(), "no new flows, in case that it is true")
+	for range 20 {
+		require.True(t, f.WantsProbe(f.now))
+		f.Probed(f.now, ProbeAccepted)
+		f.pass(50 * time.Millisecond)
+		require.Equal(t, fleet.PresenceUnknown, f.Presence(f.now))
+	}
+	require.Empty(t, f.port.resets)
+	require.True(t, f.report(0, secondLife, 2, false))
+	require.Equal(t, fleet.Ready, f.host.state())
+	require.Empty(t, f.port.resets)
+}
+
+// TestFlowsOfAFormerLifeEndAndThoseOfThePresentStay: an unseen restart. The host
+// bounces what it does not hold, and only that is reset.
+func TestFlowsOfAFormerLifeEndAndThoseOfThePresentStay(t *testing.T) {
+	for name, seen := range map[string]bool{"seen": true, "unseen": false} {
+		f := afterALife(firstLife)
+		open := func(client int, seq uint32) {
+			f.syn(client, 0, 0)
+			f.hostSends(client, flow.SYN|flow.ACK, seq, 0)
+			f.hostSends(client, flow.ACK, seq, 10)
+		}
+		f.host.beat.Draining = false
+		open(1, 500)
+		if seen {
+			f.Probed(f.now, ProbeRefused)
+			f.Probed(f.now, ProbeAccepted)
+		}
+		require.True(t, f.report(heartbeatPause, secondLife, 1, false), name)
+		open(2, 900)
+		f.deliver(envelope.Envelope{Service: service}, packet(keyOf(2), flow.ACK, 910, "x"))
+		f.deliver(envelope.Envelope{Service: service}, packet(keyOf(1), flow.ACK, 510, "x"))
+		if !seen {
+			f.bounce()
+		}
+		require.Equal(t, []flow.Key{keyOf(1)}, f.port.resets[:1], name)
+		for _, key := range f.port.resets {
+			require.Equal(t, keyOf(1), key, name)
+		}
+	}
+}
+
+// TestIncarnationsTellLives: a balancer sees that the host is another one.
+func TestIncarnationsTellLives(t *testing.T) {
+	require.NotEqual(t, firstLife.Tag(), secondLife.Tag())
+	require.NotEqual(t, firstLife.Tag(), silentLife.Tag())
+	f := afterALife(firstLife)
+	require.Equal(t, firstLife.Tag(), f.announcement(f.now).Incarnation)
+	f.report(heartbeatPause, secondLife, 1, false)
+	require.Equal(t, secondLife.Tag(), f.announcement(f.now).Incarnation)
+}
+
+// TestThePresentLifeIsKnownAfterThreeHeartbeats: hosts crash and start again under
+// their ID or another one, seen or not, on a clock that is stepped, while reports and
+// farewells of dead lives arrive at any moment and agents start anew. The oracle knows
+// who lives.
+func TestThePresentLifeIsKnownAfterThreeHeartbeats(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		says := rapid.Bool().Draw(t, "says when it was born")
+		f := newFixture()
+		f.opts.HeartbeatPeriod = heartbeatPause
+		f.Core = New(f.opts, f.port, f.codec, f.events)
+		f.Probed(f.now, ProbeAccepted)
+		clock := int64(1_700_000_000_000)
+		var lives []liveHost
+		begin := func(id string) {
+			l := liveHost{Life: fleet.Life{HostID: id}}
+			if says {
+				l.Born = clock
+			}
+			lives = append(lives, l)
+		}
+		begin("i-0")
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			present := &lives[len(lives)-1]
+			pause := time.Duration(rapid.IntRange(0, 600).Draw(t, "ms")) * time.Millisecond
+			f.now, clock = f.now.Add(pause), clock+pause.Milliseconds()
+			switch rapid.SampledFrom([]string{"late", "late farewell", "stepped", "restart", "replaced", "agent", "beat", "beat", "beat"}).Draw(t, "step") {
+			case "late":
+				if old := &lives[rapid.IntRange(0, len(lives)-1).Draw(t, "life")]; old != present {
+					old.sequence++
+					f.report(0, old.Life, old.sequence, true)
+				}
+			case "late farewell":
+				if old := lives[rapid.IntRange(0, len(lives)-1).Draw(t, "life")]; old.Life != present.Life {
+					f.Leave(f.now, old.Life)
+				}
+			case "stepped":
+				clock += int64(rapid.IntRange(-5000, 5000).Draw(t, "step"))
+			case "restart", "replaced":
+				id := present.HostID
+				if rapid.Bool().Draw(t, "another ID") {
+					id = "i-" + string(rune('0'+len(lives)))
+				}
+				if rapid.Bool().Draw(t, "seen") {
+					f.Probed(f.now, ProbeRefused)
+					f.Probed(f.now, ProbeAccepted)
+				}
+				begin(id)
+			case "agent":
+				f.opts.Epoch++
+				f.Core = New(f.opts, f.port, f.codec, f.events)
+				f.Probed(f.now, ProbeAccepted)
+			case "beat":
+				f.beatOfLife(present)
+			}
+			f.Tick(f.now)
+		}
+		present := &lives[len(lives)-1]
+		for range 3 {
+			f.now = f.now.Add(heartbeatPause)
+			f.Probed(f.now, ProbeAccepted)
+			f.Tick(f.now)
+			f.beatOfLife(present)
+		}
+		require.Equal(t, present.Life, f.host.life)
+		require.Equal(t, present.sequence, f.host.sequence)
+		require.Equal(t, fleet.Ready, f.host.state())
+	})
+}
+
+// liveHost is a life that reports.
+type liveHost struct {
+	fleet.Life
+	sequence uint64
+}
+
+func (f *fixture) beatOfLife(l *liveHost) {
+	l.sequence++
+	f.report(0, l.Life, l.sequence, false)
+}
--- a/agent/packetfront/lifetime_test.go
+++ b/agent/packetfront/lifetime_test.go
@@ -13,7 +13,7 @@
 // beatOf lets a host report after a pause.
 func (f *fixture) beatOf(after time.Duration, id string, sequence uint64, draining bool) {
 	f.now = f.now.Add(after)
-	f.Heartbeat(f.now, fleet.Heartbeat{HostID: id, Slots: 4, Draining: draining, Sequence: sequence})
+	f.Heartbeat(f.now, fleet.Heartbeat{Life: fleet.Life{HostID: id}, Slots: 4, Draining: draining, Sequence: sequence})
 }
 
 // freshAgent is one that started beside a host that was there before it.
@@ -38,19 +38,19 @@
 			f.beatOf(100*time.Millisecond, "i-1", 50, true)
 		}},
 		"not known to a fresh agent": {fresh: true, late: func(f *fixture) { f.beatOf(100*time.Millisecond, "i-0", 50, true) }},
-		"its last word":              {late: func(f *fixture) { f.Leave(f.now, "i-1") }},
+		"its last word":              {late: func(f *fixture) { f.Leave(f.now, fleet.Life{HostID: "i-1"}) }},
 	} {
 		f := newFixture()
 		if c.fresh {
 			f = freshAgent()
 		}
 		f.beatOf(time.Second, "i-2", 3, false)
-		present := f.host.id
+		present := f.host.life.HostID
 		c.late(f)
 		if name == "two hosts before" {
 			present = "i-3"
 		}
-		require.Equal(t, present, f.host.id, name)
+		require.Equal(t, present, f.host.life.HostID, name)
 		require.Equal(t, fleet.Ready, f.host.state(), name)
 	}
 }
@@ -62,10 +62,10 @@
 	f.beatOf(0, "i-2", 30, false)
 	// So low that its sender may have started since.
 	f.beatOf(900*time.Millisecond, "i-1", 2, false)
-	require.Equal(t, "i-1", f.host.id)
+	require.Equal(t, "i-1", f.host.life.HostID)
 	f.beatOf(100*time.Millisecond, "i-2", 31, true)
 	f.beatOf(time.Second, "i-2", 32, true)
-	require.Equal(t, "i-2", f.host.id)
+	require.Equal(t, "i-2", f.host.life.HostID)
 	require.Equal(t, fleet.Draining, f.host.state())
 	require.False(t, f.host.sawStart, "flows from before may live at it")
 }
@@ -78,7 +78,7 @@
 		seen bool
 	}{
 		"no sign of its end": {end: func(*fixture) {}, seen: false},
-		"it left":            {end: func(f *fixture) { f.Leave(f.now, "i-1") }, seen: true},
+		"it left":            {end: func(f *fixture) { f.Leave(f.now, fleet.Life{HostID: "i-1"}) }, seen: true},
 		"refused, then there": {end: func(f *fixture) {
 			f.Probed(f.now, ProbeRefused)
 			f.Probed(f.now, ProbeAccepted)
@@ -87,7 +87,7 @@
 		f := newFixture()
 		c.end(f)
 		f.beatOf(time.Second, "i-2", 1, false)
-		require.Equal(t, "i-2", f.host.id, name)
+		require.Equal(t, "i-2", f.host.life.HostID, name)
 		require.Equal(t, c.seen, f.host.sawStart, name)
 	}
 }
@@ -125,7 +125,7 @@
 			last.sequence++
 			f.beatOf(time.Second, last.id, last.sequence, false)
 		}
-		require.Equal(t, last.id, f.host.id)
+		require.Equal(t, last.id, f.host.life.HostID)
 		require.Equal(t, fleet.Ready, f.host.state())
 	})
 }
--- a/agent/packetfront/nodes.go
+++ b/agent/packetfront/nodes.go
@@ -52,7 +52,7 @@
 func (c *Core) Tick(now time.Time) {
 	c.introduce(now)
 	c.join(now)
-	if left := c.host.left; !left.IsZero() && now.Sub(left) > leaveGrace {
+	if left := c.host.left; !left.IsZero() && now.Sub(left) > leaveGrace && !c.host.listens(now) {
 		c.kill(now, "its host has left")
 	}
 	c.checkHealth(now)
@@ -75,7 +75,7 @@
 // registry does not have the host either, the seeds hear of it again and again:
 // balancers that start have only each other to learn of it from.
 func (c *Core) join(now time.Time) {
-	alone, unlisted := len(c.view.Balancers()) == 0, c.host.up && !c.registered
+	alone, unlisted := len(c.view.Balancers()) == 0, c.host.up && c.listing != fleet.ListingThere
 	if !c.introduced || !(alone || unlisted) || now.Before(c.nextJoin) {
 		return
 	}
@@ -117,7 +117,8 @@
 func (c *Core) announceChange(now time.Time) {
 	next := c.announcement(now)
 	if next.State != c.announced.State || next.Incarnation != c.announced.Incarnation ||
-		next.Slots != c.announced.Slots || next.Ejected != c.announced.Ejected {
+		next.Slots != c.announced.Slots || next.Ejected != c.announced.Ejected ||
+		(next.Listing != c.announced.Listing && next.Listing == fleet.ListingTakenAway) {
 		c.acks.changed(c.seq + 1)
 		c.announceAll(now)
 	}
@@ -143,12 +144,16 @@
 }
 
 // Stop tells the balancers that no packet will be delivered for a while, and
-// the clients of a host that has left that their flows are over.
+// the clients of a host that has left that their flows are over. An entry that is
+// still in the registry beside a host that has ended is left to the balancers.
 func (c *Core) Stop(now time.Time) {
 	c.leaving = true
 	if !c.host.left.IsZero() {
 		c.kill(now, "its host has left")
 	}
+	if c.host.holdsNothing() && c.listing != fleet.ListingTakenAway {
+		c.listing = fleet.ListingLeft
+	}
 	c.announceAll(now)
 }
 
@@ -163,15 +168,23 @@
 	}
 	return fleet.Announcement{
 		Zone: c.opts.Zone, Service: c.opts.Service,
-		Incarnation:  flow.TagOf(c.host.id),
+		Incarnation:  c.incarnation(),
 		State:        state,
 		Slots:        uint16(min(c.host.slots(), 1<<16-1)),
 		Busy:         uint16(min(c.flows.busy, 1<<16-1)),
 		Open:         uint16(min(c.flows.open, 1<<16-1)),
 		WarmupMillis: uint16(min(c.warmup(now).Milliseconds(), 1<<16-1)),
 		Ejected:      c.health.ejected,
-		Registered:   c.registered,
+		Listing:      c.listing,
+	}
+}
+
+// incarnation tells the host's life from others, zero while it is not known.
+func (c *Core) incarnation() flow.Tag {
+	if c.host.life.HostID == "" {
+		return 0
 	}
+	return c.host.life.Tag()
 }
 
 // registerPatience is how long an agent with a host waits for its entry in the
@@ -185,9 +198,17 @@
 	c.introduce(now)
 }
 
-// Registered notes that the agent is in the registry.
-func (c *Core) Registered(now time.Time) {
-	c.registered = true
+// Shown notes that the registry shows what it is to show of the agent.
+func (c *Core) Shown(now time.Time, p fleet.Presence) {
+	switch {
+	case p != c.wanted:
+		// It is to show something else by now.
+		return
+	case p == fleet.PresenceHere:
+		c.listing = fleet.ListingThere
+	case p == fleet.PresenceEnded:
+		c.listing = fleet.ListingTakenAway
+	}
 	c.introduce(now)
 	c.announceChange(now)
 }
@@ -196,7 +217,7 @@
 // yet: a host takes no flow before balancers that have not heard of it can find
 // it in the registry.
 func (c *Core) awaitsRegistry(now time.Time) bool {
-	return c.host.up && !c.registered && now.Sub(c.host.upSince) < registerPatience
+	return c.host.up && c.listing != fleet.ListingThere && now.Sub(c.host.upSince) < registerPatience
 }
 
 // introduce lets the balancers hear of the agent once it knows its host. What it
--- a/agent/packetfront/nodes_test.go
+++ b/agent/packetfront/nodes_test.go
@@ -50,7 +50,7 @@
 		"a host that reports":          {func(*fixture) {}, false},
 		"a host that is silent":        {func(f *fixture) { f.Probed(f.now, ProbeSilent) }, false},
 		"a host that drains":           {func(f *fixture) { f.beat(true) }, false},
-		"a host that has left":         {func(f *fixture) { f.Leave(f.now, "i-1") }, true},
+		"a host that has left":         {func(f *fixture) { f.Leave(f.now, fleet.Life{HostID: "i-1"}) }, true},
 		"nothing listens there":        {func(f *fixture) { f.Probed(f.now, ProbeRefused) }, true},
 		"another host came after that": {func(f *fixture) { f.Probed(f.now, ProbeRefused); f.Probed(f.now, ProbeAccepted) }, false},
 	} {
@@ -115,7 +115,7 @@
 		c.learn(f)
 		if f.host.up {
 			require.Empty(t, f.port.nodes, "%s: not in the registry yet", name)
-			f.Registered(f.now)
+			f.registered()
 		}
 		a, err := fleet.DecodeAnnouncement(f.port.last().raw)
 		require.NoError(t, err, name)
@@ -151,7 +151,7 @@
 	f.Probed(f.now, ProbeSilent)
 	require.Equal(t, fleet.PresenceHere, f.Presence(f.now), "silence proves nothing")
 	f.beat(false)
-	f.Leave(f.now, "i-1")
+	f.Leave(f.now, fleet.Life{HostID: "i-1"})
 	require.Equal(t, fleet.PresenceUnknown, f.Presence(f.now), "it may send its last packets")
 	require.True(t, f.WantsProbe(f.now))
 	f.Probed(f.now, ProbeRefused)
@@ -163,7 +163,7 @@
 // probe where it has left.
 func TestAHostWhoseExitIsNotSeenLeavesTheRegistryAfterItsGrace(t *testing.T) {
 	f := newFixture()
-	f.Leave(f.now, "i-1")
+	f.Leave(f.now, fleet.Life{HostID: "i-1"})
 	f.Probed(f.now, ProbeSilent)
 	f.pass(leaveGrace)
 	require.Equal(t, fleet.PresenceUnknown, f.Presence(f.now))
--- a/agent/packetfront/observer.go
+++ b/agent/packetfront/observer.go
@@ -27,6 +27,7 @@
 const (
 	requestLines = 200
 	passLines    = 50
+	reportLines  = 20
 	otherLines   = 50
 )
 
@@ -35,10 +36,11 @@
 type observer struct {
 	telemetry.Lines
 
-	requests, passes, other telemetry.Budget
+	requests, passes, reports, other telemetry.Budget
 
 	delivered, requested, waited, postponed, gaveUp, passedOn, bounced, resets prometheus.Counter
 	failed, ejections                                                          prometheus.Counter
+	refusedReports                                                             *prometheus.CounterVec
 	drops                                                                      map[Drop]prometheus.Counter
 	load                                                                       prometheus.Histogram
 }
@@ -49,6 +51,7 @@
 		Lines:     telemetry.Lines{Log: log, Now: time.Now},
 		requests:  telemetry.Budget{PerSecond: requestLines},
 		passes:    telemetry.Budget{PerSecond: passLines},
+		reports:   telemetry.Budget{PerSecond: reportLines},
 		other:     telemetry.Budget{PerSecond: otherLines},
 		delivered: c.Counter("delivered_packets_total", "Packets handed to the host."),
 		requested: c.Counter("requests_total", "Requests whose first packet was handed to the host."),
@@ -64,9 +67,16 @@
 		load: c.Histogram("load_at_request",
 			"Requests that the host works on or has queued when another one comes.", []float64{0, 1, 2, 4, 8, 16, 32, 64}),
 	}
+	o.refusedReports = c.Vector("refused_reports_total", "Reports that name no host, by the field at fault.", "field")
 	return o
 }
 
+// ReportRefused counts a report that names no host.
+func (o *observer) ReportRefused(field, fault string) {
+	o.refusedReports.WithLabelValues(field).Inc()
+	o.Write(&o.other, "report refused", zap.String("field", field), zap.String(fieldReason, fault))
+}
+
 // Delivered implements Events.
 func (o *observer) Delivered() { o.delivered.Inc() }
 
@@ -123,7 +133,7 @@
 
 // HostReport implements Events.
 func (o *observer) HostReport(what string, b fleet.Heartbeat) {
-	o.Log.Info(what, zap.String(fieldHostID, b.HostID), zap.Bool("draining", b.Draining), zap.Int(fieldSlots, b.Slots),
+	o.Write(&o.reports, what, zap.String(fieldHostID, b.HostID), zap.Int64("born", b.Born), zap.Bool("draining", b.Draining), zap.Int(fieldSlots, b.Slots),
 		zap.Duration("warmup", b.WarmupLeft), zap.Uint64("sequence", b.Sequence))
 }
 
--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -96,8 +96,10 @@
 	// balancerRoll is the last reading of the balancers' registry.
 	balancerRoll roll
 	nextRoster   time.Time
-	// departed are dead nodes that are still in the registry.
-	departed []Departed
+	// departed are dead nodes that are still in the registry, nextDepart is when they
+	// may be taken out.
+	departed   []Departed
+	nextDepart time.Time
 	// named are agents that other balancers know and this one has not heard.
 	named                   map[flow.IPv4]time.Time
 	limbo                   limbo
--- a/balancer/packetfront/fixture_test.go
+++ b/balancer/packetfront/fixture_test.go
@@ -121,7 +121,7 @@
 // announceRegistered announces a ready host whose agent is in the registry.
 func (f *fixture) announceRegistered(ip flow.IPv4) {
 	f.seq++
-	a := fleet.Announcement{Identity: fleet.Identity{Epoch: uint64(ip), Seq: f.seq}, Service: alpha, State: fleet.Ready, Slots: 4, Registered: true}
+	a := fleet.Announcement{Identity: fleet.Identity{Epoch: uint64(ip), Seq: f.seq}, Service: alpha, State: fleet.Ready, Slots: 4, Listing: fleet.ListingThere}
 	f.HandleNode(f.now, ip, a.Append(nil))
 }
 
--- a/balancer/packetfront/followregistry.go
+++ b/balancer/packetfront/followregistry.go
@@ -60,27 +60,41 @@
 
 // list reads the entries of a role.
 func (f *Front) list(ctx context.Context, role fleet.Role) ([]fleet.Entry, bool) {
-	entries, err := registry.List(ctx, f.store, role)
+	entries, passed, err := registry.List(ctx, f.store, role)
 	if err != nil {
 		f.log.Warn("registry not read", zap.String("role", string(role)), zap.Error(err))
 	}
+	if passed > 0 {
+		f.foreign.Add(float64(passed))
+		f.log.Warn("registry entries that name no node", zap.String("role", string(role)), zap.Int("entries", passed))
+	}
 	return entries, err == nil
 }
 
+// takeOut takes dead nodes out of the registry; what is left when the store fails
+// waits for it.
+func (f *Front) takeOut(ctx context.Context, departed []Departed) {
+	for i, d := range departed {
+		err := registry.Remove(ctx, f.store, d.Role, d.Entry)
+		f.log.Info("dead node taken out of the registry", zap.String("role", string(d.Role)),
+			zap.Stringer(telemetry.FieldPeer, d.IP), zap.Error(err))
+		if err != nil {
+			f.locked(func(now time.Time) { f.core.NotDeparted(now, departed[i:]) })
+			return
+		}
+	}
+}
+
 // keepRegistry takes dead nodes out of the registry where that is this
 // balancer's duty.
 func (f *Front) keepRegistry(ctx context.Context) {
 	var departed []Departed
 	wanted, began := false, time.Time{}
 	f.locked(func(now time.Time) {
-		departed = f.core.Departed()
+		departed = f.core.Departed(now)
 		wanted, began = f.core.WantsRoster(now), now
 	})
-	for _, d := range departed {
-		err := registry.Remove(ctx, f.store, d.Role, d.Entry)
-		f.log.Info("dead node taken out of the registry", zap.String("role", string(d.Role)),
-			zap.Stringer(telemetry.FieldPeer, d.IP), zap.Error(err))
-	}
+	f.takeOut(ctx, departed)
 	if !wanted {
 		return
 	}
--- a/balancer/packetfront/front.go
+++ b/balancer/packetfront/front.go
@@ -52,6 +52,8 @@
 	reg   *prometheus.Registry
 	// transfers counts how the configuration comes here.
 	transfers *transfers
+	// foreign counts entries of the registry that name no node.
+	foreign prometheus.Counter
 
 	data, internal *relay.Datagrams
 	port           uint16
@@ -70,6 +72,8 @@
 func NewFront(cfg Settings, log *zap.Logger) (*Front, error) {
 	f := &Front{cfg: cfg, log: log, store: platform.NewStore(cfg.Store, storeTimeout), reg: prometheus.NewRegistry(), peers: newPeerClient()}
 	f.transfers = newTransfers(f.reg)
+	f.foreign = telemetry.Counters{Registry: f.reg, Subsystem: subsystem}.Counter(
+		"foreign_registry_entries_total", "Entries read in the registry that name no node.")
 	f.self, f.port = flow.ParseAddrPort(cfg.Internal)
 	dataAddr := netip.MustParseAddrPort(cfg.Data)
 	f.clientPort = dataAddr.Port()
@@ -85,7 +89,7 @@
 		Weights:  choose.Weights{OtherZone: cfg.OtherZoneCost, Warming: warmingFactor},
 		FeedTime: watchWait(cfg.CatchUpWithin.D(), 0) + storeTimeout,
 	}
-	f.entry = registry.New(f.store, fleet.RoleBalancer, f.self, opts.Epoch, log, func() {})
+	f.entry = registry.New(f.store, fleet.RoleBalancer, f.self, opts.Epoch, log, func(fleet.Presence) {})
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	f.core = New(time.Now(), opts, f, platform.Codec{}, newObserver(log, f.reg), rnd)
 	return f, nil
--- a/balancer/packetfront/nodes.go
+++ b/balancer/packetfront/nodes.go
@@ -41,11 +41,14 @@
 		return err
 	}
 	change := c.view.Announce(now, from, a)
+	host, _ := c.view.Host(from)
 	if change == fleet.Joined || change == fleet.Altered {
 		c.digestAt = time.Time{}
-		host, _ := c.view.Host(from)
 		c.events.HostChanged(host, change)
 	}
+	if change != fleet.Stale && a.Listing == fleet.ListingLeft && c.view.Keeper(now, c.opts.Self) {
+		c.departed = append(c.departed, Departed{fleet.RoleAgent, c.view.EntryOf(host)})
+	}
 	if change == fleet.Joined || (change != fleet.Stale && (a.WantPeers || a.WantReply)) {
 		c.sendBeacon(now, from, fleet.Beacon{Reply: true})
 	}
--- a/balancer/packetfront/observer.go
+++ b/balancer/packetfront/observer.go
@@ -11,6 +11,9 @@
 	"github.com/poppywall/poppywall/telemetry"
 )
 
+// subsystem begins the names of the metrics.
+const subsystem = "packetfront"
+
 // Log field names of the packet front; shared ones stand in package telemetry.
 const (
 	fieldFlow       = "flow"
@@ -53,7 +56,7 @@
 }
 
 func newObserver(log *zap.Logger, reg *prometheus.Registry) *observer {
-	c := telemetry.Counters{Registry: reg, Subsystem: "packetfront"}
+	c := telemetry.Counters{Registry: reg, Subsystem: subsystem}
 	o := &observer{
 		Lines:     telemetry.Lines{Log: log, Now: time.Now},
 		opening:   telemetry.Budget{PerSecond: openLines},
--- a/balancer/packetfront/roll.go
+++ b/balancer/packetfront/roll.go
@@ -86,14 +86,26 @@
 	c.Surveyed(now, began, agents)
 }
 
+// departPause is the pause after a dead node could not be taken out of the registry.
+const departPause = time.Second
+
 // Departed returns the dead nodes that this balancer has to take out of the
 // registry, each once.
-func (c *Core) Departed() []Departed {
+func (c *Core) Departed(now time.Time) []Departed {
+	if now.Before(c.nextDepart) {
+		return nil
+	}
 	out := c.departed
 	c.departed = nil
 	return out
 }
 
+// NotDeparted takes back those that could not be taken out, for later.
+func (c *Core) NotDeparted(now time.Time, list []Departed) {
+	c.departed = append(c.departed, list...)
+	c.nextDepart = now.Add(departPause)
+}
+
 // forget drops what was not heard for long, and lists it as departed where this
 // balancer keeps the registry. One that hears fewer nodes than it would strike
 // takes itself for cut off and strikes none.
--- a/balancer/packetfront/roll_test.go
+++ b/balancer/packetfront/roll_test.go
@@ -75,8 +75,8 @@
 			c.after = fleet.Forget + 3*time.Second
 		}
 		f.live(c.after, c.agents, c.balancers)
-		require.ElementsMatch(t, c.want, f.Departed(), name)
-		require.Empty(t, f.Departed(), "%s: each once", name)
+		require.ElementsMatch(t, c.want, f.Departed(f.now), name)
+		require.Empty(t, f.Departed(f.now), "%s: each once", name)
 	}
 }
 
--- a/balancer/packetfront/search.go
+++ b/balancer/packetfront/search.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/poppywall/poppywall/fleet"
 	"github.com/poppywall/poppywall/flow"
 	"github.com/poppywall/poppywall/flow/envelope"
 )
@@ -76,21 +77,37 @@
 }
 
 // visit sends the first packet of a flow along hosts, with several messages at the
-// same time where there are many.
+// same time where there are many. Whoever may not be there any more is visited alone:
+// a packet that is passed on through a VM that has died is lost there.
 func (c *Core) visit(now time.Time, key flow.Key, k *keptFlow, hosts []flow.Candidate) {
-	hosts = slices.Clone(hosts)
+	var together, alone []flow.Candidate
+	for _, candidate := range hosts {
+		if h, known := c.view.Host(candidate.Host); known && h.State != fleet.Gone && !h.Quiet(now) {
+			together = append(together, candidate)
+		} else {
+			alone = append(alone, candidate)
+		}
+	}
 	if k.backward() {
-		slices.Reverse(hosts)
+		slices.Reverse(together)
 	}
 	c.events.Searching(key, len(hosts), k.searches)
 	k.next = now.Add(limboPause)
-	for part := range slices.Chunk(hosts, partOf(len(hosts))) {
-		c.searches++
-		k.visits[c.searches] = part
-		c.sendAlong(k.first, part, c.searches)
+	for part := range slices.Chunk(together, partOf(len(together))) {
+		c.sendPart(k, part)
+	}
+	for part := range slices.Chunk(alone, 1) {
+		c.sendPart(k, part)
 	}
 }
 
+// sendPart sends the first packet of a flow along some of its hosts.
+func (c *Core) sendPart(k *keptFlow, part []flow.Candidate) {
+	c.searches++
+	k.visits[c.searches] = part
+	c.sendAlong(k.first, part, c.searches)
+}
+
 // askAgain goes on with a search whose messages do not come back: those hosts are
 // asked again that have not answered, unless they hold nothing any more, and the
 // others with them.
--- a/balancer/packetfront/survey.go
+++ b/balancer/packetfront/survey.go
@@ -127,21 +127,26 @@
 		return ip, true
 	}
 	for _, ip := range c.view.Hosts() {
-		if h, _ := c.view.Host(ip); h.Quiet(now) && c.mayLive(now, h) {
+		if h, _ := c.view.Host(ip); !answers(now, h) && c.mayLive(now, h) {
 			return ip, true
 		}
 	}
 	return 0, false
 }
 
-// mayLive tells whether a host whose agent has fallen silent may hold flows. One
-// that said before that it holds nothing may have started since, if the registry
-// lists it; after a while its VM counts as gone.
+// answers tells whether a host's agent is there to be asked.
+func answers(now time.Time, h *fleet.Host) bool {
+	return !h.Quiet(now) && h.Listing != fleet.ListingLeft
+}
+
+// mayLive tells whether a host whose agent does not answer may hold flows. One that
+// said before that it holds nothing may have started since; after a while its VM
+// counts as gone.
 func (c *Core) mayLive(now time.Time, h *fleet.Host) bool {
 	if h.State != fleet.Gone {
 		return true
 	}
-	if !h.Listed || now.Sub(h.HeardAt) >= absentTime {
+	if !c.view.MayLive(h) || now.Sub(h.HeardAt) >= absentTime {
 		return false
 	}
 	c.survey.wanted = true
@@ -153,7 +158,7 @@
 func (c *Core) unregistered() (flow.IPv4, bool) {
 	for _, ip := range c.view.Hosts() {
 		h, _ := c.view.Host(ip)
-		if h.State != fleet.Gone && !h.Listed && !h.RegisteredAt.After(c.survey.readAt) {
+		if h.State != fleet.Gone && !h.Listed && !h.RegisteredSince(c.survey.readAt) {
 			return ip, true
 		}
 	}
@@ -181,7 +186,7 @@
 // Flows that waited for it are looked at again.
 func (c *Core) Surveyed(now, began time.Time, agents []fleet.Entry) {
 	c.survey.take(began, agents, c.view.KnowsHost)
-	c.view.List(now, agents)
+	c.view.List(now, began, agents)
 	c.survey.readAt, c.survey.wanted = began, false
 	c.Greet(now, nil, fleet.Addresses(agents))
 	c.limbo.wake(now)
--- a/balancer/packetfront/survey_test.go
+++ b/balancer/packetfront/survey_test.go
@@ -153,7 +153,9 @@
 		if c.during != nil {
 			c.during(f)
 		}
-		f.answer(hostB, envelope.Searched|c.flags, packet(false, 9))
+		for _, s := range f.visiting() {
+			f.comeBack(s, c.flags)
+		}
 		require.Equal(t, c.want, f.doubt, name)
 		require.Equal(t, c.want == "", len(f.port.resets) == 1, name)
 	}
@@ -190,13 +192,11 @@
 		f.announce(other, fleet.Gone)
 		f.Surveyed(f.now, f.now, c.agents)
 		f.client(packet(false, 9))
-		search := f.port.delivered()[0].env
-		hosts := []flow.IPv4{f.port.delivered()[0].to}
-		for _, candidate := range search.Candidates[:search.Count] {
-			hosts = append(hosts, candidate.Host)
+		require.Equal(t, c.asked, slices.Contains(hostsOf(f.visiting()...), other), name)
+		for _, s := range f.visiting() {
+			require.False(t, len(hostsOf(s)) > 1 && slices.Contains(hostsOf(s), other), "its VM may be gone")
+			f.comeBack(s, 0)
 		}
-		require.Equal(t, c.asked, slices.Contains(hosts, other), name)
-		f.answer(hostB, envelope.Searched, packet(false, 9))
 		require.Len(t, f.port.resets, 1, name)
 	}
 }
--- a/balancer/packetfront/transfers.go
+++ b/balancer/packetfront/transfers.go
@@ -20,7 +20,7 @@
 }
 
 func newTransfers(reg *prometheus.Registry) *transfers {
-	c := telemetry.Counters{Registry: reg, Subsystem: "packetfront"}
+	c := telemetry.Counters{Registry: reg, Subsystem: subsystem}
 	t := &transfers{
 		inForce: c.Gauge("configuration_version", "Version of the configuration in force."),
 		heard:   c.Gauge("configuration_version_heard", "Highest version that any balancer is known to have in force."),
--- a/e2e/packets/host_test.go
+++ b/e2e/packets/host_test.go
@@ -13,7 +13,9 @@
 
 // host is the oracle: what the program beside an agent does.
 type host struct {
-	id       string
+	id string
+	// born is what it says of its start, Unix milliseconds; zero where it does not.
+	born     int64
 	service  string
 	slots    int
 	cap      int
@@ -27,15 +29,24 @@
 	full     bool
 }
 
+func (h *host) life() fleet.Life { return fleet.Life{HostID: h.id, Born: h.born} }
+
 type hostFlow struct {
 	seq, next uint32
 	open      bool
 }
 
-// startHost starts a fresh host beside the agent.
+// startHost starts a fresh host beside the agent, under the ID of the one before where
+// hosts keep theirs.
 func (a *agentNode) startHost() {
 	w := a.w
 	h := &host{id: fmt.Sprintf("i-%x", w.Rnd.Uint32()), service: a.Service, slots: 5, cap: 1000, flows: map[flow.Key]*hostFlow{}}
+	if w.keepIDs && len(a.former) > 0 && a.former[len(a.former)-1].service == a.Service {
+		h.id = a.former[len(a.former)-1].id
+	}
+	if w.sayBorn {
+		h.born = w.Now.UnixMilli() + w.clockStep
+	}
 	a.host, a.Host = h, a
 	w.Every(sim.HeartbeatPeriod, func() bool {
 		if a.host == h {
@@ -51,8 +62,8 @@
 	if !a.Up {
 		return
 	}
-	a.Core.Heartbeat(a.w.Now, fleet.Heartbeat{HostID: h.id, Service: h.service, Slots: h.slots, Draining: h.draining, Sequence: h.sequence})
-	if h.draining && h.ackedBy != a.Life {
+	acknowledged := a.Core.Heartbeat(a.w.Now, fleet.Heartbeat{Life: h.life(), Service: h.service, Slots: h.slots, Draining: h.draining, Sequence: h.sequence})
+	if acknowledged && h.draining && h.ackedBy != a.Life {
 		h.ackedBy, h.ackedAt = a.Life, a.w.Now
 	}
 }
@@ -66,7 +77,30 @@
 }
 
 // crash ends the host; its flows are lost.
-func (a *agentNode) crash() { a.host, a.Host = nil, nil }
+func (a *agentNode) crash() {
+	if a.host != nil {
+		a.former = append(a.former, a.host)
+	}
+	a.host, a.Host = nil, nil
+}
+
+// lateWord lets a report or the farewell of a host arrive that has ended.
+func (a *agentNode) lateWord(farewell bool) {
+	if len(a.former) == 0 || !a.Up {
+		return
+	}
+	h := a.former[len(a.former)-1]
+	if h.service != a.Service {
+		// The agent's shell refuses what is of another service.
+		return
+	}
+	if farewell {
+		a.Core.Leave(a.w.Now, h.life())
+		return
+	}
+	h.sequence++
+	a.Core.Heartbeat(a.w.Now, fleet.Heartbeat{Life: h.life(), Service: h.service, Slots: h.slots, Draining: true, Sequence: h.sequence})
+}
 
 // Take is what a host does with a packet.
 func (a *agentNode) Take(packet []byte) {
--- a/e2e/packets/largefleet_test.go
+++ b/e2e/packets/largefleet_test.go
@@ -44,7 +44,7 @@
 
 // farewell lets a host that has drained say its last word and exit.
 func (a *agentNode) farewell() {
-	a.Core.Leave(a.w.Now, a.host.id)
+	a.Core.Leave(a.w.Now, a.host.life())
 	a.crash()
 }
 
--- a/e2e/packets/packets_test.go
+++ b/e2e/packets/packets_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/poppywall/poppywall/fleet"
 	"github.com/poppywall/poppywall/flow"
 )
 
@@ -126,6 +127,7 @@
 		w.Loss = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "loss")
 		w.Double = rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "double")
 		w.Late = rapid.SampledFrom([]time.Duration{time.Millisecond, 250 * time.Millisecond}).Draw(t, "late")
+		w.keepIDs, w.sayBorn = rapid.Bool().Draw(t, "keep IDs"), rapid.Bool().Draw(t, "say born")
 		for range rapid.IntRange(5, 40).Draw(t, "steps") {
 			step(t, w)
 			w.Run(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
@@ -144,7 +146,7 @@
 	b := w.Balancers[ips[rapid.IntRange(0, len(ips)-1).Draw(t, "balancer")]]
 	down := time.Duration(rapid.IntRange(1, 800).Draw(t, "down")) * time.Millisecond
 	front := rapid.SampledFrom([]flow.Front{frontA, frontB}).Draw(t, "front")
-	switch rapid.IntRange(0, 14).Draw(t, "what") {
+	switch rapid.IntRange(0, 18).Draw(t, "what") {
 	case 0:
 		b.Restart(down)
 	case 1:
@@ -174,6 +176,18 @@
 		if a.host != nil {
 			a.host.full = !a.host.full
 		}
+	case 15:
+		retire(t, w, a, down)
+	case 16:
+		a.lateWord(rapid.Bool().Draw(t, "farewell"))
+	case 17:
+		w.clockStep = int64(rapid.IntRange(-5000, 5000).Draw(t, "clock step"))
+	case 18:
+		// A restart that the agent does not see.
+		if a.host != nil {
+			a.crash()
+			a.startHost()
+		}
 	default:
 		for range 3 {
 			w.addClient(a.Zone, front)
@@ -184,6 +198,43 @@
 	}
 }
 
+// retire lets a host drain and say farewell. Its VM goes with it, at once or when its
+// agent has done its part, or another host starts there.
+func retire(t *rapid.T, w *world, a *agentNode, down time.Duration) {
+	if a.host == nil || !a.Up {
+		return
+	}
+	a.drain()
+	leaving := a.host
+	stays, planned := rapid.Bool().Draw(t, "VM stays"), rapid.Bool().Draw(t, "planned")
+	w.After(down, func() {
+		if a.host != leaving || !a.Up {
+			return
+		}
+		a.farewell()
+		w.After(down, func() {
+			switch {
+			case stays && a.host == nil:
+				a.startHost()
+			case !stays && a.host == nil && a.Up:
+				a.stop(planned)
+			}
+		})
+	})
+}
+
+// stop ends the agent, with the word and the removal of a planned stop or without.
+func (a *agentNode) stop(planned bool) {
+	if planned {
+		if a.Core.TakesLeave() && !a.w.Now.Before(a.w.StoreBack) {
+			delete(a.w.Registry, a.IP)
+			a.Core.Shown(a.w.Now, fleet.PresenceEnded)
+		}
+		a.Core.Stop(a.w.Now)
+	}
+	a.Stop()
+}
+
 // replaceHost ends a host with its agent; its address serves the other service
 // from then on.
 func replaceHost(w *world, a *agentNode) {
--- a/e2e/packets/world_test.go
+++ b/e2e/packets/world_test.go
@@ -26,6 +26,10 @@
 	agents     map[flow.IPv4]*agentNode
 	clients    []*client
 	violations []string
+	// keepIDs tells that hosts start again under the IDs that they had, sayBorn that
+	// they say when they started, by a clock that is clockStep milliseconds off.
+	keepIDs, sayBorn bool
+	clockStep        int64
 }
 
 func newWorld(seed uint64) *world {
@@ -58,6 +62,8 @@
 	*sim.Agent
 	w    *world
 	host *host
+	// former are the hosts that have ended here.
+	former []*host
 }
 
 // addVM adds an agent whose host has not started.
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -13,15 +14,33 @@
 // ErrMalformed is returned for bytes that are no message of the expected kind.
 var ErrMalformed = errors.New("malformed fleet message")
 
+// Life is one run of a host: it starts with nothing and ends with all that it holds.
+// A host may start again under the ID that it had.
+type Life struct {
+	HostID string
+	// Born is when it started, in Unix milliseconds of its VM's clock, which may be
+	// stepped between two lives; zero where the host does not say.
+	Born int64
+}
+
+// Tag tells a life from others in messages.
+func (l Life) Tag() flow.Tag {
+	if l.Born == 0 {
+		return flow.TagOf(l.HostID)
+	}
+	return flow.TagOf(l.HostID + " " + strconv.FormatInt(l.Born, 10))
+}
+
 // Heartbeat is what a host says of itself to the agent beside it.
 type Heartbeat struct {
-	HostID  string
+	Life
 	Service string
-	Slots   int
+	// Slots is how many requests it works on at the same time, 1 to 65,535.
+	Slots int
 	// Draining hosts take no new flow.
 	Draining   bool
 	WarmupLeft time.Duration
-	// Sequence rises with each heartbeat of one host ID.
+	// Sequence rises with each heartbeat of one life.
 	Sequence uint64
 }
 
@@ -45,6 +64,22 @@
 	return [...]string{"absent", "ready", "draining", "gone"}[s&3]
 }
 
+// Listing is what an agent knows of its entry in the registry.
+type Listing uint8
+
+// The listings.
+const (
+	// ListingUnknown: it may be there or not.
+	ListingUnknown Listing = iota
+	// ListingThere: the store has it.
+	ListingThere
+	// ListingTakenAway: the store has none any more.
+	ListingTakenAway
+	// ListingLeft: the agent stops for good, for its host has ended, and has not got
+	// its entry taken away.
+	ListingLeft
+)
+
 // Identity orders the messages of one process.
 type Identity struct {
 	// Epoch is random for each start of the process.
@@ -57,7 +92,7 @@
 type Announcement struct {
 	Identity
 	Zone, Service flow.Tag
-	// Incarnation is the tag of the host's ID; zero while it is not known.
+	// Incarnation is the tag of the host's life; zero while it is not known.
 	Incarnation flow.Tag
 	State       State
 	// WantPeers asks for the balancers that the receiver knows, WantReply for a
@@ -72,8 +107,8 @@
 	WarmupMillis uint16
 	// Ejected hosts fail their requests.
 	Ejected bool
-	// Registered agents are in the registry, as far as they know.
-	Registered bool
+	// Listing is what the agent knows of its entry in the registry.
+	Listing Listing
 	// Period is how soon the receiver hears of the sender again, whole
 	// milliseconds.
 	Period time.Duration
@@ -111,7 +146,7 @@
 	Zone, Service, Incarnation            uint32
 	State, WantPeers, WantReply           uint8
 	Slots, Busy, Open, WarmupMilliseconds uint16
-	Ejected, Registered                   uint8
+	Ejected, Listing                      uint8
 	PeriodMilliseconds                    uint16
 }
 
@@ -143,7 +178,7 @@
 		Zone: uint32(a.Zone), Service: uint32(a.Service), Incarnation: uint32(a.Incarnation),
 		State: uint8(a.State), WantPeers: bit(a.WantPeers), WantReply: bit(a.WantReply),
 		Slots: a.Slots, Busy: a.Busy, Open: a.Open, WarmupMilliseconds: a.WarmupMillis,
-		Ejected: bit(a.Ejected), Registered: bit(a.Registered), PeriodMilliseconds: uint16(a.Period.Milliseconds()),
+		Ejected: bit(a.Ejected), Listing: uint8(a.Listing), PeriodMilliseconds: uint16(a.Period.Milliseconds()),
 	})
 }
 
@@ -186,7 +221,7 @@
 	if err := decodeFixed(b, envelope.Announce, &w); err != nil {
 		return Announcement{}, err
 	}
-	if w.State > uint8(Gone) {
+	if w.State > uint8(Gone) || w.Listing > uint8(ListingLeft) {
 		return Announcement{}, ErrMalformed
 	}
 	return Announcement{
@@ -194,7 +229,7 @@
 		Zone:     flow.Tag(w.Zone), Service: flow.Tag(w.Service), Incarnation: flow.Tag(w.Incarnation),
 		State: State(w.State), WantPeers: w.WantPeers == 1, WantReply: w.WantReply == 1,
 		Slots: w.Slots, Busy: w.Busy, Open: w.Open, WarmupMillis: w.WarmupMilliseconds,
-		Ejected: w.Ejected == 1, Registered: w.Registered == 1, Period: time.Duration(w.PeriodMilliseconds) * time.Millisecond,
+		Ejected: w.Ejected == 1, Listing: Listing(w.Listing), Period: time.Duration(w.PeriodMilliseconds) * time.Millisecond,
 	}, nil
 }
 
--- a/fleet/registry/registry.go
+++ b/fleet/registry/registry.go
@@ -55,8 +55,8 @@
 	self  flow.IPv4
 	epoch uint64
 	log   *zap.Logger
-	// entered hears of each time that the entry was written.
-	entered func()
+	// shown hears of each time that the store shows what is wanted.
+	shown func(fleet.Presence)
 
 	// mu guards wanted; nothing else is locked under it.
 	mu     sync.Mutex
@@ -65,10 +65,10 @@
 	changed chan struct{}
 }
 
-// New returns a registry for the process of the given epoch at an address;
-// entered is called each time that its entry was written.
-func New(s store.Store, role fleet.Role, self flow.IPv4, epoch uint64, log *zap.Logger, entered func()) *Registry {
-	return &Registry{store: s, role: role, self: self, epoch: epoch, log: log, entered: entered, changed: make(chan struct{}, 1)}
+// New returns a registry for the process of the given epoch at an address; shown is
+// called each time that the store has taken what is wanted.
+func New(s store.Store, role fleet.Role, self flow.IPv4, epoch uint64, log *zap.Logger, shown func(fleet.Presence)) *Registry {
+	return &Registry{store: s, role: role, self: self, epoch: epoch, log: log, shown: shown, changed: make(chan struct{}, 1)}
 }
 
 // Want tells what the registry is to show from now on.
@@ -105,6 +105,7 @@
 				continue
 			}
 			done, pause = want, retryPause
+			r.shown(want)
 		}
 		if r.wait(ctx, checkPeriod) && done == fleet.PresenceHere && r.missing(ctx) {
 			r.log.Warn("registry entry was taken away")
@@ -144,9 +145,6 @@
 func (r *Registry) enter(ctx context.Context) error {
 	put := store.Put{Key: keyOf(r.role, r.self), Value: encodeEpoch(r.epoch)}
 	_, err := r.store.Txn(ctx, store.Txn{Puts: []store.Put{put}})
-	if err == nil {
-		r.entered()
-	}
 	return err
 }
 
@@ -156,8 +154,9 @@
 	return err
 }
 
-// missing tells whether the entry is certainly not there. Any copy of the store
-// may answer: an entry that is younger than its answers is written once more.
+// missing tells whether the entry is certainly not there, or names no node. Any copy
+// of the store may answer: an entry that is younger than its answers is written once
+// more.
 func (r *Registry) missing(ctx context.Context) bool {
 	if r.want() != fleet.PresenceHere {
 		return false
@@ -167,7 +166,11 @@
 		r.log.Debug("registry entry not looked for", zap.String("reason", reason(err)))
 		return false
 	}
-	return len(resp.KVs) == 0
+	if len(resp.KVs) == 0 {
+		return true
+	}
+	_, ok := decode(r.role, resp.KVs[0])
+	return !ok
 }
 
 // Leave takes the entry away: the node is gone for good.
@@ -176,24 +179,30 @@
 	defer cancel()
 	if err := r.remove(ctx); err != nil {
 		r.log.Info("registry entry left to the balancers", zap.String("reason", reason(err)))
+		return
 	}
+	r.shown(fleet.PresenceEnded)
 }
 
-// List returns the entries of a role.
-func List(ctx context.Context, s store.Store, role fleet.Role) ([]fleet.Entry, error) {
-	var out []fleet.Entry
+// List returns the entries of a role, and how many were passed over: other writers'
+// that name no node.
+func List(ctx context.Context, s store.Store, role fleet.Role) (list []fleet.Entry, passed int, err error) {
 	req := store.RangeRequest{Key: prefix(role), End: store.PrefixEnd(prefix(role))}
-	_, err := store.ReadAll(ctx, s, req, func(kv store.KV) error {
-		if e, ok := decode(role, kv); ok {
-			out = append(out, e)
+	_, err = store.ReadAll(ctx, s, req, func(kv store.KV) error {
+		e, ok := decode(role, kv)
+		if !ok {
+			passed++
+			return nil
 		}
+		list = append(list, e)
 		return nil
 	})
-	return out, err
+	return list, passed, err
 }
 
 // Remove takes the entry of a dead node away, if it still is the one that is
 // meant: of the same epoch, or of the same revision where the epoch is not known.
+// What names no node was written by others and stays.
 func Remove(ctx context.Context, s store.Store, role fleet.Role, dead fleet.Entry) error {
 	key := keyOf(role, dead.IP)
 	resp, err := s.Range(ctx, store.RangeRequest{Key: key})
@@ -201,7 +210,7 @@
 		return err
 	}
 	found, ok := decode(role, resp.KVs[0])
-	if ok && !same(found, dead) {
+	if !ok || !same(found, dead) {
 		return nil
 	}
 	unchanged := store.Compare{Key: key, Field: store.ModRevision, Equal: resp.KVs[0].ModRevision}
@@ -218,27 +227,24 @@
 	return found.Revision == dead.Revision
 }
 
+// decode reads an entry; it is none of a node unless its key ends with the node's
+// address, as this package writes it, and its value is an epoch.
 func decode(role fleet.Role, kv store.KV) (fleet.Entry, bool) {
 	ip, err := netip.ParseAddr(strings.TrimPrefix(kv.Key, prefix(role)))
-	if err != nil || !ip.Is4() {
+	if err != nil || !ip.Is4() || kv.Key != keyOf(role, flow.FromAddr(ip)) {
+		return fleet.Entry{}, false
+	}
+	epoch, err := strconv.ParseUint(string(kv.Value), epochBase, 64)
+	if err != nil || epoch == 0 {
 		return fleet.Entry{}, false
 	}
-	return fleet.Entry{IP: flow.FromAddr(ip), Epoch: decodeEpoch(kv.Value), Revision: kv.ModRevision}, true
+	return fleet.Entry{IP: flow.FromAddr(ip), Epoch: epoch, Revision: kv.ModRevision}, true
 }
 
 const epochBase = 16
 
 func encodeEpoch(epoch uint64) []byte { return strconv.AppendUint(nil, epoch, epochBase) }
 
-// decodeEpoch returns zero, which is no epoch, for anything else.
-func decodeEpoch(value []byte) uint64 {
-	epoch, err := strconv.ParseUint(string(value), epochBase, 64)
-	if err != nil {
-		return 0
-	}
-	return epoch
-}
-
 // reason is the short cause of a failed call.
 func reason(err error) string {
 	var v *verdict.Error
--- a/fleet/registry/registry_test.go
+++ b/fleet/registry/registry_test.go
@@ -20,7 +20,7 @@
 
 func list(t *testing.T, s *standin.Store) []fleet.Entry {
 	t.Helper()
-	got, err := List(context.Background(), s, fleet.RoleAgent)
+	got, _, err := List(context.Background(), s, fleet.RoleAgent)
 	require.NoError(t, err)
 	return got
 }
@@ -29,14 +29,14 @@
 func listed(t *testing.T, s *standin.Store, epoch uint64) {
 	t.Helper()
 	require.Eventually(t, func() bool {
-		got, err := List(context.Background(), s, fleet.RoleAgent)
+		got, _, err := List(context.Background(), s, fleet.RoleAgent)
 		return err == nil && len(got) == 1 && got[0].IP == self && got[0].Epoch == epoch
 	}, 5*time.Second, 5*time.Millisecond)
 }
 
 // run starts a registry; the returned function stops it.
 func run(s store.Store, epoch uint64) (r *Registry, stop func()) {
-	r = New(s, fleet.RoleAgent, self, epoch, zap.NewNop(), func() {})
+	r = New(s, fleet.RoleAgent, self, epoch, zap.NewNop(), func(fleet.Presence) {})
 	r.Want(fleet.PresenceHere)
 	return r, worker.Start(r.Run)
 }
@@ -50,7 +50,7 @@
 	s.LapseLeases()
 	stop()
 	listed(t, s, 7)
-	none, err := List(context.Background(), s, fleet.RoleBalancer)
+	none, _, err := List(context.Background(), s, fleet.RoleBalancer)
 	require.NoError(t, err)
 	require.Empty(t, none)
 
@@ -64,7 +64,7 @@
 // TestTheEntryFollowsWhatIsWanted, also what an earlier process has left.
 func TestTheEntryFollowsWhatIsWanted(t *testing.T) {
 	s := standin.NewStore(time.Now)
-	require.NoError(t, New(s, fleet.RoleAgent, self, 6, zap.NewNop(), func() {}).enter(context.Background()))
+	require.NoError(t, New(s, fleet.RoleAgent, self, 6, zap.NewNop(), func(fleet.Presence) {}).enter(context.Background()))
 	r, stop := run(s, 7)
 	defer stop()
 	listed(t, s, 7)
@@ -116,7 +116,7 @@
 func TestAnEntryThatWasTakenAwayIsMissed(t *testing.T) {
 	ctx := context.Background()
 	s := standin.NewStore(time.Now)
-	r := New(s, fleet.RoleAgent, self, 7, zap.NewNop(), func() {})
+	r := New(s, fleet.RoleAgent, self, 7, zap.NewNop(), func(fleet.Presence) {})
 	r.Want(fleet.PresenceHere)
 	require.NoError(t, r.enter(ctx))
 	require.False(t, r.missing(ctx))
@@ -145,7 +145,7 @@
 		"nothing is known about it": {func(e fleet.Entry) fleet.Entry { return fleet.Entry{IP: self} }, false},
 	} {
 		s := standin.NewStore(time.Now)
-		require.NoError(t, New(s, fleet.RoleAgent, self, 7, zap.NewNop(), func() {}).enter(ctx))
+		require.NoError(t, New(s, fleet.RoleAgent, self, 7, zap.NewNop(), func(fleet.Presence) {}).enter(ctx))
 		found := list(t, s)[0]
 		require.NoError(t, Remove(ctx, s, fleet.RoleAgent, c.dead(found)), name)
 		require.Equal(t, c.removed, len(list(t, s)) == 0, name)
@@ -167,17 +167,55 @@
 func TestARemovalLosesAgainstANewEntry(t *testing.T) {
 	ctx := context.Background()
 	s := standin.NewStore(time.Now)
-	require.NoError(t, New(s, fleet.RoleAgent, self, 7, zap.NewNop(), func() {}).enter(ctx))
-	r := racing{s, func() { require.NoError(t, New(s, fleet.RoleAgent, self, 8, zap.NewNop(), func() {}).enter(ctx)) }}
+	require.NoError(t, New(s, fleet.RoleAgent, self, 7, zap.NewNop(), func(fleet.Presence) {}).enter(ctx))
+	r := racing{s, func() {
+		require.NoError(t, New(s, fleet.RoleAgent, self, 8, zap.NewNop(), func(fleet.Presence) {}).enter(ctx))
+	}}
 	require.NoError(t, Remove(ctx, r, fleet.RoleAgent, fleet.Entry{IP: self, Epoch: 7}))
 	require.Len(t, list(t, s), 1)
 }
 
-func TestForeignKeysAreNoEntries(t *testing.T) {
+// TestEntriesOfOtherWritersNameNoNode, and nobody removes them; the others hold.
+func TestEntriesOfOtherWritersNameNoNode(t *testing.T) {
+	ctx := context.Background()
+	for name, foreign := range map[string]store.Put{
+		"a key behind an address":     {Key: keyOf(fleet.RoleAgent, self+1) + "x", Value: encodeEpoch(9)},
+		"no address":                  {Key: prefix(fleet.RoleAgent) + "node-7", Value: encodeEpoch(9)},
+		"nothing":                     {Key: prefix(fleet.RoleAgent), Value: encodeEpoch(9)},
+		"an address of another kind":  {Key: prefix(fleet.RoleAgent) + "::1", Value: encodeEpoch(9)},
+		"an address in another form":  {Key: prefix(fleet.RoleAgent) + "::ffff:10.0.0.9", Value: encodeEpoch(9)},
+		"no value":                    {Key: keyOf(fleet.RoleAgent, self+1)},
+		"words":                       {Key: keyOf(fleet.RoleAgent, self+1), Value: []byte("no epoch")},
+		"the epoch of nobody":         {Key: keyOf(fleet.RoleAgent, self+1), Value: []byte("0")},
+		"a number below zero":         {Key: keyOf(fleet.RoleAgent, self+1), Value: []byte("-7")},
+		"a number that is too large":  {Key: keyOf(fleet.RoleAgent, self+1), Value: []byte("10000000000000000")},
+		"bytes that are no text":      {Key: keyOf(fleet.RoleAgent, self+1), Value: []byte{0xff, 0, 0xfe}},
+		"a document of another shape": {Key: keyOf(fleet.RoleAgent, self+1), Value: []byte(`{"epoch":"7"}`)},
+	} {
+		s := standin.NewStore(time.Now)
+		require.NoError(t, New(s, fleet.RoleAgent, self, 7, zap.NewNop(), func(fleet.Presence) {}).enter(ctx))
+		s.Operator(foreign)
+		got, passed, err := List(ctx, s, fleet.RoleAgent)
+		require.NoError(t, err, name)
+		require.Equal(t, 1, passed, name)
+		require.Len(t, got, 1, name)
+		require.Equal(t, self, got[0].IP, name)
+
+		require.NoError(t, Remove(ctx, s, fleet.RoleAgent, fleet.Entry{IP: self + 1, Epoch: 9}), name)
+		require.NoError(t, Remove(ctx, s, fleet.RoleAgent, fleet.Entry{IP: self + 1}), name)
+		_, passed, err = List(ctx, s, fleet.RoleAgent)
+		require.NoError(t, err, name)
+		require.Equal(t, 1, passed, "%s: it stays", name)
+	}
+}
+
+// TestAnEntryThatAnotherHasWrittenOverIsWrittenAgain: the node would be in none.
+func TestAnEntryThatAnotherHasWrittenOverIsWrittenAgain(t *testing.T) {
+	ctx := context.Background()
 	s := standin.NewStore(time.Now)
-	s.Operator(store.Put{Key: keyOf(fleet.RoleAgent, self) + "x"}, store.Put{Key: prefix(fleet.RoleAgent) + "::1"},
-		store.Put{Key: keyOf(fleet.RoleAgent, self), Value: []byte("no epoch")})
-	got := list(t, s)
-	require.Len(t, got, 1)
-	require.Zero(t, got[0].Epoch)
+	r := New(s, fleet.RoleAgent, self, 7, zap.NewNop(), func(fleet.Presence) {})
+	r.Want(fleet.PresenceHere)
+	require.NoError(t, r.enter(ctx))
+	s.Operator(store.Put{Key: keyOf(fleet.RoleAgent, self), Value: []byte("no epoch")})
+	require.True(t, r.missing(ctx))
 }
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -58,11 +58,12 @@
 	HeardAt time.Time
 	// Sent counts new flows sent here since the last announcement.
 	Sent int
-	// Listed tells that the registry named the host's agent when it was read last.
+	// Listed tells that the registry named the host's agent when it was read last, and
+	// that the agent has not said since that its entry is taken away.
 	Listed bool
-	// RegisteredAt is when the agent was heard first to be in the registry, zero
-	// time while it has not said so.
-	RegisteredAt time.Time
+	// ListingAt is when the agent was heard first to say of its entry what it says
+	// now.
+	ListingAt time.Time
 	// Since is the generation of the view from which on the host may hold flows.
 	Since uint32
 	order order
@@ -85,7 +86,13 @@
 // the registry and said last that it holds nothing may have started since, and the
 // message that says so may be lost; its agent knows.
 func (h *Host) MayHold(now time.Time) bool {
-	return h.State != Gone || (h.Listed && !h.Quiet(now))
+	return h.State != Gone || (h.Listed && h.Listing != ListingLeft && !h.Quiet(now))
+}
+
+// RegisteredSince tells whether the agent was heard to be in the registry only after
+// a moment.
+func (h *Host) RegisteredSince(t time.Time) bool {
+	return h.Listing == ListingThere && h.ListingAt.After(t)
 }
 
 // MayHoldSince tells whether the host has come to be one that may hold flows after
@@ -107,8 +114,10 @@
 	// tags are the keys of services, sorted.
 	tags  []flow.Tag
 	peers map[flow.IPv4]*Peer
-	// listed are the agents that the registry named last.
-	listed map[flow.IPv4]struct{}
+	// listed are the agents that the registry named last, with the epochs of their
+	// entries; listedAt is when that reading began.
+	listed   map[flow.IPv4]uint64
+	listedAt time.Time
 	// generation rises with each host that comes to be one that may hold a flow.
 	generation uint32
 }
@@ -117,7 +126,7 @@
 func NewView() *View {
 	return &View{
 		hosts: map[flow.IPv4]*Host{}, services: map[flow.Tag][]*Host{}, peers: map[flow.IPv4]*Peer{},
-		listed: map[flow.IPv4]struct{}{},
+		listed: map[flow.IPv4]uint64{},
 	}
 }
 
@@ -236,7 +245,6 @@
 	h, known := v.hosts[ip]
 	if !known {
 		h = &Host{IP: ip}
-		_, h.Listed = v.listed[ip]
 	}
 	former, held := h.Announcement, h.MayHold(now)
 	if !h.order.accept(a.Identity, h.Quiet(now)) {
@@ -249,12 +257,10 @@
 		a.State = Draining
 	}
 	h.Announcement, h.HeardAt, h.Sent = a, now, 0
-	if !known || former.Epoch != a.Epoch || !a.Registered {
-		h.RegisteredAt = time.Time{}
-	}
-	if a.Registered && h.RegisteredAt.IsZero() {
-		h.RegisteredAt = now
+	if !known || former.Epoch != a.Epoch || former.Listing != a.Listing {
+		h.ListingAt = now
 	}
+	h.Listed = v.lists(h)
 	if !known || former.Service != a.Service {
 		v.reindex(h, former.Service)
 	}
@@ -278,22 +284,45 @@
 	h.Since = v.generation
 }
 
-// List takes a reading of the agents' registry.
-func (v *View) List(now time.Time, agents []Entry) {
+// List takes a reading of the agents' registry that began at the given time.
+func (v *View) List(now, began time.Time, agents []Entry) {
+	v.listedAt = began
 	clear(v.listed)
 	for _, e := range agents {
-		v.listed[e.IP] = struct{}{}
+		v.listed[e.IP] = e.Epoch
 	}
 	for _, ip := range v.Hosts() {
 		h := v.hosts[ip]
 		held := h.MayHold(now)
-		_, h.Listed = v.listed[ip]
+		h.Listed = v.lists(h)
 		if h.MayHold(now) && !held {
 			v.begin(h)
 		}
 	}
 }
 
+// lists tells whether the registry names a host's agent. An entry that the agent has
+// got taken away after the reading began is an old one.
+func (v *View) lists(h *Host) bool {
+	_, listed := v.listed[h.IP]
+	return listed && !(h.Listing == ListingTakenAway && !h.ListingAt.Before(v.listedAt))
+}
+
+// MayLive tells whether a host that said last that it holds nothing, and cannot be
+// asked, may have started since: the registry lists it, with an entry that is not
+// that of a process which has left it behind.
+func (v *View) MayLive(h *Host) bool {
+	return h.Listed && !(h.Listing == ListingLeft && v.listed[h.IP] == h.Epoch)
+}
+
+// EntryOf returns the entry that an agent has left behind.
+func (v *View) EntryOf(h *Host) Entry {
+	if epoch, listed := v.listed[h.IP]; listed {
+		return Entry{IP: h.IP, Epoch: epoch}
+	}
+	return Entry{IP: h.IP, Epoch: h.Epoch}
+}
+
 // reindex moves a host to the list of its service.
 func (v *View) reindex(h *Host, former flow.Tag) {
 	v.unlist(h, former)
--- a/model/host.go
+++ b/model/host.go
@@ -89,7 +89,7 @@
 	}
 	now := h.run.world.Now
 	h.agent.Core.Heartbeat(now, fleet.Heartbeat{
-		HostID: h.id, Service: h.service.Name, Slots: h.service.Slots, Draining: h.draining, Sequence: h.sequence,
+		Life: fleet.Life{HostID: h.id}, Service: h.service.Name, Slots: h.service.Slots, Draining: h.draining, Sequence: h.sequence,
 		WarmupLeft: max(h.startedAt.Add(h.service.ColdTime.D()).Sub(now), 0),
 	})
 }
--- a/model/pattern.go
+++ b/model/pattern.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/poppywall/poppywall/fleet"
 	"github.com/poppywall/poppywall/model/sim"
 )
 
@@ -179,7 +180,7 @@
 		old.report()
 	})
 	r.world.After(rollGap+drainTime, func() {
-		old.agent.Core.Leave(r.world.Now, old.id)
+		old.agent.Core.Leave(r.world.Now, fleet.Life{HostID: old.id})
 		old.end()
 		old.agent.Core.Stop(r.world.Now)
 		old.agent.Stop()
--- a/model/sim/nodes.go
+++ b/model/sim/nodes.go
@@ -95,7 +95,10 @@
 // keepRegistry does what the keeper of the registry has to.
 func (b *Balancer) keepRegistry() {
 	w := b.w
-	for _, d := range b.Core.Departed() {
+	if w.Now.Before(w.StoreBack) {
+		return
+	}
+	for _, d := range b.Core.Departed(w.Now) {
 		if d.Role != fleet.RoleAgent || w.Registry[d.IP].Epoch != d.Epoch {
 			continue
 		}
@@ -222,8 +225,8 @@
 		delete(w.Registry, a.IP)
 		if want == fleet.PresenceHere {
 			w.Registry[a.IP] = fleet.Entry{IP: a.IP, Epoch: epoch}
-			a.Core.Registered(w.Now)
 		}
+		a.Core.Shown(w.Now, want)
 		return true
 	})
 	w.Every(fleet.Forget, func() bool {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -235,8 +235,8 @@
 	}
 }
 
-// crashHost ends a host without a word; a heartbeat of it arrives after its
-// successor's first.
+// crashHost ends a host without a word; a heartbeat and a farewell of it arrive after
+// its successor's first heartbeat.
 func crashHost(s *site, rnd *rand.Rand, rec *recorder) func() {
 	n := pick(s.agents, rnd)
 	former := n.current()
@@ -249,6 +249,7 @@
 		startAgain(s, n, rec)
 		rec.note("a heartbeat of %s arrives late", former.ID)
 		former.DelayedBeat()
+		former.DelayedFarewell()
 	}
 }
 
--- a/soak/site.go
+++ b/soak/site.go
@@ -168,12 +168,16 @@
 // draining host: an agent that was restarted knows after the next heartbeat.
 const drainGrace = 3 * time.Second
 
+// livesOfAnID is how many hosts in a row that serve the same start under one ID.
+const livesOfAnID = 3
+
 // startHost starts a fresh host beside an agent.
 func (s *site) startHost(n *hostNode) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	id := fmt.Sprintf("%s-%s-%d", n.name, services[n.service], n.hosts/livesOfAnID)
 	n.hosts++
-	h, err := platformtest.StartHost(fmt.Sprintf("%s-%d", n.name, n.hosts), platformtest.HostConfig{
+	h, err := platformtest.StartHost(id, platformtest.HostConfig{
 		Service: services[n.service], App: netip.AddrPortFrom(n.addr, portApp),
 		Outbound: netip.AddrPortFrom(n.addr, portOutbound), Control: at(n.addr, portControl),
 		Slots: 5, HeartbeatEvery: heartbeatEvery, Grace: drainGrace,
--- a/store/store.go
+++ b/store/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -126,13 +127,25 @@
 		if req.Revision == 0 {
 			req.Revision = resp.Revision
 		}
-		if !resp.More || len(resp.KVs) == 0 {
+		last := lastKey(resp.KVs)
+		if !resp.More || last == "" {
 			return req.Revision, nil
 		}
-		req.Key = resp.KVs[len(resp.KVs)-1].Key + "\x00"
+		req.Key = last + "\x00"
 	}
 }
 
+// lastKey returns the last key of a page, empty without one. Pairs whose key could not
+// be read have none.
+func lastKey(page []KV) string {
+	for _, kv := range slices.Backward(page) {
+		if kv.Key != "" {
+			return kv.Key
+		}
+	}
+	return ""
+}
+
 // Event is one change that a watch saw.
 type Event struct {
 	KV
