--- a/flow/envelope/envelope.go
+++ b/flow/envelope/envelope.go
@@ -72,7 +72,7 @@
 	MaxLen = headLen + MaxCandidates*itemLen
 
 	magic   = 0x7077
-	version = 3
+	version = 4
 )
 
 // ErrMalformed is returned for bytes that are no datagram of this system.
