Mutants: each condition of the proof, of lives and of entries is red without it

Two had stayed green: one condition was covered by another (a key outside of the role's prefix, now tested by itself), one by its neighbour (a late answer of a search; what it guards is that a late "unsure" does not keep the flow in doubt, which TestALostVisitIsRepeatedAlone checks now).

--- a/agent/packetfront/life_test.go
+++ b/agent/packetfront/life_test.go
@@ -111,12 +111,13 @@
 // while the present life goes on.
 func TestLateWordsOfAFormerLifeChangeNothing(t *testing.T) {
 	for name, late := range map[string]func(f *fixture, i uint64){
-		"reports, one after the other":   func(f *fixture, i uint64) { f.report(0, firstLife, 301+i, true) },
-		"reports of an unknown life":     func(f *fixture, i uint64) { f.report(0, steppedLife, 301+i, true) },
-		"reports that do not say when":   func(f *fixture, i uint64) { f.report(0, silentLife, 301+i, true) },
-		"an earlier one of the own life": func(f *fixture, i uint64) { f.report(0, secondLife, 2+i/8, true) },
-		"its farewell":                   func(f *fixture, _ uint64) { f.Leave(f.now, firstLife) },
-		"the farewell of another host":   func(f *fixture, _ uint64) { f.Leave(f.now, fleet.Life{HostID: "i-1"}) },
+		"reports, one after the other":                     func(f *fixture, i uint64) { f.report(0, firstLife, 301+i, true) },
+		"reports of an unknown life":                       func(f *fixture, i uint64) { f.report(0, steppedLife, 301+i, true) },
+		"reports of an unknown life that claims few calls": func(f *fixture, i uint64) { f.report(0, steppedLife, 1+i%4, true) },
+		"reports that do not say when":                     func(f *fixture, i uint64) { f.report(0, silentLife, 301+i, true) },
+		"an earlier one of the own life":                   func(f *fixture, i uint64) { f.report(0, secondLife, 2+i/8, true) },
+		"its farewell":                                     func(f *fixture, _ uint64) { f.Leave(f.now, firstLife) },
+		"the farewell of another host":                     func(f *fixture, _ uint64) { f.Leave(f.now, fleet.Life{HostID: "i-1"}) },
 	} {
 		f := afterALife(firstLife)
 		require.True(t, f.report(heartbeatPause, secondLife, 1, false), name)
--- a/balancer/packetfront/search_test.go
+++ b/balancer/packetfront/search_test.go
@@ -112,7 +112,7 @@
 	backward := slices.Delete(slices.Clone(lost), 2, 3)
 	slices.Reverse(backward)
 	require.Equal(t, backward, hostsOf(again...), "a VM that is dead is the last one then")
-	f.comeBack(parts[0], 0)
+	f.comeBack(parts[0], envelope.Unsure)
 	require.Empty(t, f.port.resets, "it had visited before the repetition")
 	f.comeBack(again[0], 0)
 	require.Len(t, f.port.resets, 1)
--- a/fleet/registry/registry.go
+++ b/fleet/registry/registry.go
@@ -230,8 +230,9 @@
 // decode reads an entry; it is none of a node unless its key ends with the node's
 // address, as this package writes it, and its value is an epoch.
 func decode(role fleet.Role, kv store.KV) (fleet.Entry, bool) {
-	ip, err := netip.ParseAddr(strings.TrimPrefix(kv.Key, prefix(role)))
-	if err != nil || !ip.Is4() || kv.Key != keyOf(role, flow.FromAddr(ip)) {
+	address, ours := strings.CutPrefix(kv.Key, prefix(role))
+	ip, err := netip.ParseAddr(address)
+	if !ours || err != nil || !ip.Is4() {
 		return fleet.Entry{}, false
 	}
 	epoch, err := strconv.ParseUint(string(kv.Value), epochBase, 64)
--- a/fleet/registry/registry_test.go
+++ b/fleet/registry/registry_test.go
@@ -209,6 +209,13 @@
 	}
 }
 
+func TestAKeyElsewhereIsNoEntry(t *testing.T) {
+	for key, want := range map[string]bool{keyOf(fleet.RoleAgent, self): true, keyOf(fleet.RoleBalancer, self): false, self.String(): false, "": false} {
+		_, ok := decode(fleet.RoleAgent, store.KV{Key: key, Value: encodeEpoch(7)})
+		require.Equal(t, want, ok, key)
+	}
+}
+
 // TestAnEntryThatAnotherHasWrittenOverIsWrittenAgain: the node would be in none.
 func TestAnEntryThatAnotherHasWrittenOverIsWrittenAgain(t *testing.T) {
 	ctx := context.Background()
