A fresh balancer waits for its seeds, not for the last of all balancers

Ruled out: hosts that were not heard (no "a host was not asked" there), searches that take long (0.2 s with the pause before they are repeated).

What the wait is for: hosts that the registry lacks announce themselves to the seeds, and each fresh balancer asks the seeds for the nodes they know. So only a seed that is heard for the first time begins the wait anew.

--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -77,9 +77,8 @@
 	view          *fleet.View
 	table         *table
 	startedAt     time.Time
-	// peerJoinedAt is when another balancer was heard for the first time, the last
-	// one.
-	peerJoinedAt time.Time
+	// seedJoinedAt is when a seed was heard for the first time, the last one.
+	seedJoinedAt time.Time
 
 	seq     uint32
 	leaving bool
--- a/balancer/packetfront/fixture_test.go
+++ b/balancer/packetfront/fixture_test.go
@@ -125,6 +125,12 @@
 	f.HandleNode(f.now, ip, a.Append(nil))
 }
 
+// hears lets another balancer say for the first time that it is there.
+func (f *fixture) hears(ip flow.IPv4) {
+	m := fleet.Beacon{Identity: fleet.Identity{Epoch: uint64(ip), Seq: 1}, Digest: f.View().Digest(f.now, self)}
+	f.HandleNode(f.now, ip, m.Append(nil))
+}
+
 var key = flow.Key{ClientIP: 0x64400001, ClientPort: 1024, FrontIP: front.IP, FrontPort: front.Port}
 
 // packet writes a client's packet.
--- a/balancer/packetfront/nodes.go
+++ b/balancer/packetfront/nodes.go
@@ -68,7 +68,10 @@
 		return nil
 	}
 	if change == fleet.Joined {
-		c.digestAt, c.peerJoinedAt = time.Time{}, now
+		c.digestAt = time.Time{}
+		if slices.Contains(c.opts.Seeds, from) {
+			c.seedJoinedAt = now
+		}
 		c.events.PeerChanged(from, "joined")
 	}
 	if !m.Reply && (change == fleet.Joined || m.WantPeers) {
--- a/balancer/packetfront/survey.go
+++ b/balancer/packetfront/survey.go
@@ -97,15 +97,16 @@
 
 // fresh tells whether the balancer has just started. One that knows no other one
 // has nobody to ask, and is fresh until it would have heard the hosts itself. So is
-// one that has just heard of another one: those that start together may each know
-// a host that the others have not heard yet.
+// one that has just heard of a seed: hosts that the registry lacks announce themselves
+// to the seeds, and those that have started together with this one have to hear of
+// them first. The others are not waited for: of hundreds one is always late.
 func (c *Core) fresh(now time.Time) bool {
 	age := now.Sub(c.startedAt)
 	if age >= settleTime {
 		return false
 	}
 	lone := len(c.view.Balancers()) == 0 && c.hasOtherSeeds()
-	return age < freshTime || now.Sub(c.peerJoinedAt) < freshTime || lone
+	return age < freshTime || now.Sub(c.seedJoinedAt) < freshTime || lone
 }
 
 func (c *Core) hasOtherSeeds() bool {
--- a/balancer/packetfront/survey_test.go
+++ b/balancer/packetfront/survey_test.go
@@ -38,6 +38,36 @@
 			},
 			want: "",
 		},
+		"a seed was heard a moment ago": {
+			prepare: func(f *fixture) {
+				f.SetSeeds([]flow.IPv4{self, peer})
+				f.startedAt = f.now.Add(-freshTime)
+				f.hears(peer)
+				f.now = f.now.Add(freshTime - 1)
+			},
+			want: DoubtFresh,
+		},
+		"a seed was heard before": {
+			prepare: func(f *fixture) {
+				f.SetSeeds([]flow.IPv4{self, peer})
+				f.startedAt = f.now.Add(-freshTime)
+				f.hears(peer)
+				f.now = f.now.Add(freshTime)
+			},
+			want: "",
+		},
+		"hundreds of others are heard one after the other": {
+			prepare: func(f *fixture) {
+				f.SetSeeds([]flow.IPv4{self, peer})
+				f.startedAt = f.now.Add(-freshTime / 2)
+				f.hears(peer)
+				for i := range flow.IPv4(300) {
+					f.now = f.now.Add(freshTime / 299)
+					f.hears(0x0a040000 + i)
+				}
+			},
+			want: "",
+		},
 		"its own only seed": {
 			prepare: func(f *fixture) {
 				f.SetSeeds([]flow.IPv4{self})
