Hosts are judged by their first answers, too, and over any span up to now

The tests' host sent an acknowledgement before each answer. - the judge spares a rate below 0.2 over 10 s: a host that did well until now had to fail for 6 s.

A 503 of a host that had to queue the request is load that it sheds, no failure.

--- a/agent/packetfront/flows.go
+++ b/agent/packetfront/flows.go
@@ -68,8 +68,12 @@
 	return r.stage != offered && flow.SameFlow(h.Ack, r.hostSeq)
 }
 
-// awaited tells that a request on the open flow has no answer yet.
-func (r *record) awaited() bool { return r.stage == open && !r.pendingAt.IsZero() }
+// awaited tells that a request of the flow has no answer yet. The first one's answer
+// may be all that the host sends after its handshake; before the host has got the
+// request it may only refuse the flow, which is no answer.
+func (r *record) awaited() bool {
+	return !r.pendingAt.IsZero() && (r.stage == open || !r.runningAt.IsZero())
+}
 
 // flows is the table of an agent.
 type flows struct {
--- a/agent/packetfront/fromhost.go
+++ b/agent/packetfront/fromhost.go
@@ -34,7 +34,7 @@
 		c.noteAccepted(now, key, r, h)
 	default:
 		if h.Len > 0 && r.awaited() {
-			c.outcome(now, c.codec.Failed(packet))
+			c.answered(now, r, c.codec.Answer(packet))
 		}
 		if h.Len > 0 && !r.runningAt.IsZero() {
 			c.pace.Done(now.Sub(r.runningAt), r.among, c.host.slots())
--- a/agent/packetfront/health.go
+++ b/agent/packetfront/health.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/poppywall/poppywall/flow"
 	"github.com/poppywall/poppywall/outlier"
 )
 
@@ -32,6 +33,16 @@
 	return health{detector: outlier.New(outlier.Defaults(), outlier.DefaultJudge())}
 }
 
+// answered takes the answer to a request. That a host sheds what it would have to
+// queue is no fault of its own; it is where it has slots.
+func (c *Core) answered(now time.Time, r *record, a flow.Answer) {
+	if a == flow.AnswerShed && r.among > c.host.slots() {
+		c.events.Failed()
+		return
+	}
+	c.outcome(now, a != flow.AnswerGiven)
+}
+
 // outcome takes the outcome of a request.
 func (c *Core) outcome(now time.Time, failed bool) {
 	if failed {
--- a/agent/packetfront/health_test.go
+++ b/agent/packetfront/health_test.go
@@ -30,15 +30,27 @@
 
 // request opens a flow, asks on it, and lets the host answer.
 func (f *fixture) request(client int, a answer) {
-	f.syn(client, 0, 0)
-	f.hostSends(client, flow.SYN|flow.ACK, 500, 0)
-	f.deliver(envelope.Envelope{}, packet(keyOf(client), flow.ACK, 500, "GET"))
+	f.ask(client)
 	f.hostSends(client, flow.ACK, 500, 0)
 	if a != nil {
 		a(f, client)
 	}
 }
 
+// requestAtOnce does the same at a host whose answer is the first that it sends.
+func (f *fixture) requestAtOnce(client int, a answer) {
+	f.ask(client)
+	if a != nil {
+		a(f, client)
+	}
+}
+
+func (f *fixture) ask(client int) {
+	f.syn(client, 0, 0)
+	f.hostSends(client, flow.SYN|flow.ACK, 500, 0)
+	f.deliver(envelope.Envelope{}, packet(keyOf(client), flow.ACK, 500, "GET"))
+}
+
 // TestAHostThatFailsIsEjected, by what it answers and by resets, and not for
 // answers that are its clients' own fault or for resets that nobody waits for.
 func TestAHostThatFailsIsEjected(t *testing.T) {
@@ -58,20 +70,78 @@
 		"refused as others": {bad: says("HTTP/1.1 421 Misdirected"), oneIn: 1, want: false},
 		"not HTTP":          {bad: says("5"), oneIn: 1, want: false},
 	} {
-		f := newFixture()
-		for i := range requests {
-			do := c.bad
-			if i%c.oneIn != 0 {
-				do = c.good
+		for form, request := range map[string]func(*fixture, int, answer){
+			"acknowledged": (*fixture).request, "answered at once": (*fixture).requestAtOnce,
+		} {
+			f := newFixture()
+			for i := range requests {
+				do := c.bad
+				if i%c.oneIn != 0 {
+					do = c.good
+				}
+				request(f, i, do)
+				f.now = f.now.Add(30 * time.Millisecond)
 			}
-			f.request(i, do)
-			f.now = f.now.Add(30 * time.Millisecond)
+			require.Equal(t, c.want, f.health.ejected, "%s, %s", name, form)
+			require.Equal(t, c.want, f.announcement(f.now).Ejected, "%s, %s", name, form)
 		}
-		require.Equal(t, c.want, f.health.ejected, name)
-		require.Equal(t, c.want, f.announcement(f.now).Ejected, name)
 	}
 }
 
+// TestAHostThatDidWellBeforeIsEjectedSoon: a third of its requests fail from now on.
+func TestAHostThatDidWellBeforeIsEjectedSoon(t *testing.T) {
+	f := newFixture()
+	next := 0
+	do := func(a answer) {
+		f.requestAtOnce(next, a)
+		next++
+		f.now = f.now.Add(45 * time.Millisecond)
+	}
+	for range 220 {
+		do(says("HTTP/1.1 200 OK"))
+	}
+	failed := 0
+	for i := 0; !f.health.ejected; i++ {
+		if i%3 == 0 {
+			do(says("HTTP/1.1 500 Internal"))
+			failed++
+			continue
+		}
+		do(says("HTTP/1.1 200 OK"))
+	}
+	require.Less(t, failed, 15)
+}
+
+// TestLoadThatIsShedIsNoFailure: of requests that the host had to queue.
+func TestLoadThatIsShedIsNoFailure(t *testing.T) {
+	f := newFixture()
+	for i := range 4 {
+		f.ask(i)
+	}
+	for i := range 40 {
+		f.requestAtOnce(10+i, says("HTTP/1.1 503 Busy"))
+	}
+	require.False(t, f.health.ejected)
+	for i := range 4 {
+		says("HTTP/1.1 200 OK")(f, i)
+	}
+	for i := range 40 {
+		f.requestAtOnce(100+i, says("HTTP/1.1 503 Busy"))
+	}
+	require.True(t, f.health.ejected, "with slots free")
+}
+
+// TestAHostThatRefusesAFlowHasNotFailed: nothing was asked of it yet.
+func TestAHostThatRefusesAFlowHasNotFailed(t *testing.T) {
+	f := newFixture()
+	for i := range 40 {
+		f.syn(i, 0, 0)
+		f.hostSends(i, flow.SYN|flow.ACK, 500, 0)
+		resets(f, i)
+	}
+	require.False(t, f.health.ejected)
+}
+
 // TestResetsThatNobodyWaitsForAreNoFailures: a host resets what belongs to flows
 // that it has ended.
 func TestResetsThatNobodyWaitsForAreNoFailures(t *testing.T) {
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -167,7 +167,20 @@
 	SetEcho(packet []byte, echo uint32)
 	// RequestID returns the ID in the first bytes of a packet's data, or nil.
 	RequestID(packet []byte) []byte
-	// Failed tells whether a packet's data begins an answer by which the host says
-	// that it has failed.
-	Failed(packet []byte) bool
+	// Answer tells what a packet's data says if it begins an answer.
+	Answer(packet []byte) Answer
 }
+
+// Answer is what a host says of its work on a request.
+type Answer uint8
+
+// The answers.
+const (
+	// AnswerGiven: the host has done its work, also where it refuses a request as not
+	// its own.
+	AnswerGiven Answer = iota
+	// AnswerFailed: it says that it has failed.
+	AnswerFailed
+	// AnswerShed: it has no room for the request at present.
+	AnswerShed
+)
--- a/measure/ejection.go
+++ b/measure/ejection.go
@@ -35,6 +35,9 @@
 	{"one dead, alone", 10, 0.01, 1, 1},
 	{"one half bad", 10, 0.01, 0.5, 5},
 	{"one third bad among noise", 20, 0.1, 0.33, 5},
+	{"one third bad, alone", 22, 0.005, 0.31, 1},
+	{"healthy, alone, busy", 100, 0.01, 0.01, 1},
+	{"all fail a little, alone", 22, 0.03, 0.03, 1},
 }
 
 // EjectionResult is how a judge did on a trace, over many seeds.
--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -138,13 +138,28 @@
 		d.calm(now, w)
 		return false
 	}
-	if !d.judge.Eject(w.sum(), d.peers(now, target)) {
+	if !d.fails(now, target, w) {
 		return false
 	}
 	d.eject(now, w)
 	return true
 }
 
+// fails tells whether a target is an outlier over any span up to now: one that has
+// begun to fail a moment ago is not spared for having done well before. Its peers
+// speak for the whole window, for in a short span they say little.
+func (d *Detector) fails(now time.Time, target string, w *window) bool {
+	var own Counts
+	peers := d.peers(now, target)
+	for _, bucket := range w.counts {
+		own = own.Add(bucket)
+		if bucket.Failures > 0 && d.judge.Eject(own, peers) {
+			return true
+		}
+	}
+	return false
+}
+
 func (d *Detector) bucket(now time.Time) int64 { return now.UnixNano() / int64(d.opts.Bucket) }
 
 // calm ends a streak once a target has done well for a whole window.
