A host that has ended without a word proves itself by staying up

Cause: a host that goes down and up by turns looks idle each time it is up, draws more work than any other, and takes with it what it has in hand when it goes down.

Now the agent remembers unplanned ends: after the next start the host counts as ejected for 2 s (it is slow for as long anyway), 4, 8, 16, 30 s after each relapse within 30 s.

--- a/agent/packetfront/core_test.go
+++ b/agent/packetfront/core_test.go
@@ -62,6 +62,7 @@
 func (quiet) HostReport(string, fleet.Heartbeat)           {}
 func (quiet) Failed()                                      {}
 func (quiet) Ejected(bool, int, int)                       {}
+func (quiet) Unproven(int, time.Duration)                  {}
 func (quiet) PeerChanged(flow.IPv4, string)                {}
 
 // fixture is a core with a host of four slots that the agent saw start.
--- a/agent/packetfront/events.go
+++ b/agent/packetfront/events.go
@@ -44,5 +44,8 @@
 	// Ejected tells that the host gets no new flows because it fails, or that this
 	// has ended; trials and failures are those of the time before.
 	Ejected(ejected bool, trials, failures int)
+	// Unproven tells that the host is up again after so many unplanned ends in a row
+	// and gets no new flows for a while.
+	Unproven(ends int, proof time.Duration)
 	PeerChanged(ip flow.IPv4, what string)
 }
--- a/agent/packetfront/fromhost.go
+++ b/agent/packetfront/fromhost.go
@@ -8,7 +8,7 @@
 
 // HandleHost takes a packet that the host sent.
 func (c *Core) HandleHost(now time.Time, h *flow.Header, packet []byte) {
-	c.host.heard(now)
+	c.heard(now)
 	c.learned(now)
 	if h.Flags.Has(flow.Bounced) {
 		c.handleBounced(now, h, packet)
--- a/agent/packetfront/health.go
+++ b/agent/packetfront/health.go
@@ -22,13 +22,56 @@
 // The agent sees one host only, so the judgement is against what a healthy service
 // shows (outlier.Binomial's prior). When most hosts of a service fail alike the
 // balancers pay no heed to it (ejectable).
+//
+// A host that ends without a word takes with it what it was given, and one that has
+// ended so a moment ago is likelier than others to end again. It proves itself: it
+// counts as ejected for a time after each such start, longer after each relapse.
 type health struct {
 	detector *outlier.Detector
 	ejected  bool
 	// backAt is when the last ejection ended.
 	backAt time.Time
+	// ends counts the unplanned ends in a row, lastEnd is when the last one was seen;
+	// provenAt is when the host has been up for long enough since.
+	ends     int
+	lastEnd  time.Time
+	provenAt time.Time
+}
+
+// Times of the proof of a host that has ended unplanned.
+const (
+	// leastProof is how long it has to stay up after the first end, as long as a host
+	// is slow after its start anyway; each further end in a row doubles it up to
+	// mostProof.
+	leastProof = 2 * time.Second
+	mostProof  = 30 * time.Second
+	// relapseTime is how long after an end another one counts as a relapse.
+	relapseTime = 30 * time.Second
+)
+
+// endedUnplanned notes an end without a word.
+func (h *health) endedUnplanned(now time.Time) {
+	if now.Sub(h.lastEnd) > relapseTime {
+		h.ends = 0
+	}
+	h.ends++
+	h.lastEnd = now
 }
 
+// startedAgain notes that the host is up, and tells how long it has to prove itself;
+// zero where it has not ended lately.
+func (h *health) startedAgain(now time.Time) time.Duration {
+	if h.ends == 0 || now.Sub(h.lastEnd) > relapseTime {
+		return 0
+	}
+	proof := min(leastProof<<min(h.ends-1, maxDoublings), mostProof)
+	h.provenAt, h.ejected = now.Add(proof), true
+	return proof
+}
+
+// maxDoublings keeps the doubled time in range.
+const maxDoublings = 8
+
 func newHealth() health {
 	return health{detector: outlier.New(outlier.Defaults(), outlier.DefaultJudge())}
 }
@@ -59,7 +102,7 @@
 
 // checkHealth ends an ejection whose time is over.
 func (c *Core) checkHealth(now time.Time) {
-	if !c.health.ejected || c.health.detector.Ejected(now, hostTarget) {
+	if !c.health.ejected || c.health.detector.Ejected(now, hostTarget) || now.Before(c.health.provenAt) {
 		return
 	}
 	c.health.ejected, c.health.backAt = false, now
--- a/agent/packetfront/health_test.go
+++ b/agent/packetfront/health_test.go
@@ -177,3 +177,71 @@
 	f.pass(comebackTime)
 	require.Zero(t, f.announcement(f.now).WarmupMillis)
 }
+
+// goesDownAndUp lets the host end without a word and start again.
+func (f *fixture) goesDownAndUp(down time.Duration) {
+	f.Probed(f.now, ProbeRefused)
+	f.pass(down)
+	f.Probed(f.now, ProbeAccepted)
+}
+
+// unprovenFor is how long a host that is up gets no new flow.
+func (f *fixture) unprovenFor() time.Duration {
+	began := f.now
+	for f.announcement(f.now).Ejected {
+		f.pass(100 * time.Millisecond)
+	}
+	return f.now.Sub(began)
+}
+
+// TestAHostThatEndsUnplannedProvesItself: for longer after each relapse, and as at
+// first again when it has been up for long.
+func TestAHostThatEndsUnplannedProvesItself(t *testing.T) {
+	f := newFixture()
+	require.Zero(t, f.unprovenFor(), "a first start proves itself by what it does")
+	for _, want := range []time.Duration{2, 4, 8, 16, 30} {
+		f.goesDownAndUp(800 * time.Millisecond)
+		require.Equal(t, want*time.Second, f.unprovenFor())
+	}
+	require.Equal(t, mostProof, relapseTime)
+	f.goesDownAndUp(800 * time.Millisecond)
+	require.Equal(t, leastProof, f.unprovenFor(), "it was up for long")
+}
+
+// TestAHostThatGoesDownAndUpByTurnsGetsNoFlow: it does not stay up for long enough.
+func TestAHostThatGoesDownAndUpByTurnsGetsNoFlow(t *testing.T) {
+	f := newFixture()
+	for range 20 {
+		f.goesDownAndUp(400 * time.Millisecond)
+		for range 4 {
+			require.True(t, f.announcement(f.now).Ejected)
+			f.pass(100 * time.Millisecond)
+		}
+	}
+}
+
+// TestPlannedEndsAreNoRelapses: of a release, or of a host that starts again after its
+// farewell; nor is a start that a fresh agent finds.
+func TestPlannedEndsAreNoRelapses(t *testing.T) {
+	for name, do := range map[string]func(f *fixture){
+		"after a farewell": func(f *fixture) {
+			f.Leave(f.now, fleet.Life{HostID: "i-1"})
+			f.Probed(f.now, ProbeRefused)
+			f.beatOf(time.Second, "i-2", 1, false)
+		},
+		"a fresh agent": func(f *fixture) {
+			f.Core = New(f.opts, f.port, f.codec, f.events)
+			f.goesDownAndUp(400 * time.Millisecond)
+		},
+		"long ago": func(f *fixture) {
+			f.Probed(f.now, ProbeRefused)
+			f.pass(relapseTime + 1)
+			f.Probed(f.now, ProbeAccepted)
+		},
+	} {
+		f := newFixture()
+		do(f)
+		require.Equal(t, fleet.Ready, f.host.state(), name)
+		require.Zero(t, f.unprovenFor(), name)
+	}
+}
--- a/agent/packetfront/host.go
+++ b/agent/packetfront/host.go
@@ -81,17 +81,21 @@
 }
 
 // heard notes a sign of life.
-func (h *host) heard(now time.Time) {
-	h.owesSince = time.Time{}
-	if h.left.IsZero() {
-		h.cameUp(now)
+func (c *Core) heard(now time.Time) {
+	c.host.owesSince = time.Time{}
+	if c.host.left.IsZero() {
+		c.cameUp(now)
 	}
 }
 
 // cameUp notes that the host is there.
-func (h *host) cameUp(now time.Time) {
+func (c *Core) cameUp(now time.Time) {
+	h := &c.host
 	if !h.up {
 		h.upSince = now
+		if proof := c.health.startedAgain(now); proof > 0 {
+			c.events.Unproven(c.health.ends, proof)
+		}
 	}
 	h.up, h.killed, h.downSince = true, false, time.Time{}
 }
@@ -117,7 +121,7 @@
 	if !h.up || changed {
 		c.events.HostReport("host state", b)
 	}
-	h.heard(now)
+	c.heard(now)
 	c.learned(now)
 	c.announceChange(now)
 	return true
@@ -261,7 +265,7 @@
 	defer c.learned(now)
 	switch {
 	case p == ProbeAccepted && !h.up:
-		h.cameUp(now)
+		c.cameUp(now)
 		h.beat = fleet.Heartbeat{Slots: h.beat.Slots}
 		h.sawStart = h.sawDown
 		c.events.HostReport("host listens", h.beat)
@@ -283,6 +287,9 @@
 	if !h.up {
 		return
 	}
+	if h.left.IsZero() {
+		c.health.endedUnplanned(now)
+	}
 	h.up, h.owesSince = false, time.Time{}
 	h.sawEnd = true
 	c.events.HostReport("host does not listen", h.beat)
--- a/agent/packetfront/observer.go
+++ b/agent/packetfront/observer.go
@@ -39,7 +39,7 @@
 	requests, passes, reports, other telemetry.Budget
 
 	delivered, requested, waited, postponed, gaveUp, passedOn, bounced, resets prometheus.Counter
-	failed, ejections                                                          prometheus.Counter
+	failed, ejections, unproven                                                prometheus.Counter
 	refusedReports                                                             *prometheus.CounterVec
 	drops                                                                      map[Drop]prometheus.Counter
 	load                                                                       prometheus.Histogram
@@ -63,6 +63,7 @@
 		resets:    c.Counter("reset_flows_total", "Flows reset because their host has ended."),
 		failed:    c.Counter("failed_requests_total", "Requests that the host answered with a failure or a reset."),
 		ejections: c.Counter("ejections_total", "Times that the host was taken out because it fails."),
+		unproven:  c.Counter("unproven_starts_total", "Starts of a host that had ended unplanned a moment ago."),
 		drops:     telemetry.ByReason(c, "dropped_packets_total", "Packets dropped, by reason.", Drops),
 		load: c.Histogram("load_at_request",
 			"Requests that the host works on or has queued when another one comes.", []float64{0, 1, 2, 4, 8, 16, 32, 64}),
@@ -150,6 +151,12 @@
 	o.Log.Warn("host ejected", zap.Int("trials", trials), zap.Int("failures", failures))
 }
 
+// Unproven implements Events.
+func (o *observer) Unproven(ends int, proof time.Duration) {
+	o.unproven.Inc()
+	o.Write(&o.reports, "host up again, not proven", zap.Int("ends", ends), zap.Duration("proof", proof))
+}
+
 // PeerChanged implements Events.
 func (o *observer) PeerChanged(ip flow.IPv4, what string) {
 	o.Log.Info("balancer "+what, zap.Stringer(telemetry.FieldPeer, ip))
--- a/model/sim/quiet.go
+++ b/model/sim/quiet.go
@@ -45,4 +45,5 @@
 func (QuietAgent) HostReport(string, fleet.Heartbeat)           {}
 func (QuietAgent) Failed()                                      {}
 func (QuietAgent) Ejected(bool, int, int)                       {}
+func (QuietAgent) Unproven(int, time.Duration)                  {}
 func (QuietAgent) PeerChanged(flow.IPv4, string)                {}
