--- a/fleet/message.go
+++ b/fleet/message.go
@@ -64,22 +64,6 @@
 	return [...]string{"absent", "ready", "draining", "gone"}[s&3]
 }
 
-// Listing is what an agent knows of its entry in the registry.
-type Listing uint8
-
-// The listings.
-const (
-	// ListingUnknown: it may be there or not.
-	ListingUnknown Listing = iota
-	// ListingThere: the store has it.
-	ListingThere
-	// ListingTakenAway: the store has none any more.
-	ListingTakenAway
-	// ListingLeft: the agent stops for good, for its host has ended, and has not got
-	// its entry taken away.
-	ListingLeft
-)
-
 // Identity orders the messages of one process.
 type Identity struct {
 	// Epoch is random for each start of the process.
