--- a/agent/packetfront/acks_test.go
+++ b/agent/packetfront/acks_test.go
@@ -12,11 +12,11 @@
 // announced counts the announcements to a balancer and returns the last state.
 func (f *fixture) announced(t *testing.T, ip flow.IPv4) (count int, last fleet.State) {
 	t.Helper()
-	for _, s := range f.port.nodes {
-		if s.to != ip {
+	for _, s := range f.port.Nodes {
+		if s.To != ip {
 			continue
 		}
-		if a, err := fleet.DecodeAnnouncement(s.raw); err == nil {
+		if a, err := fleet.DecodeAnnouncement(s.Raw); err == nil {
 			count, last = count+1, a.State
 		}
 	}
@@ -31,9 +31,9 @@
 		f.beacon(ip, 0, f.Core.seq)
 	}
 	f.pass(ackPause)
-	f.port.nodes = nil
+	f.port.Nodes = nil
 	f.pass(ackPause)
-	require.Empty(t, f.port.nodes, "all is acknowledged")
+	require.Empty(t, f.port.Nodes, "all is acknowledged")
 
 	f.beat(true)
 	f.beacon(balancerIP, 0, f.Core.seq)
@@ -55,7 +55,7 @@
 func TestAnAcknowledgementOfAFormerProcessIsNone(t *testing.T) {
 	f := newFixture()
 	f.beacon(balancerIP, 0, 0)
-	f.port.nodes = nil
+	f.port.Nodes = nil
 	m := fleet.Beacon{Identity: fleet.Identity{Epoch: 4, Seq: 99}, Heard: fleet.Identity{Epoch: 77, Seq: 1000}}
 	f.HandleNode(f.now, balancerIP, m.Append(nil))
 	f.pass(ackPause)
@@ -67,7 +67,7 @@
 func TestRepetitionsAreBounded(t *testing.T) {
 	f := newFixture()
 	f.beacon(balancerIP, 0, 0)
-	f.port.nodes = nil
+	f.port.Nodes = nil
 	for range 10 {
 		f.pass(ackPause)
 	}
--- a/agent/packetfront/admission_test.go
+++ b/agent/packetfront/admission_test.go
@@ -156,17 +156,17 @@
 	e := load(2)
 	e.SetCandidates([]flow.Candidate{{Host: nextIP, Service: service}})
 	f.opens(100, e, 2)
-	passed := f.port.last()
-	require.Equal(t, nextIP, passed.to)
-	require.Equal(t, flow.IPv4(9), passed.env.Best, "it was offered here first")
-	require.Equal(t, f.wait().Truncate(time.Millisecond), passed.env.BestWait)
+	passed := f.port.Last()
+	require.Equal(t, nextIP, passed.To)
+	require.Equal(t, flow.IPv4(9), passed.Env.Best, "it was offered here first")
+	require.Equal(t, f.wait().Truncate(time.Millisecond), passed.Env.BestWait)
 
 	last := load(2)
 	last.Best, last.BestWait = nextIP, 10*time.Millisecond
 	f.opens(101, last, 2)
-	sent := f.port.last()
-	require.Equal(t, nextIP, sent.to)
-	require.NotZero(t, sent.env.Flags&envelope.Settle)
+	sent := f.port.Last()
+	require.Equal(t, nextIP, sent.To)
+	require.NotZero(t, sent.Env.Flags&envelope.Settle)
 	require.False(t, f.opened(101))
 
 	last.BestWait = time.Second
@@ -189,10 +189,10 @@
 		f.opens(client, load(2), 2)
 		f.asks(client)
 	}
-	sent := len(f.port.nodes)
+	sent := len(f.port.Nodes)
 	f.opens(500, load(2), 0)
 	require.False(t, f.opened(500))
-	require.Len(t, f.port.nodes, sent, "it is not refused either")
+	require.Len(t, f.port.Nodes, sent, "it is not refused either")
 	f.opens(501, load(2), 1)
 	require.True(t, f.opened(501), "the next one comes after 400 ms")
 	f.opens(502, load(2), 2)
@@ -231,7 +231,7 @@
 	}
 	f.opens(client, load(2), 2)
 	require.False(t, f.opened(client))
-	require.Equal(t, envelope.Returned, f.port.last().kind)
+	require.Equal(t, envelope.Returned, f.port.Last().Kind)
 	long := load(2)
 	long.Deadline = 8 * time.Second
 	f.opens(client+1, long, 2)
@@ -261,7 +261,7 @@
 	}
 	f.opens(client, load(2), 2)
 	require.False(t, f.opened(client))
-	require.Equal(t, envelope.Returned, f.port.last().kind)
+	require.Equal(t, envelope.Returned, f.port.Last().Kind)
 	unstated := load(2)
 	unstated.Objective = 0
 	f.opens(client+1, unstated, 2)
--- a/agent/packetfront/core_test.go
+++ b/agent/packetfront/core_test.go
@@ -9,6 +9,7 @@
 	"github.com/poppywall/poppywall/fleet"
 	"github.com/poppywall/poppywall/flow"
 	"github.com/poppywall/poppywall/flow/envelope"
+	"github.com/poppywall/poppywall/flow/envelope/envelopetest"
 	"github.com/poppywall/poppywall/platform"
 	"github.com/poppywall/poppywall/platform/platformtest"
 )
@@ -21,31 +22,14 @@
 
 // port records what a core sends.
 type port struct {
-	nodes  []sent
+	envelopetest.Recorder
+
 	host   [][]byte
 	client int
-	resets []flow.Key
-}
-
-type sent struct {
-	to   flow.IPv4
-	kind envelope.Kind
-	env  envelope.Envelope
-	raw  []byte
 }
 
-func (p *port) ToNode(to flow.IPv4, head, packet []byte) {
-	raw := append(append([]byte(nil), head...), packet...)
-	kind, _ := envelope.KindOf(raw)
-	s := sent{to: to, kind: kind, raw: raw}
-	// Messages of the fleet are no envelopes; their kind says so.
-	_, _ = s.env.Decode(raw)
-	p.nodes = append(p.nodes, s)
-}
 func (p *port) ToHost(packet []byte)           { p.host = append(p.host, append([]byte(nil), packet...)) }
 func (p *port) ToClient(_ flow.IPv4, _ []byte) { p.client++ }
-func (p *port) Reset(key flow.Key, _ uint32)   { p.resets = append(p.resets, key) }
-func (p *port) last() sent                     { return p.nodes[len(p.nodes)-1] }
 
 // quiet hears nothing.
 type quiet struct{}
@@ -146,9 +130,9 @@
 // owners are the balancers that were told that a flow is held here.
 func (f *fixture) owners() []flow.IPv4 {
 	var out []flow.IPv4
-	for _, s := range f.port.nodes {
-		if s.kind == envelope.Owner {
-			out = append(out, s.to)
+	for _, s := range f.port.Nodes {
+		if s.Kind == envelope.Owner {
+			out = append(out, s.To)
 		}
 	}
 	return out
@@ -176,8 +160,8 @@
 		f.deliver(e, packet(keyOf(1), flow.SYN, 0, ""))
 		require.Equal(t, c.taken, len(f.port.host) == 1, name)
 		if !c.taken {
-			require.Equal(t, nextIP, f.port.last().to, name)
-			require.EqualValues(t, 1, f.port.last().env.Hops, name)
+			require.Equal(t, nextIP, f.port.Last().To, name)
+			require.EqualValues(t, 1, f.port.Last().Env.Hops, name)
 		}
 	}
 }
@@ -200,20 +184,20 @@
 	syn := packet(keyOf(1), flow.SYN, 0, "")
 	f.deliver(e, syn)
 	f.bounce()
-	last := f.port.last()
-	require.Equal(t, nextIP, last.to)
-	require.Equal(t, syn, last.raw[len(last.raw)-len(syn):])
+	last := f.port.Last()
+	require.Equal(t, nextIP, last.To)
+	require.Equal(t, syn, last.Raw[len(last.Raw)-len(syn):])
 	f.bounce()
-	require.Len(t, f.port.nodes, 1, "a second bounce of the same packet is not known")
+	require.Len(t, f.port.Nodes, 1, "a second bounce of the same packet is not known")
 }
 
 func TestLastCandidateReturnsThePacket(t *testing.T) {
 	f := newFixture()
 	f.deliver(envelope.Envelope{Service: service, Flags: envelope.Search}, packet(keyOf(1), flow.ACK, 500, "x"))
-	last := f.port.last()
-	require.Equal(t, balancerIP, last.to)
-	require.Equal(t, envelope.Returned, last.kind)
-	require.Equal(t, envelope.Search|envelope.Searched, last.env.Flags, "sure: the agent saw its host start")
+	last := f.port.Last()
+	require.Equal(t, balancerIP, last.To)
+	require.Equal(t, envelope.Returned, last.Kind)
+	require.Equal(t, envelope.Search|envelope.Searched, last.Env.Flags, "sure: the agent saw its host start")
 }
 
 func TestAFreshAgentAsksItsHost(t *testing.T) {
@@ -223,8 +207,8 @@
 	f.deliver(envelope.Envelope{Service: service, Flags: envelope.Search}, packet(keyOf(1), flow.ACK, 500, "x"))
 	require.Len(t, f.port.host, 1)
 	f.bounce()
-	require.Equal(t, envelope.Returned, f.port.last().kind)
-	require.Zero(t, f.port.last().env.Flags&envelope.Unsure, "a bounce is a certain no")
+	require.Equal(t, envelope.Returned, f.port.Last().Kind)
+	require.Zero(t, f.port.Last().Env.Flags&envelope.Unsure, "a bounce is a certain no")
 }
 
 // TestALateSYNDoesNotSetAFlowBack: the host answers it again; the flow stays
@@ -265,32 +249,32 @@
 	t.Run("it refuses connections", func(t *testing.T) {
 		f := open()
 		f.Probed(f.now, ProbeRefused)
-		require.Equal(t, []flow.Key{keyOf(1)}, f.port.resets)
+		require.Equal(t, []flow.Key{keyOf(1)}, f.port.Resets)
 	})
 	t.Run("a silent probe proves nothing", func(t *testing.T) {
 		f := open()
 		f.Probed(f.now, ProbeSilent)
-		require.Empty(t, f.port.resets)
+		require.Empty(t, f.port.Resets)
 	})
 	t.Run("it has left", func(t *testing.T) {
 		f := open()
 		f.Leave(f.now, fleet.Life{HostID: "i-1"})
 		f.pass(leaveGrace / 2)
-		require.Empty(t, f.port.resets, "it may still send")
+		require.Empty(t, f.port.Resets, "it may still send")
 		f.pass(leaveGrace)
-		require.Len(t, f.port.resets, 1)
+		require.Len(t, f.port.Resets, 1)
 	})
 	t.Run("it bounces an open flow", func(t *testing.T) {
 		f := open()
 		f.deliver(envelope.Envelope{}, packet(keyOf(1), flow.ACK, 600, "x"))
 		f.bounce()
-		require.Len(t, f.port.resets, 1)
+		require.Len(t, f.port.Resets, 1)
 	})
 	t.Run("a later flow between the same ports is not touched", func(t *testing.T) {
 		f := open()
 		f.deliver(envelope.Envelope{}, packet(keyOf(1), flow.ACK, 0x70000000, "x"))
-		require.Empty(t, f.port.resets)
-		require.Equal(t, envelope.Returned, f.port.last().kind)
+		require.Empty(t, f.port.Resets)
+		require.Equal(t, envelope.Returned, f.port.Last().Kind)
 	})
 }
 
--- a/agent/packetfront/health_test.go
+++ b/agent/packetfront/health_test.go
@@ -166,7 +166,7 @@
 	e.SetCandidates([]flow.Candidate{{Host: nextIP, Service: service}})
 	f.deliver(e, packet(keyOf(100), flow.SYN, 0, ""))
 	require.Len(t, f.port.host, before)
-	require.Equal(t, nextIP, f.port.last().to)
+	require.Equal(t, nextIP, f.port.Last().To)
 	f.syn(101, 0, 0)
 	require.Len(t, f.port.host, before+1, "nobody else has it")
 	f.pass(10 * time.Second)
--- a/agent/packetfront/life_test.go
+++ b/agent/packetfront/life_test.go
@@ -149,10 +149,10 @@
 		f.pass(50 * time.Millisecond)
 		require.Equal(t, fleet.PresenceUnknown, f.Presence(f.now))
 	}
-	require.Empty(t, f.port.resets)
+	require.Empty(t, f.port.Resets)
 	require.True(t, f.report(0, secondLife, 2, false))
 	require.Equal(t, fleet.Ready, f.host.state())
-	require.Empty(t, f.port.resets)
+	require.Empty(t, f.port.Resets)
 }
 
 // TestFlowsOfAFormerLifeEndAndThoseOfThePresentStay: an unseen restart. The host
@@ -178,8 +178,8 @@
 		if !seen {
 			f.bounce()
 		}
-		require.Equal(t, []flow.Key{keyOf(1)}, f.port.resets[:1], name)
-		for _, key := range f.port.resets {
+		require.Equal(t, []flow.Key{keyOf(1)}, f.port.Resets[:1], name)
+		for _, key := range f.port.Resets {
 			require.Equal(t, keyOf(1), key, name)
 		}
 	}
--- a/agent/packetfront/nodes_test.go
+++ b/agent/packetfront/nodes_test.go
@@ -15,7 +15,7 @@
 	f := newFixture()
 	f.HandleNode(f.now, balancerIP, (&fleet.Beacon{Identity: fleet.Identity{Epoch: 4, Seq: 1}}).Append(nil))
 	f.beat(true)
-	a, err := fleet.DecodeAnnouncement(f.port.last().raw)
+	a, err := fleet.DecodeAnnouncement(f.port.Last().Raw)
 	require.NoError(t, err)
 	require.Equal(t, fleet.Draining, a.State)
 }
@@ -28,15 +28,15 @@
 		f.beacon(ip, zone, f.Core.seq)
 	}
 	f.pass(fleet.NearPeriod)
-	f.port.nodes = nil
+	f.port.Nodes = nil
 	for i := range busyStep {
 		f.syn(i, 0, 0)
 	}
 	f.pass(announceGap)
-	require.Len(t, f.port.nodes, 1)
-	require.Equal(t, balancerIP, f.port.last().to)
+	require.Len(t, f.port.Nodes, 1)
+	require.Equal(t, balancerIP, f.port.Last().To)
 	f.pass(fleet.NearPeriod)
-	require.Len(t, f.port.nodes, 3)
+	require.Len(t, f.port.Nodes, 3)
 }
 
 // TestTheRegistryEntryStaysWhileTheHostMayLive: an agent that stops beside a host
@@ -71,26 +71,26 @@
 	f.beacon(balancerIP, f.opts.Zone, 0)
 	f.beacon(balancerIP, f.opts.Zone, f.Core.seq)
 	f.pass(10 * time.Second)
-	f.port.nodes = nil
+	f.port.Nodes = nil
 	for range 200 {
 		f.pass(tickPeriod)
 	}
 	counts := map[flow.IPv4]int{}
-	for _, s := range f.port.nodes {
-		a, err := fleet.DecodeAnnouncement(s.raw)
+	for _, s := range f.port.Nodes {
+		a, err := fleet.DecodeAnnouncement(s.Raw)
 		require.NoError(t, err)
-		counts[s.to]++
+		counts[s.To]++
 		want := fleet.FarPeriod(farBalancers)
-		if s.to == balancerIP {
+		if s.To == balancerIP {
 			want = fleet.NearPeriod
 		}
 		require.Equal(t, want, a.Period)
 	}
 	require.Equal(t, 10, counts[balancerIP])
 	require.Equal(t, 5, counts[nextIP])
-	f.port.nodes = nil
+	f.port.Nodes = nil
 	f.beat(true)
-	require.Len(t, f.port.nodes, farBalancers+1, "a change is told to all at once")
+	require.Len(t, f.port.Nodes, farBalancers+1, "a change is told to all at once")
 }
 
 // TestNothingIsSaidBeforeTheHostIsKnown: an agent that has just started and is
@@ -111,13 +111,13 @@
 		f.Core = New(f.opts, f.port, f.codec, f.events)
 		f.HandleNode(f.now, balancerIP, (&fleet.Beacon{Identity: fleet.Identity{Epoch: 4, Seq: 1}}).Append(nil))
 		f.pass(fleet.NearPeriod)
-		require.Empty(t, f.port.nodes, name)
+		require.Empty(t, f.port.Nodes, name)
 		c.learn(f)
 		if f.host.up {
-			require.Empty(t, f.port.nodes, "%s: not in the registry yet", name)
+			require.Empty(t, f.port.Nodes, "%s: not in the registry yet", name)
 			f.registered()
 		}
-		a, err := fleet.DecodeAnnouncement(f.port.last().raw)
+		a, err := fleet.DecodeAnnouncement(f.port.Last().Raw)
 		require.NoError(t, err, name)
 		require.Equal(t, c.want, a.State, name)
 	}
@@ -130,9 +130,9 @@
 	f.Core = New(f.opts, f.port, f.codec, f.events)
 	f.Probed(f.now, ProbeAccepted)
 	f.pass(registerPatience - 1)
-	require.Empty(t, f.port.nodes)
+	require.Empty(t, f.port.Nodes)
 	f.pass(1)
-	require.NotEmpty(t, f.port.nodes)
+	require.NotEmpty(t, f.port.Nodes)
 }
 
 // TestTheRegistryFollowsTheHost: an entry comes with the host, and goes as soon as
@@ -195,7 +195,7 @@
 	f.hostSends(1, flow.SYN|flow.ACK, 500, 0)
 	f.hostSends(1, flow.ACK, 500, 10)
 	f.deliver(envelope.Envelope{Service: service, Flags: envelope.Search}, packet(keyOf(1), flow.ACK, 510, "x"))
-	require.Equal(t, envelope.Owner, f.port.last().kind)
+	require.Equal(t, envelope.Owner, f.port.Last().Kind)
 	require.Len(t, f.port.host, 2)
 }
 
--- a/balancer/packetfront/core_test.go
+++ b/balancer/packetfront/core_test.go
@@ -17,29 +17,29 @@
 	for copies := range byte(3) {
 		f.client(packet(true, copies))
 	}
-	sent := f.port.delivered()
+	sent := f.port.Delivered()
 	require.Len(t, sent, 3)
-	require.Equal(t, sent[0].to, sent[1].to)
-	require.Equal(t, sent[0].to, sent[2].to)
-	require.Equal(t, 1, sent[0].env.Count, "the other host, in case this one refuses")
-	require.Equal(t, alpha, sent[0].env.Service)
-	require.Zero(t, sent[0].env.Flags)
-	require.Equal(t, envelope.Repeated, sent[1].env.Flags)
+	require.Equal(t, sent[0].To, sent[1].To)
+	require.Equal(t, sent[0].To, sent[2].To)
+	require.Equal(t, 1, sent[0].Env.Count, "the other host, in case this one refuses")
+	require.Equal(t, alpha, sent[0].Env.Service)
+	require.Zero(t, sent[0].Env.Flags)
+	require.Equal(t, envelope.Repeated, sent[1].Env.Flags)
 
 	lone := newFixture()
 	lone.client(packet(true, 2))
-	require.Zero(t, lone.port.delivered()[0].env.Flags, "nobody has seen the copies before")
+	require.Zero(t, lone.port.Delivered()[0].Env.Flags, "nobody has seen the copies before")
 }
 
 func TestNewFlowsAvoidHostsThatTakeNone(t *testing.T) {
 	f := newFixture()
 	f.announce(hostA, fleet.Draining)
 	f.client(packet(true, 0))
-	require.Equal(t, hostB, f.port.delivered()[0].to)
-	require.Zero(t, f.port.delivered()[0].env.Count)
+	require.Equal(t, hostB, f.port.Delivered()[0].To)
+	require.Zero(t, f.port.Delivered()[0].Env.Count)
 	f.announce(hostB, fleet.Gone)
 	f.client(packet(true, 0))
-	require.Len(t, f.port.resets, 1, "no host of the service")
+	require.Len(t, f.port.Resets, 1, "no host of the service")
 }
 
 // TestEjectedHostsGetNoNewFlowsWhileTheOthersCanCarryThem.
@@ -64,10 +64,10 @@
 		offered := false
 		for range 20 {
 			f.client(packet(true, 0))
-			sent := f.port.delivered()
+			sent := f.port.Delivered()
 			last := sent[len(sent)-1]
-			hosts := []flow.IPv4{last.to}
-			for _, candidate := range last.env.Candidates[:last.env.Count] {
+			hosts := []flow.IPv4{last.To}
+			for _, candidate := range last.Env.Candidates[:last.Env.Count] {
 				hosts = append(hosts, candidate.Host)
 			}
 			offered = offered || slices.Contains(hosts, hostA)
@@ -91,7 +91,7 @@
 		f.client(p)
 		f.now = f.now.Add(c.after)
 		f.answer(hostB, 0, p)
-		require.Len(t, f.port.resets, c.resets, name)
+		require.Len(t, f.port.Resets, c.resets, name)
 	}
 }
 
@@ -103,8 +103,8 @@
 	fresh := newFixture()
 	fresh.config = nil
 	fresh.client(packet(true, 0))
-	require.Empty(t, append(f.port.resets, fresh.port.resets...))
-	require.Empty(t, append(f.port.delivered(), fresh.port.delivered()...))
+	require.Empty(t, append(f.port.Resets, fresh.port.Resets...))
+	require.Empty(t, append(f.port.Delivered(), fresh.port.Delivered()...))
 }
 
 func TestConfigurationsOnlyRise(t *testing.T) {
@@ -118,9 +118,9 @@
 func TestANewConfigurationIsToldAtOnce(t *testing.T) {
 	f := newFixture()
 	f.HandleNode(f.now, peer, (&fleet.Beacon{Identity: fleet.Identity{Epoch: 4, Seq: 1}}).Append(nil))
-	f.port.nodes = nil
+	f.port.Nodes = nil
 	f.SetConfig(f.now, config(6))
-	m, err := fleet.DecodeBeacon(f.port.nodes[0].raw)
+	m, err := fleet.DecodeBeacon(f.port.Nodes[0].Raw)
 	require.NoError(t, err)
 	require.EqualValues(t, 6, m.ConfigVersion)
 }
@@ -129,18 +129,18 @@
 	f := newFixture()
 	f.announce(other, fleet.Draining)
 	f.client(packet(false, 9))
-	first := f.port.delivered()[0]
-	require.Equal(t, 2, first.env.Count, "every host that may hold it, draining ones too")
-	require.NotZero(t, first.env.Flags&envelope.Search)
+	first := f.port.Delivered()[0]
+	require.Equal(t, 2, first.Env.Count, "every host that may hold it, draining ones too")
+	require.NotZero(t, first.Env.Flags&envelope.Search)
 	owner := envelope.Envelope{Kind: envelope.Owner}
 	f.HandleNode(f.now, other, envelope.AppendKey(owner.Append(nil), key))
 	f.client(packet(false, 9))
-	second := f.port.delivered()[1]
-	require.Equal(t, other, second.to)
-	require.Zero(t, second.env.Count)
+	second := f.port.Delivered()[1]
+	require.Equal(t, other, second.To)
+	require.Zero(t, second.Env.Count)
 	f.answer(other, 0, packet(false, 9))
-	require.Len(t, f.port.delivered(), 3, "it does not hold the flow: searched for again")
-	require.Equal(t, 2, f.port.delivered()[2].env.Count)
+	require.Len(t, f.port.Delivered(), 3, "it does not hold the flow: searched for again")
+	require.Equal(t, 2, f.port.Delivered()[2].Env.Count)
 }
 
 // TestARememberedHostThatIsNotHeardIsSearchedFor: its SYN may have been lost there,
@@ -151,7 +151,7 @@
 	} {
 		f := newFixture()
 		f.client(packet(true, 0))
-		opened := f.port.delivered()[0].to
+		opened := f.port.Delivered()[0].To
 		for end := f.now.Add(after); f.now.Before(end); {
 			f.now = f.now.Add(min(time.Second, end.Sub(f.now)))
 			f.announce(hostA+hostB-opened, fleet.Ready)
@@ -159,13 +159,13 @@
 			f.table.get(f.now, key)
 		}
 		f.client(packet(false, 9))
-		sent := f.port.delivered()[1]
+		sent := f.port.Delivered()[1]
 		if after < fleet.Quiet {
-			require.Equal(t, opened, sent.to, name)
-			require.Zero(t, sent.env.Flags&envelope.Search, name)
+			require.Equal(t, opened, sent.To, name)
+			require.Zero(t, sent.Env.Flags&envelope.Search, name)
 		} else {
-			require.NotEqual(t, opened, sent.to, name)
-			require.NotZero(t, sent.env.Flags&envelope.Search, name)
+			require.NotEqual(t, opened, sent.To, name)
+			require.NotZero(t, sent.Env.Flags&envelope.Search, name)
 		}
 	}
 }
@@ -183,16 +183,16 @@
 		f.HandleNode(f.now, 0x0a030000+i, a.Append(nil))
 	}
 	f.client(packet(true, 0))
-	chosen := f.port.delivered()[0]
-	among := map[flow.IPv4]bool{chosen.to: true}
-	for _, c := range chosen.env.Candidates[:chosen.env.Count] {
+	chosen := f.port.Delivered()[0]
+	among := map[flow.IPv4]bool{chosen.To: true}
+	for _, c := range chosen.Env.Candidates[:chosen.Env.Count] {
 		among[c.Host] = true
 	}
-	f.table.drop(key, chosen.to)
+	f.table.drop(key, chosen.To)
 	f.client(packet(false, 9))
-	sent := f.port.delivered()[1]
-	asked := []flow.IPv4{sent.to}
-	for _, c := range sent.env.Candidates[:2*searchFirst-1] {
+	sent := f.port.Delivered()[1]
+	asked := []flow.IPv4{sent.To}
+	for _, c := range sent.Env.Candidates[:2*searchFirst-1] {
 		asked = append(asked, c.Host)
 	}
 	for ip := range among {
@@ -232,7 +232,7 @@
 		x.HandleNode(x.now, 77, b)
 		var env envelope.Envelope
 		if _, err := env.Decode(b); err != nil {
-			require.Empty(t, x.port.resets)
+			require.Empty(t, x.port.Resets)
 		}
 	})
 }
--- a/balancer/packetfront/fixture_test.go
+++ b/balancer/packetfront/fixture_test.go
@@ -8,6 +8,7 @@
 	"github.com/poppywall/poppywall/fleet"
 	"github.com/poppywall/poppywall/flow"
 	"github.com/poppywall/poppywall/flow/envelope"
+	"github.com/poppywall/poppywall/flow/envelope/envelopetest"
 	"github.com/poppywall/poppywall/platform"
 	"github.com/poppywall/poppywall/platform/platformtest"
 )
@@ -25,40 +26,6 @@
 	front = flow.Front{IP: 7, Port: 80}
 )
 
-// port records what a core sends.
-type port struct {
-	nodes  []sent
-	resets []flow.Key
-}
-
-type sent struct {
-	to   flow.IPv4
-	kind envelope.Kind
-	env  envelope.Envelope
-	raw  []byte
-}
-
-func (p *port) ToNode(to flow.IPv4, head, packet []byte) {
-	raw := append(append([]byte(nil), head...), packet...)
-	kind, _ := envelope.KindOf(raw)
-	s := sent{to: to, kind: kind, raw: raw}
-	// Messages of the fleet are no envelopes; their kind says so.
-	_, _ = s.env.Decode(raw)
-	p.nodes = append(p.nodes, s)
-}
-func (p *port) Reset(key flow.Key, _ uint32) { p.resets = append(p.resets, key) }
-
-// delivered returns the envelopes that carried packets.
-func (p *port) delivered() []sent {
-	var out []sent
-	for _, s := range p.nodes {
-		if s.kind == envelope.Deliver {
-			out = append(out, s)
-		}
-	}
-	return out
-}
-
 // quiet hears nothing but the last doubt.
 type quiet struct{ doubt *Doubt }
 
@@ -78,14 +45,14 @@
 // fixture is a settled balancer with two hosts of a service.
 type fixture struct {
 	*Core
-	port  *port
+	port  *envelopetest.Recorder
 	now   time.Time
 	seq   uint32
 	doubt Doubt
 }
 
 func newFixture() *fixture {
-	f := &fixture{port: &port{}, now: time.Unix(1_700_000_000, 0)}
+	f := &fixture{port: &envelopetest.Recorder{}, now: time.Unix(1_700_000_000, 0)}
 	opts := Options{Self: self, Epoch: 1, Weights: choose.Weights{OtherZone: 1, Warming: 1.6}}
 	f.Core = New(f.now, opts, f.port, platform.Codec{}, quiet{&f.doubt}, rand.New(rand.NewPCG(1, 1)))
 	f.SetConfig(f.now, config(5))
@@ -93,7 +60,7 @@
 	f.announce(hostA, fleet.Ready)
 	f.announce(hostB, fleet.Ready)
 	f.Surveyed(f.now, f.now, registered(hostA, hostB))
-	f.port.nodes = nil
+	f.port.Nodes = nil
 	return f
 }
 
@@ -152,8 +119,8 @@
 
 // answer returns the last packet sent to a host as an agent would.
 func (f *fixture) answer(from flow.IPv4, flags envelope.Flags, p []byte) {
-	sent := f.port.delivered()
-	e := sent[len(sent)-1].env
+	sent := f.port.Delivered()
+	e := sent[len(sent)-1].Env
 	e.Kind, e.Count = envelope.Returned, 0
 	e.Flags |= flags
 	f.HandleNode(f.now, from, append(e.Append(nil), p...))
--- a/balancer/packetfront/limbo_test.go
+++ b/balancer/packetfront/limbo_test.go
@@ -10,12 +10,13 @@
 	"github.com/poppywall/poppywall/fleet"
 	"github.com/poppywall/poppywall/flow"
 	"github.com/poppywall/poppywall/flow/envelope"
+	"github.com/poppywall/poppywall/flow/envelope/envelopetest"
 	"github.com/poppywall/poppywall/platform"
 )
 
 // newStarted returns a balancer that knows nothing yet.
 func newStarted() *fixture {
-	f := &fixture{port: &port{}, now: time.Unix(1_700_000_000, 0)}
+	f := &fixture{port: &envelopetest.Recorder{}, now: time.Unix(1_700_000_000, 0)}
 	f.Core = New(f.now, Options{Self: self, Epoch: 1}, f.port, platform.Codec{}, quiet{&f.doubt}, rand.New(rand.NewPCG(1, 1)))
 	return f
 }
@@ -34,15 +35,15 @@
 		f := newStarted()
 		f.client(p)
 		f.pass(2 * parkPause)
-		require.Empty(t, f.port.delivered(), name)
+		require.Empty(t, f.port.Delivered(), name)
 		f.SetConfig(f.now, config(5))
 		f.pass(2 * parkPause)
-		require.Empty(t, f.port.delivered(), "%s: no host yet", name)
+		require.Empty(t, f.port.Delivered(), "%s: no host yet", name)
 		f.announce(hostA, fleet.Ready)
 		f.pass(parkPause)
-		require.Len(t, f.port.delivered(), 1, name)
+		require.Len(t, f.port.Delivered(), 1, name)
 		f.pass(limboPause / 2)
-		require.Len(t, f.port.delivered(), 1, "%s: the host was asked", name)
+		require.Len(t, f.port.Delivered(), 1, "%s: the host was asked", name)
 	}
 }
 
@@ -54,7 +55,7 @@
 	f.SetConfig(f.now, config(5))
 	f.announce(hostA, fleet.Ready)
 	f.pass(2 * parkPause)
-	require.Empty(t, f.port.delivered(), "it came too long ago")
+	require.Empty(t, f.port.Delivered(), "it came too long ago")
 
 	f = newStarted()
 	f.client(packet(true, 0))
@@ -62,7 +63,7 @@
 	f.announce(hostA, fleet.Ready)
 	f.client(packet(true, 1))
 	f.pass(2 * parkPause)
-	require.Len(t, f.port.delivered(), 1, "the copy went instead")
+	require.Len(t, f.port.Delivered(), 1, "the copy went instead")
 }
 
 // TestAKeptSYNIsNotSearchedFor: once the client has sent a later packet its flow is
@@ -75,12 +76,12 @@
 	f.announce(hostA, fleet.Ready)
 	f.client(packet(false, 9))
 	f.pass(2 * parkPause)
-	for _, s := range f.port.delivered() {
-		h, err := platform.DecodePacket(s.raw[len(s.raw)-platform.HeadLen:])
+	for _, s := range f.port.Delivered() {
+		h, err := platform.DecodePacket(s.Raw[len(s.Raw)-platform.HeadLen:])
 		require.NoError(t, err)
 		require.False(t, h.IsOpening())
 	}
-	require.NotEmpty(t, f.port.delivered())
+	require.NotEmpty(t, f.port.Delivered())
 }
 
 func TestKeptPacketsAreBounded(t *testing.T) {
@@ -103,7 +104,7 @@
 	f.SetConfig(f.now, &flow.Config{Version: 6})
 	f.pass(2 * parkPause)
 	require.Empty(t, f.limbo.flows)
-	require.Empty(t, f.port.resets)
+	require.Empty(t, f.port.Resets)
 }
 
 // TestOnePacketOfAFlowIsSentAlongTheHosts: the others follow once one of them has
@@ -113,15 +114,15 @@
 	for i := range byte(3) {
 		f.client(packet(false, 9+i))
 	}
-	require.Len(t, f.port.delivered(), 1)
+	require.Len(t, f.port.Delivered(), 1)
 	owner := envelope.Envelope{Kind: envelope.Owner, Balancer: self}
 	f.HandleNode(f.now, hostB, envelope.AppendKey(owner.Append(nil), key))
-	sent := f.port.delivered()
+	sent := f.port.Delivered()
 	require.Len(t, sent, 3)
 	for i, s := range sent[1:] {
-		require.Equal(t, hostB, s.to)
-		require.Zero(t, s.env.Flags&envelope.Search)
-		require.Equal(t, byte(10+i), s.raw[len(s.raw)-platform.HeadLen+7])
+		require.Equal(t, hostB, s.To)
+		require.Zero(t, s.Env.Flags&envelope.Search)
+		require.Equal(t, byte(10+i), s.Raw[len(s.Raw)-platform.HeadLen+7])
 	}
 	require.Zero(t, f.limbo.packets)
 }
@@ -132,12 +133,12 @@
 	f.client(packet(false, 9))
 	f.client(packet(false, 10))
 	f.pass(limboPause + tickPeriod)
-	require.Len(t, f.port.delivered(), 2, "searched for again")
+	require.Len(t, f.port.Delivered(), 2, "searched for again")
 	f.client(packet(false, 11))
-	require.Len(t, f.port.delivered(), 2)
+	require.Len(t, f.port.Delivered(), 2)
 	owner := envelope.Envelope{Kind: envelope.Owner, Balancer: self}
 	f.HandleNode(f.now, hostB, envelope.AppendKey(owner.Append(nil), key))
-	require.Len(t, f.port.delivered(), 4)
+	require.Len(t, f.port.Delivered(), 4)
 }
 
 // TestFollowersEndWithTheirFlow: a flow that is certainly over is reset once.
@@ -146,10 +147,10 @@
 	f.client(packet(false, 9))
 	f.client(packet(false, 10))
 	f.answer(hostB, envelope.Searched, packet(false, 9))
-	require.Len(t, f.port.resets, 1)
+	require.Len(t, f.port.Resets, 1)
 	require.Zero(t, f.limbo.packets)
 	f.pass(time.Second)
-	require.Len(t, f.port.delivered(), 1)
+	require.Len(t, f.port.Delivered(), 1)
 }
 
 func TestFollowersAreBounded(t *testing.T) {
--- a/balancer/packetfront/search_test.go
+++ b/balancer/packetfront/search_test.go
@@ -11,6 +11,7 @@
 	"github.com/poppywall/poppywall/fleet"
 	"github.com/poppywall/poppywall/flow"
 	"github.com/poppywall/poppywall/flow/envelope"
+	"github.com/poppywall/poppywall/flow/envelope/envelopetest"
 )
 
 // manyHosts is a settled balancer that knows so many hosts.
@@ -20,25 +21,25 @@
 		f.announce(0x0a020000+i, fleet.Ready)
 	}
 	f.Surveyed(f.now, f.now, registered(f.View().Hosts()...))
-	f.port.nodes = nil
+	f.port.Nodes = nil
 	return f
 }
 
 // visiting returns the messages of the flow's search that have not come back.
-func (f *fixture) visiting() []sent {
+func (f *fixture) visiting() []envelopetest.Sent {
 	k, kept := f.limbo.flows[key]
 	if !kept {
 		return nil
 	}
-	return slices.DeleteFunc(f.port.delivered(), func(s sent) bool { return k.visits[s.env.SearchID] == nil })
+	return slices.DeleteFunc(f.port.Delivered(), func(s envelopetest.Sent) bool { return k.visits[s.Env.SearchID] == nil })
 }
 
 // hostsOf returns the hosts that messages visit.
-func hostsOf(messages ...sent) []flow.IPv4 {
+func hostsOf(messages ...envelopetest.Sent) []flow.IPv4 {
 	var out []flow.IPv4
 	for _, s := range messages {
-		out = append(out, s.to)
-		for _, c := range s.env.Candidates[:s.env.Count] {
+		out = append(out, s.To)
+		for _, c := range s.Env.Candidates[:s.Env.Count] {
 			out = append(out, c.Host)
 		}
 	}
@@ -46,11 +47,11 @@
 }
 
 // comeBack lets a message return whose packet no host has taken.
-func (f *fixture) comeBack(s sent, flags envelope.Flags) {
-	e := s.env
+func (f *fixture) comeBack(s envelopetest.Sent, flags envelope.Flags) {
+	e := s.Env
 	e.Kind, e.Count = envelope.Returned, 0
 	e.Flags |= envelope.Searched | flags
-	f.HandleNode(f.now, s.to, append(e.Append(nil), packet(false, 9)...))
+	f.HandleNode(f.now, s.To, append(e.Append(nil), packet(false, 9)...))
 }
 
 // TestAFlowIsResetOnceAllHostsHaveDeniedIt: however many there are, each visited
@@ -64,13 +65,13 @@
 		for ; len(f.visiting()) > 0; rounds++ {
 			messages := f.visiting()
 			for _, s := range messages {
-				require.Empty(t, f.port.resets)
+				require.Empty(t, f.port.Resets)
 				require.LessOrEqual(t, len(hostsOf(s)), searchRound)
 				f.comeBack(s, 0)
 			}
 			visited = append(visited, hostsOf(messages...)...)
 		}
-		require.Len(t, f.port.resets, 1)
+		require.Len(t, f.port.Resets, 1)
 		require.ElementsMatch(t, f.View().Hosts(), visited)
 		want := 2
 		if hosts <= searchRound {
@@ -113,9 +114,9 @@
 	slices.Reverse(backward)
 	require.Equal(t, backward, hostsOf(again...), "a VM that is dead is the last one then")
 	f.comeBack(parts[0], envelope.Unsure)
-	require.Empty(t, f.port.resets, "it had visited before the repetition")
+	require.Empty(t, f.port.Resets, "it had visited before the repetition")
 	f.comeBack(again[0], 0)
-	require.Len(t, f.port.resets, 1)
+	require.Len(t, f.port.Resets, 1)
 }
 
 // TestAllAreVisitedWhenTheLikeliestDoNotAnswer: one of them may be dead, and the flow
@@ -135,7 +136,7 @@
 	f.announce(hostB, fleet.Gone)
 	f.Surveyed(f.now, f.now, nil)
 	f.pass(limboPause)
-	require.Len(t, f.port.resets, 1)
+	require.Len(t, f.port.Resets, 1)
 }
 
 // TestAHostThatIsUnsureKeepsTheFlowInDoubt: whichever of the messages visited it.
@@ -151,7 +152,7 @@
 		f.comeBack(s, flags)
 	}
 	require.Equal(t, DoubtHost, f.doubt)
-	require.Empty(t, f.port.resets)
+	require.Empty(t, f.port.Resets)
 }
 
 // TestOnlyWhatEveryHostHasDeniedIsReset: hosts fall silent, are heard again, end,
@@ -182,7 +183,7 @@
 			default:
 				f.someComeBack(t, denied)
 			}
-			if len(f.port.resets) == 0 {
+			if len(f.port.Resets) == 0 {
 				continue
 			}
 			for _, ip := range hosts {
@@ -197,11 +198,11 @@
 func (f *fixture) someComeBack(t *rapid.T, denied map[flow.IPv4]bool) {
 	all := rapid.Bool().Draw(t, "all")
 	waiting := f.visiting()
-	for _, s := range f.port.delivered() {
+	for _, s := range f.port.Delivered() {
 		if !all && rapid.IntRange(0, 3).Draw(t, "comes back") == 0 {
 			continue
 		}
-		if slices.ContainsFunc(waiting, func(w sent) bool { return w.env.SearchID == s.env.SearchID }) {
+		if slices.ContainsFunc(waiting, func(w envelopetest.Sent) bool { return w.Env.SearchID == s.Env.SearchID }) {
 			for _, ip := range hostsOf(s) {
 				denied[ip] = true
 			}
--- a/balancer/packetfront/survey_test.go
+++ b/balancer/packetfront/survey_test.go
@@ -187,7 +187,7 @@
 			f.comeBack(s, c.flags)
 		}
 		require.Equal(t, c.want, f.doubt, name)
-		require.Equal(t, c.want == "", len(f.port.resets) == 1, name)
+		require.Equal(t, c.want == "", len(f.port.Resets) == 1, name)
 	}
 }
 
@@ -200,12 +200,12 @@
 	require.Equal(t, DoubtFresh, f.doubt)
 	f.client(packet(false, 9))
 	f.pass(freshTime / 2)
-	require.Empty(t, f.port.resets)
+	require.Empty(t, f.port.Resets)
 	f.pass(freshTime + limboPause)
-	require.Len(t, f.port.resets, 1)
+	require.Len(t, f.port.Resets, 1)
 	f.pass(time.Second)
-	require.Len(t, f.port.delivered(), 1)
-	require.Len(t, f.port.resets, 1)
+	require.Len(t, f.port.Delivered(), 1)
+	require.Len(t, f.port.Resets, 1)
 }
 
 // TestARegisteredHostThatIsGoneIsAskedToo: it may have started since, and the
@@ -227,7 +227,7 @@
 			require.False(t, len(hostsOf(s)) > 1 && slices.Contains(hostsOf(s), other), "its VM may be gone")
 			f.comeBack(s, 0)
 		}
-		require.Len(t, f.port.resets, 1, name)
+		require.Len(t, f.port.Resets, 1, name)
 	}
 }
 
@@ -247,15 +247,15 @@
 		}
 		f.Surveyed(f.now, f.now, registered(hostA, hostB, other))
 		f.pass(parkPause)
-		asked := f.port.delivered()
+		asked := f.port.Delivered()
 		require.Len(t, asked, 2, name)
-		require.Equal(t, other, asked[1].to, name)
-		require.Zero(t, asked[1].env.Count, name)
+		require.Equal(t, other, asked[1].To, name)
+		require.Zero(t, asked[1].Env.Count, name)
 		f.startedAt = f.now.Add(-freshTime)
 		f.pass(limboPause / 2)
-		require.Empty(t, f.port.resets, "%s: no answer yet", name)
+		require.Empty(t, f.port.Resets, "%s: no answer yet", name)
 		f.answer(other, envelope.Searched, packet(false, 9))
-		require.Len(t, f.port.resets, 1, name)
+		require.Len(t, f.port.Resets, 1, name)
 	}
 }
 
@@ -264,14 +264,14 @@
 func TestAnAnswerToAnEarlierSearchIsNone(t *testing.T) {
 	f := newFixture()
 	f.client(packet(false, 9))
-	late := f.port.delivered()[0]
+	late := f.port.Delivered()[0]
 	f.pass(limboPause + tickPeriod)
-	require.Len(t, f.port.delivered(), 2, "repeated")
-	late.env.Kind, late.env.Count, late.env.Flags = envelope.Returned, 0, envelope.Search|envelope.Searched
-	f.HandleNode(f.now, hostB, append(late.env.Append(nil), packet(false, 9)...))
-	require.Empty(t, f.port.resets)
+	require.Len(t, f.port.Delivered(), 2, "repeated")
+	late.Env.Kind, late.Env.Count, late.Env.Flags = envelope.Returned, 0, envelope.Search|envelope.Searched
+	f.HandleNode(f.now, hostB, append(late.Env.Append(nil), packet(false, 9)...))
+	require.Empty(t, f.port.Resets)
 	f.answer(hostB, envelope.Searched, packet(false, 9))
-	require.Len(t, f.port.resets, 1)
+	require.Len(t, f.port.Resets, 1)
 }
 
 // TestAFlowIsNotSearchedForOverAndOverInDoubt: with a host missing for long, each
@@ -283,8 +283,8 @@
 	f.answer(hostB, envelope.Searched, packet(false, 9))
 	require.Equal(t, DoubtMissing, f.doubt)
 	f.pass(limboTTL - limboPause)
-	require.Len(t, f.port.delivered(), 1)
-	require.Empty(t, f.port.resets)
+	require.Len(t, f.port.Delivered(), 1)
+	require.Empty(t, f.port.Resets)
 }
 
 // TestAnAnswerToAFormerProcessIsNone: it had asked other hosts.
@@ -297,12 +297,12 @@
 	f.Surveyed(f.now, f.now, registered(hostA, hostB))
 	former.client(packet(false, 9))
 	f.client(packet(false, 9))
-	late := former.port.delivered()[0]
-	late.env.Kind, late.env.Count, late.env.Flags = envelope.Returned, 0, envelope.Search|envelope.Searched
-	f.HandleNode(f.now, hostB, append(late.env.Append(nil), packet(false, 9)...))
-	require.Empty(t, f.port.resets)
+	late := former.port.Delivered()[0]
+	late.Env.Kind, late.Env.Count, late.Env.Flags = envelope.Returned, 0, envelope.Search|envelope.Searched
+	f.HandleNode(f.now, hostB, append(late.Env.Append(nil), packet(false, 9)...))
+	require.Empty(t, f.port.Resets)
 	f.answer(hostB, envelope.Searched, packet(false, 9))
-	require.Len(t, f.port.resets, 1)
+	require.Len(t, f.port.Resets, 1)
 }
 
 // TestTheRegistryIsReadLessOftenWhileDoubtLasts: each reading is a priced call.
@@ -330,14 +330,14 @@
 // of one that was taken away never will.
 func TestHostsThatAreGoneAreGreetedAndNotWaitedFor(t *testing.T) {
 	names := func(f *fixture) (n fleet.Names) {
-		f.port.nodes = nil
+		f.port.Nodes = nil
 		f.seq++
 		ask := fleet.Beacon{Identity: fleet.Identity{Epoch: 4, Seq: f.seq}, WantPeers: true}
 		f.HandleNode(f.now, peer, ask.Append(nil))
-		for _, s := range f.port.nodes {
-			if s.kind == envelope.Peers {
+		for _, s := range f.port.Nodes {
+			if s.Kind == envelope.Peers {
 				var err error
-				n, err = fleet.DecodeNames(s.raw)
+				n, err = fleet.DecodeNames(s.Raw)
 				require.NoError(t, err)
 			}
 		}
@@ -356,8 +356,8 @@
 
 	fresh := newFixture()
 	fleet.Names{Idle: []flow.IPv4{other}}.Append(nil, func(msg []byte) { fresh.HandleNode(fresh.now, peer, msg) })
-	require.Equal(t, other, fresh.port.nodes[0].to, "greeted")
+	require.Equal(t, other, fresh.port.Nodes[0].To, "greeted")
 	fresh.client(packet(false, 9))
 	fresh.answer(hostB, envelope.Searched, packet(false, 9))
-	require.Len(t, fresh.port.resets, 1)
+	require.Len(t, fresh.port.Resets, 1)
 }
