--- a/agent/packetfront/presence.go
+++ b/agent/packetfront/presence.go
@@ -12,11 +12,6 @@
 // just then wait for every agent on the list.
 const endedTime = 2 * time.Second
 
-// startTime is how long after its own start an agent waits for a host that does not
-// listen before it takes the entry of an earlier process away: VMs start their agent
-// and their host within a tenth of a second of each other.
-const startTime = 300 * time.Millisecond
-
 // HostEnded tells whether the host has ended for certain, so that no flow can be
 // open here.
 func (c *Core) HostEnded() bool { return !c.host.left.IsZero() || c.host.holdsNothing() }
@@ -50,11 +45,9 @@
 
 // stayedAway tells whether a host that has ended is not expected back at once: it
 // has said farewell, was there for long before, or has been away for long. One that
-// this process has never seen may be about to start.
+// this process has never seen may be about to start; until then the agent answers
+// for it.
 func (h *host) stayedAway(now time.Time) bool {
-	away := now.Sub(h.downSince)
-	if h.upSince.IsZero() {
-		return away > startTime
-	}
-	return !h.left.IsZero() || h.downSince.Sub(h.upSince) > endedTime || away > endedTime
+	steady := !h.upSince.IsZero() && h.downSince.Sub(h.upSince) > endedTime
+	return !h.left.IsZero() || steady || now.Sub(h.downSince) > endedTime
 }
