--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -414,3 +415,31 @@
 	require.False(t, v.Keeper(start.Add(4*time.Second), ip2))
 	require.True(t, v.Keeper(start.Add(5*time.Second), ip2))
 }
+
+// TestMalformedMessagesAreNone: cut or too long, of another kind, or with a state or a
+// listing that is not named.
+func TestMalformedMessagesAreNone(t *testing.T) {
+	a := announcement(1, 1, alpha, Ready)
+	good := a.Append(nil)
+	_, err := DecodeAnnouncement(good)
+	require.NoError(t, err)
+	beacon := Beacon{Identity: Identity{1, 1}}
+	unnamed := a
+	unnamed.State = Gone + 1
+	unlisted := a
+	unlisted.Listing = ListingLeft + 1
+	for name, b := range map[string][]byte{
+		"nothing": nil, "cut": good[:len(good)-1], "too long": append(slices.Clone(good), 0), "a beacon": beacon.Append(nil),
+		"a state that is not named": unnamed.Append(nil), "a listing that is not named": unlisted.Append(nil),
+		"another version": append([]byte{good[0], good[1], good[2] + 1}, good[3:]...),
+	} {
+		_, err := DecodeAnnouncement(b)
+		require.ErrorIs(t, err, ErrMalformed, name)
+		_, err = DecodeNames(b)
+		require.ErrorIs(t, err, ErrMalformed, name)
+		if name != "a beacon" {
+			_, err = DecodeBeacon(b)
+			require.ErrorIs(t, err, ErrMalformed, name)
+		}
+	}
+}
