--- a/agent/packetfront/front.go
+++ b/agent/packetfront/front.go
@@ -253,7 +253,7 @@
 			return
 		}
 		if passed > 0 {
-			f.log.Warn("registry entries that name no node", zap.Int("entries", passed))
+			f.log.Warn("invalid registry entries", zap.Int("entries", passed))
 		}
 		f.locked(func(now time.Time) { f.core.Greet(now, fleet.Addresses(balancers)) })
 	})
--- a/agent/packetfront/life_test.go
+++ b/agent/packetfront/life_test.go
@@ -24,7 +24,7 @@
 
 const heartbeatPause = 1200 * time.Millisecond
 
-// report lets a life report after a pause.
+// report lets a life report after a pause, and tells whether it was believed.
 func (f *fixture) report(after time.Duration, l fleet.Life, sequence uint64, draining bool) bool {
 	f.now = f.now.Add(after)
 	return f.Heartbeat(f.now, fleet.Heartbeat{Life: l, Slots: 4, Draining: draining, Sequence: sequence})
--- a/agent/packetfront/lifetime.go
+++ b/agent/packetfront/lifetime.go
@@ -83,7 +83,7 @@
 		h.lifetimes.claimant = fleet.Life{}
 		return ownBeat
 	case b.Born == 0 && h.life.Born != 0:
-		// Hosts here say when they were born; this is the word of another writer.
+		// The present host says when it was born; a report that does not is not its own.
 		return lateBeat
 	case h.succeeded(now, b, period):
 		return firstBeat
--- a/agent/packetfront/lifetime_test.go
+++ b/agent/packetfront/lifetime_test.go
@@ -12,8 +12,7 @@
 
 // beatOf lets a host report after a pause.
 func (f *fixture) beatOf(after time.Duration, id string, sequence uint64, draining bool) {
-	f.now = f.now.Add(after)
-	f.Heartbeat(f.now, fleet.Heartbeat{Life: fleet.Life{HostID: id}, Slots: 4, Draining: draining, Sequence: sequence})
+	f.report(after, fleet.Life{HostID: id}, sequence, draining)
 }
 
 // freshAgent is one that started beside a host that was there before it.
--- a/agent/packetfront/observer.go
+++ b/agent/packetfront/observer.go
@@ -68,11 +68,11 @@
 		load: c.Histogram("load_at_request",
 			"Requests that the host works on or has queued when another one comes.", []float64{0, 1, 2, 4, 8, 16, 32, 64}),
 	}
-	o.refusedReports = c.Vector("refused_reports_total", "Reports that name no host, by the field at fault.", "field")
+	o.refusedReports = c.Vector("refused_reports_total", "Invalid reports, by the field at fault.", "field")
 	return o
 }
 
-// ReportRefused counts a report that names no host.
+// ReportRefused counts an invalid report.
 func (o *observer) ReportRefused(field, fault string) {
 	o.refusedReports.WithLabelValues(field).Inc()
 	o.Write(&o.other, "report refused", zap.String("field", field), zap.String(fieldReason, fault))
--- a/balancer/packetfront/followregistry.go
+++ b/balancer/packetfront/followregistry.go
@@ -66,7 +66,7 @@
 	}
 	if passed > 0 {
 		f.foreign.Add(float64(passed))
-		f.log.Warn("registry entries that name no node", zap.String("role", string(role)), zap.Int("entries", passed))
+		f.log.Warn("invalid registry entries", zap.String("role", string(role)), zap.Int("entries", passed))
 	}
 	return entries, err == nil
 }
--- a/balancer/packetfront/front.go
+++ b/balancer/packetfront/front.go
@@ -52,7 +52,7 @@
 	reg   *prometheus.Registry
 	// transfers counts how the configuration comes here.
 	transfers *transfers
-	// foreign counts entries of the registry that name no node.
+	// foreign counts invalid entries of the registry.
 	foreign prometheus.Counter
 
 	data, internal *relay.Datagrams
@@ -73,7 +73,7 @@
 	f := &Front{cfg: cfg, log: log, store: platform.NewStore(cfg.Store, storeTimeout), reg: prometheus.NewRegistry(), peers: newPeerClient()}
 	f.transfers = newTransfers(f.reg)
 	f.foreign = telemetry.Counters{Registry: f.reg, Subsystem: subsystem}.Counter(
-		"foreign_registry_entries_total", "Entries read in the registry that name no node.")
+		"foreign_registry_entries_total", "Invalid entries read in the registry.")
 	f.self, f.port = flow.ParseAddrPort(cfg.Internal)
 	dataAddr := netip.MustParseAddrPort(cfg.Data)
 	f.clientPort = dataAddr.Port()
--- a/e2e/packets/blackout_test.go
+++ b/e2e/packets/blackout_test.go
@@ -82,8 +82,7 @@
 	deployment(w)
 	w.Run(3 * time.Second)
 	gone := sortedAgents(w)[0]
-	gone.Core.Leave(w.Now, gone.host.life())
-	gone.crash()
+	gone.farewell()
 	w.Run(time.Second)
 	for range 20 {
 		w.addClient("z1", frontA)
--- a/fleet/registry/registry.go
+++ b/fleet/registry/registry.go
@@ -154,7 +154,7 @@
 	return err
 }
 
-// missing tells whether the entry is certainly not there, or names no node. Any copy
+// missing tells whether the entry is certainly not there, or is invalid. Any copy
 // of the store may answer: an entry that is younger than its answers is written once
 // more.
 func (r *Registry) missing(ctx context.Context) bool {
@@ -184,8 +184,7 @@
 	r.shown(fleet.PresenceEnded)
 }
 
-// List returns the entries of a role, and how many were passed over: other writers'
-// that name no node.
+// List returns the entries of a role, and how many invalid ones were passed over.
 func List(ctx context.Context, s store.Store, role fleet.Role) (list []fleet.Entry, passed int, err error) {
 	req := store.RangeRequest{Key: prefix(role), End: store.PrefixEnd(prefix(role))}
 	_, err = store.ReadAll(ctx, s, req, func(kv store.KV) error {
@@ -202,7 +201,7 @@
 
 // Remove takes the entry of a dead node away, if it still is the one that is
 // meant: of the same epoch, or of the same revision where the epoch is not known.
-// What names no node was written by others and stays.
+// An invalid entry was written by others and stays.
 func Remove(ctx context.Context, s store.Store, role fleet.Role, dead fleet.Entry) error {
 	key := keyOf(role, dead.IP)
 	resp, err := s.Range(ctx, store.RangeRequest{Key: key})
--- a/fleet/registry/registry_test.go
+++ b/fleet/registry/registry_test.go
@@ -175,8 +175,8 @@
 	require.Len(t, list(t, s), 1)
 }
 
-// TestEntriesOfOtherWritersNameNoNode, and nobody removes them; the others hold.
-func TestEntriesOfOtherWritersNameNoNode(t *testing.T) {
+// TestInvalidEntriesAreIgnoredAndKept: nobody removes them, and the rest of the list is valid.
+func TestInvalidEntriesAreIgnoredAndKept(t *testing.T) {
 	ctx := context.Background()
 	for name, foreign := range map[string]store.Put{
 		"a key behind an address":     {Key: keyOf(fleet.RoleAgent, self+1) + "x", Value: encodeEpoch(9)},
