--- a/agent/packetfront/acks.go
+++ b/agent/packetfront/acks.go
@@ -11,14 +11,14 @@
 // Repetition of announcements that a balancer has not acknowledged.
 const (
 	// ackPause is how long an agent waits for the acknowledgement of a change of
-	// its host's state: far more than a round trip.
+	// its target's state: far more than a round trip.
 	ackPause = 50 * time.Millisecond
 	// ackTries bounds the repetitions; the periodic announcement follows.
 	ackTries = 5
 )
 
-// acks tells which balancers know of the last change of the host's state. One
-// that does not would send the host's flows elsewhere and take them for over.
+// acks tells which balancers know of the last change of the target's state. One
+// that does not would send the target's flows elsewhere and take them for over.
 type acks struct {
 	// change is the sequence number of the first announcement of that state.
 	change uint32
--- a/agent/packetfront/admission.go
+++ b/agent/packetfront/admission.go
@@ -11,21 +11,21 @@
 
 // Limits of admission.
 const (
-	// queuePerSlot is how many requests may wait at the host for each slot. A
-	// request behind so many waits for 1.5 times the host's work on one, which
+	// queuePerSlot is how many requests may wait at the target for each slot. A
+	// request behind so many waits for 1.5 times the target's work on one, which
 	// leaves it within the latency objectives in use (4 to 5 times the work).
-	// What a host queues beyond that is served in the host's order, not in the
+	// What a target queues beyond that is served in the target's order, not in the
 	// one that callers need.
 	queuePerSlot = 0.5
-	// maxHeld bounds the requests that wait for a slot. A host of four slots and
+	// maxHeld bounds the requests that wait for a slot. A target of four slots and
 	// 30 ms of work serves as many in two seconds.
 	maxHeld = 256
 	// maxHeldPackets bounds those of one request: an end has at most 16 in flight.
 	maxHeldPackets = 16
-	// openingLoad is how long a flow that was given to the host counts as load
+	// openingLoad is how long a flow that was given to the target counts as load
 	// although its client has sent nothing.
 	openingLoad = 300 * time.Millisecond
-	// assumedWork is the time that a host is taken to need for a request before
+	// assumedWork is the time that a target is taken to need for a request before
 	// one was observed.
 	assumedWork = 50 * time.Millisecond
 )
@@ -35,7 +35,7 @@
 	priority            uint8
 	objective, deadline time.Duration
 	// began and hidden are the age of the flow's first request (backlog.Request);
-	// zero once the host has it.
+	// zero once the target has it.
 	began  time.Time
 	hidden time.Duration
 }
@@ -53,7 +53,7 @@
 	}
 }
 
-// heldRequest is a request that waits for a slot of the host: its packets, and
+// heldRequest is a request that waits for a slot of the target: its packets, and
 // the envelope that they came in.
 type heldRequest struct {
 	since   time.Time
@@ -75,26 +75,26 @@
 	r.packets = append(r.packets, heldPacket{seq, slices.Clone(packet)})
 }
 
-// limit is how many requests the host may have, running and queued.
+// limit is how many requests the target may have, running and queued.
 func (c *Core) limit() int {
-	slots := c.host.slots()
+	slots := c.target.slots()
 	return slots + int(queuePerSlot*float64(slots))
 }
 
-// full tells that there are as many requests as the host should have, those that
+// full tells that there are as many requests as the target should have, those that
 // wait for a slot and those that are about to come included.
 func (c *Core) full() bool { return c.flows.busy >= c.limit() }
 
 // wait is how long a new request would wait for a slot, served in order.
 func (c *Core) wait() time.Duration {
-	return time.Duration(max(c.flows.busy-c.host.slots()+1, 0)) * c.pace.Each()
+	return time.Duration(max(c.flows.busy-c.target.slots()+1, 0)) * c.pace.Each()
 }
 
-// settles decides on a new flow for which the host has no room at once. While
-// there are other candidates it is passed on; then it goes to the host with the
+// settles decides on a new flow for which the target has no room at once. While
+// there are other candidates it is passed on; then it goes to the target with the
 // shortest wait, which takes it unless it certainly cannot be served in time, or
 // would wait for longer than until its client's next opening packet. It tells
-// whether the host is to take it; otherwise the packet was sent on or dropped.
+// whether the target is to take it; otherwise the packet was sent on or dropped.
 func (c *Core) settles(now time.Time, key flow.Key, h *flow.Header, packet []byte) bool {
 	wait := c.wait()
 	if c.env.Flags&envelope.Settle == 0 {
@@ -103,10 +103,10 @@
 		}
 		if c.env.Count == 0 && c.env.Best != c.opts.Self {
 			c.env.Flags |= envelope.Settle
-			c.env.SetCandidates([]flow.Candidate{{Host: c.env.Best, Service: c.env.Service}})
+			c.env.SetCandidates([]flow.Candidate{{Target: c.env.Best, Service: c.env.Service}})
 		}
 		if c.env.Count > 0 {
-			c.events.PassedOn(key, "host at its limit", int(c.env.Hops))
+			c.events.PassedOn(key, "target at its limit", int(c.env.Hops))
 			c.passOn(packet, true)
 			return false
 		}
@@ -131,26 +131,26 @@
 	}
 	need := backlog.Age(h.Ack) + wait + c.pace.Took()
 	if c.held.Len() >= maxHeld || need > c.env.Deadline {
-		return "no host can serve it in time", false
+		return "no target can serve it in time", false
 	}
 	late := c.env.Objective > 0 && need > c.env.Objective
 	if late && c.held.Standing(now, c.env.Deadline) {
-		return "all hosts have a standing backlog", false
+		return "all targets have a standing backlog", false
 	}
 	return "", true
 }
 
-// canComeAgain tells whether a new flow's next opening packet comes before the host
-// would have a slot for its request, served in order. Until then hosts may come
-// back, or others be faster; a flow that is open is bound to its host.
+// canComeAgain tells whether a new flow's next opening packet comes before the target
+// would have a slot for its request, served in order. Until then targets may come
+// back, or others be faster; a flow that is open is bound to its target.
 func canComeAgain(wait time.Duration, h *flow.Header) bool {
 	next, more := backlog.NextCopy(h.Ack)
 	return more && next < wait
 }
 
-// waits decides whether a client's data goes to the host now or is kept until the
-// host has a slot, and keeps it. A route that states no deadline gives no order to
-// wait in, and more than maxHeld are not kept: the host queues or sheds these.
+// waits decides whether a client's data goes to the target now or is kept until the
+// target has a slot, and keeps it. A route that states no deadline gives no order to
+// wait in, and more than maxHeld are not kept: the target queues or sheds these.
 func (c *Core) waits(now time.Time, key flow.Key, r *record, h *flow.Header, packet []byte) bool {
 	switch {
 	case r.held != nil:
@@ -181,16 +181,16 @@
 	return request
 }
 
-// start notes that the host gets a request.
+// start notes that the target gets a request.
 func (c *Core) start(now time.Time, key flow.Key, r *record, requestID []byte) {
 	c.flows.started(now, r)
 	r.request.began = time.Time{}
 	if requestID != nil {
-		c.events.Request(key, requestID, c.flows.running, c.host.slots())
+		c.events.Request(key, requestID, c.flows.running, c.target.slots())
 	}
 }
 
-// releaseHeld gives requests that wait to the host while it has room.
+// releaseHeld gives requests that wait to the target while it has room.
 func (c *Core) releaseHeld(now time.Time) {
 	for c.held.Len() > 0 && c.flows.running < c.limit() {
 		key, _ := c.held.Next(now, c.pace)
@@ -210,7 +210,7 @@
 
 // leaves notes that a client has ended its flow before the answer: as is customary
 // with HTTP/1.1, that gives the request up. One that still waits is for nobody; for
-// one that the host has, no answer may come any more, and it must not count as load
+// one that the target has, no answer may come any more, and it must not count as load
 // until then.
 func (c *Core) leaves(now time.Time, key flow.Key, r *record) {
 	if r.held != nil {
@@ -235,7 +235,7 @@
 	at  time.Time
 }
 
-// countOpening counts a flow that was given to the host as load: its request
+// countOpening counts a flow that was given to the target as load: its request
 // will follow.
 func (c *Core) countOpening(now time.Time, key flow.Key, r *record) {
 	c.flows.requested(now, r)
--- a/agent/packetfront/admission_test.go
+++ b/agent/packetfront/admission_test.go
@@ -17,11 +17,11 @@
 	return envelope.Envelope{Service: service, Priority: priority, Objective: 150 * time.Millisecond, Deadline: 2500 * time.Millisecond}
 }
 
-// opens lets a client open a flow and the host answer it.
+// opens lets a client open a flow and the target answer it.
 func (f *fixture) opens(client int, e envelope.Envelope, copies uint32) {
 	f.deliver(e, packet(keyOf(client), flow.SYN, copies, ""))
 	if f.flows.get(keyOf(client)) != nil {
-		f.hostSends(client, flow.SYN|flow.ACK, 500, 0)
+		f.targetSends(client, flow.SYN|flow.ACK, 500, 0)
 	}
 }
 
@@ -30,10 +30,10 @@
 	f.deliver(envelope.Envelope{}, packet(keyOf(client), flow.ACK, 500, "request"))
 }
 
-// answers lets the host answer a client's request.
-func (f *fixture) answers(client int) { f.hostSends(client, flow.ACK, 501, 10) }
+// answers lets the target answer a client's request.
+func (f *fixture) answers(client int) { f.targetSends(client, flow.ACK, 501, 10) }
 
-// fill gives the host as many requests as it should have.
+// fill gives the target as many requests as it should have.
 func (f *fixture) fill() {
 	for i := range f.limit() {
 		f.opens(i, load(2), 0)
@@ -41,10 +41,10 @@
 	}
 }
 
-// atHost returns the clients whose requests the host got, in order.
-func (f *fixture) atHost() []int {
+// atTarget returns the clients whose requests the target got, in order.
+func (f *fixture) atTarget() []int {
 	var out []int
-	for _, p := range f.port.host {
+	for _, p := range f.port.target {
 		h, err := platform.DecodePacket(p)
 		if err == nil && h.Len > 0 {
 			out = append(out, int(h.Src-0x64400000))
@@ -53,9 +53,9 @@
 	return out
 }
 
-// opened tells whether the host got the client's SYN.
+// opened tells whether the target got the client's SYN.
 func (f *fixture) opened(client int) bool {
-	for _, p := range f.port.host {
+	for _, p := range f.port.target {
 		h, err := platform.DecodePacket(p)
 		if err == nil && h.IsOpening() && h.FromClient() == keyOf(client) {
 			return true
@@ -71,7 +71,7 @@
 	f := newFixture()
 	require.Equal(t, 6, f.limit(), "four slots and half a request queued for each")
 	f.fill()
-	require.Equal(t, []int{0, 1, 2, 3, 4, 5}, f.atHost())
+	require.Equal(t, []int{0, 1, 2, 3, 4, 5}, f.atTarget())
 	f.opens(100, load(2), 0)
 	f.opens(101, load(1), 0)
 	f.pass(10 * time.Millisecond)
@@ -80,12 +80,12 @@
 		require.True(t, f.opened(client))
 		f.asks(client)
 	}
-	require.Len(t, f.atHost(), 6)
+	require.Len(t, f.atTarget(), 6)
 	require.Equal(t, 9, f.Busy(), "what waits is load")
 	for i := range 4 {
 		f.answers(i)
 	}
-	require.Equal(t, []int{101, 102, 100}, f.atHost()[6:], "the higher priority, then the newest; what was repeated goes once")
+	require.Equal(t, []int{101, 102, 100}, f.atTarget()[6:], "the higher priority, then the newest; what was repeated goes once")
 	require.Equal(t, 5, f.Busy())
 }
 
@@ -100,11 +100,11 @@
 	f.deliver(envelope.Envelope{}, second)
 	f.deliver(envelope.Envelope{}, first)
 	f.answers(0)
-	require.Equal(t, []int{100, 100}, f.atHost()[6:])
+	require.Equal(t, []int{100, 100}, f.atTarget()[6:])
 	third := packet(keyOf(100), flow.ACK, 500, "three")
 	third[3] = 18
 	f.deliver(envelope.Envelope{}, third)
-	require.Len(t, f.atHost(), 9, "the rest of a request that the host has is not held up")
+	require.Len(t, f.atTarget(), 9, "the rest of a request that the target has is not held up")
 }
 
 func TestAClientThatLeavesFreesItsPlace(t *testing.T) {
@@ -121,18 +121,18 @@
 		require.Equal(t, 6, f.Busy(), name)
 		require.Zero(t, f.held.Len(), name)
 		f.answers(0)
-		require.Len(t, f.atHost(), 6, name)
+		require.Len(t, f.atTarget(), 6, name)
 	}
 }
 
-// TestARequestWhoseClientLeftDoesNotHoldASlot: the host may never answer it.
+// TestARequestWhoseClientLeftDoesNotHoldASlot: the target may never answer it.
 func TestARequestWhoseClientLeftDoesNotHoldASlot(t *testing.T) {
 	f := newFixture()
 	f.fill()
 	f.opens(100, load(2), 0)
 	f.asks(100)
 	f.deliver(envelope.Envelope{}, packet(keyOf(0), flow.ACK|flow.FIN, 500, ""))
-	require.Equal(t, []int{100}, f.atHost()[6:])
+	require.Equal(t, []int{100}, f.atTarget()[6:])
 	require.Equal(t, 6, f.Busy())
 	f.answers(0)
 	require.Equal(t, 6, f.Busy(), "an answer that comes all the same is counted once")
@@ -149,12 +149,12 @@
 	}
 }
 
-// TestANewFlowGoesToTheHostWithTheShortestWait when no candidate has room.
-func TestANewFlowGoesToTheHostWithTheShortestWait(t *testing.T) {
+// TestANewFlowGoesToTheTargetWithTheShortestWait when no candidate has room.
+func TestANewFlowGoesToTheTargetWithTheShortestWait(t *testing.T) {
 	f := newFixture()
 	f.fill()
 	e := load(2)
-	e.SetCandidates([]flow.Candidate{{Host: nextIP, Service: service}})
+	e.SetCandidates([]flow.Candidate{{Target: nextIP, Service: service}})
 	f.opens(100, e, 2)
 	passed := f.port.Last()
 	require.Equal(t, nextIP, passed.To)
@@ -180,7 +180,7 @@
 	require.True(t, f.opened(103), "it was sent on once")
 }
 
-// TestALongWaitIsLeftToTheNextOpeningPacket, for an open flow is bound to its host;
+// TestALongWaitIsLeftToTheNextOpeningPacket, for an open flow is bound to its target;
 // the last one has none behind it.
 func TestALongWaitIsLeftToTheNextOpeningPacket(t *testing.T) {
 	f := newFixture()
@@ -218,7 +218,7 @@
 	require.True(t, f.opened(500))
 	f.asks(500)
 	f.answers(0)
-	require.Equal(t, []int{500}, f.atHost()[6:])
+	require.Equal(t, []int{500}, f.atTarget()[6:])
 }
 
 func TestWhatCannotBeServedInTimeIsReturnedAtOnce(t *testing.T) {
@@ -269,7 +269,7 @@
 }
 
 // TestASearchThatMeetsAWaitingRequestEnds: its balancer is told at once, or it would
-// ask every host again and again.
+// ask every target again and again.
 func TestASearchThatMeetsAWaitingRequestEnds(t *testing.T) {
 	f := newFixture()
 	f.fill()
@@ -278,10 +278,10 @@
 	e := envelope.Envelope{Service: service, Flags: envelope.Search}
 	f.deliver(e, packet(keyOf(100), flow.ACK, 500, "request"))
 	require.Equal(t, []flow.IPv4{balancerIP}, f.owners())
-	require.Len(t, f.atHost(), 6)
+	require.Len(t, f.atTarget(), 6)
 }
 
-// TestALongRequestStaysLoad although the host has said nothing on its flow.
+// TestALongRequestStaysLoad although the target has said nothing on its flow.
 func TestALongRequestStaysLoad(t *testing.T) {
 	f := newFixture()
 	f.fill()
@@ -289,10 +289,10 @@
 	f.asks(100)
 	f.pass(2 * openingLoad)
 	require.Equal(t, 7, f.Busy())
-	require.Len(t, f.atHost(), 6)
+	require.Len(t, f.atTarget(), 6)
 }
 
-func TestWaitingRequestsEndWithTheirHost(t *testing.T) {
+func TestWaitingRequestsEndWithTheirTarget(t *testing.T) {
 	f := newFixture()
 	f.fill()
 	f.opens(100, load(2), 0)
@@ -302,7 +302,7 @@
 	require.Zero(t, f.held.Len())
 	f.Probed(f.now, ProbeAccepted)
 	f.pass(time.Second)
-	require.Len(t, f.atHost(), 6)
+	require.Len(t, f.atTarget(), 6)
 }
 
 // TestLaterRequestsOfAFlowWait like the first, from when they come.
@@ -314,9 +314,9 @@
 	f.asks(100)
 	f.pass(3 * time.Second)
 	f.asks(0)
-	require.Len(t, f.atHost(), 7)
+	require.Len(t, f.atTarget(), 7)
 	require.Equal(t, 1, f.held.Len())
 	f.pass(2 * time.Second)
 	f.answers(1)
-	require.Equal(t, 0, f.atHost()[7], "its client has waited for two seconds, not five")
+	require.Equal(t, 0, f.atTarget()[7], "its client has waited for two seconds, not five")
 }
--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -13,9 +13,9 @@
 type Port interface {
 	// ToNode sends a datagram to a node: a head and what follows it.
 	ToNode(node flow.IPv4, head, packet []byte)
-	// ToHost hands a client's packet to the host.
-	ToHost(packet []byte)
-	// ToClient sends a host's packet to its client.
+	// ToTarget hands a client's packet to the target.
+	ToTarget(packet []byte)
+	// ToClient sends a target's packet to its client.
 	ToClient(client flow.IPv4, packet []byte)
 	// Reset ends a flow at its client.
 	Reset(key flow.Key, seq uint32)
@@ -29,7 +29,7 @@
 	Seeds []flow.IPv4
 	// Epoch is random for each start.
 	Epoch uint64
-	// HeartbeatPeriod is how often the host reports.
+	// HeartbeatPeriod is how often the target reports.
 	HeartbeatPeriod time.Duration
 	// FlowTTL is the age from which a flow may be forgotten.
 	FlowTTL time.Duration
@@ -39,7 +39,7 @@
 const (
 	// joinPeriod is the pause between tries to join by the seeds.
 	joinPeriod = 100 * time.Millisecond
-	// unlistedPeriod is the pause between announcements to the seeds of a host that
+	// unlistedPeriod is the pause between announcements to the seeds of a target that
 	// is not in the registry: two within the time that a balancer takes its view
 	// for incomplete.
 	unlistedPeriod = 200 * time.Millisecond
@@ -47,18 +47,18 @@
 	announceGap = 100 * time.Millisecond
 	// busyStep is the change of load, in slots, that is announced early.
 	busyStep = 2
-	// assumedSlots is what a host is taken for before its first heartbeat.
+	// assumedSlots is what a target is taken for before its first heartbeat.
 	assumedSlots = 4
-	// missedHeartbeats after which the host is probed.
+	// missedHeartbeats after which the target is probed.
 	missedHeartbeats = 2.5
-	// silenceProbe is how long the host may owe an answer to any packet before
+	// silenceProbe is how long the target may owe an answer to any packet before
 	// it is probed.
 	silenceProbe = 300 * time.Millisecond
-	// leaveGrace is how long a host that has said its last word may still send.
+	// leaveGrace is how long a target that has said its last word may still send.
 	leaveGrace = 500 * time.Millisecond
 )
 
-// Core decides what happens to each packet beside one host. It is not safe for
+// Core decides what happens to each packet beside one target. It is not safe for
 // concurrent use; its owner holds a lock.
 type Core struct {
 	opts   Options
@@ -66,10 +66,10 @@
 	codec  flow.Codec
 	events Events
 
-	view  *fleet.View
-	flows *flows
-	notes *notes
-	host  host
+	view   *fleet.View
+	flows  *flows
+	notes  *notes
+	target target
 
 	acks    acks
 	health  health
@@ -78,7 +78,7 @@
 	outage  backlog.Outage
 	opening []openingFlow
 
-	// known is set once something was heard of the host, or a probe has told.
+	// known is set once something was heard of the target, or a probe has told.
 	known bool
 	// wanted is what the registry is to show, listing what it shows as far as that is
 	// known.
@@ -102,7 +102,7 @@
 	buf []byte
 }
 
-// New returns a core that knows neither host nor balancers yet.
+// New returns a core that knows neither target nor balancers yet.
 func New(opts Options, port Port, codec flow.Codec, events Events) *Core {
 	return &Core{
 		opts: opts, port: port, codec: codec, events: events,
@@ -115,7 +115,7 @@
 // SetSeeds replaces the balancers to join by.
 func (c *Core) SetSeeds(seeds []flow.IPv4) { c.opts.Seeds = seeds }
 
-// Busy returns the requests that the host works on or has queued.
+// Busy returns the requests that the target works on or has queued.
 func (c *Core) Busy() int { return c.flows.busy }
 
 // Balancers returns the number of balancers known.
@@ -160,12 +160,12 @@
 	return nil
 }
 
-// deliverOpening gives a SYN to the host, or to the next candidate.
+// deliverOpening gives a SYN to the target, or to the next candidate.
 func (c *Core) deliverOpening(now time.Time, h *flow.Header, packet []byte) {
 	key := h.FromClient()
 	reason, ok := c.refusal()
 	if ok && c.health.ejected && c.env.Count > 0 {
-		reason, ok = "host ejected", false
+		reason, ok = "target ejected", false
 	}
 	if !ok {
 		c.events.PassedOn(key, reason, int(c.env.Hops))
@@ -178,7 +178,7 @@
 	c.admit(now, key, h, packet)
 }
 
-// admit gives a SYN to the host.
+// admit gives a SYN to the target.
 func (c *Core) admit(now time.Time, key flow.Key, h *flow.Header, packet []byte) {
 	if c.flows.get(key) == nil {
 		r := c.flows.ensure(now, key)
@@ -189,30 +189,30 @@
 			r.balancer = c.env.Balancer
 		}
 	}
-	c.toHost(now, key, packet)
+	c.toTarget(now, key, packet)
 }
 
-// refusal tells whether the host may get a new flow now, and why not.
+// refusal tells whether the target may get a new flow now, and why not.
 func (c *Core) refusal() (string, bool) {
 	switch {
 	case c.env.Service != c.opts.Service:
 		return "another service", false
-	case !c.host.takesNew() || c.leaving:
-		return "host " + c.host.state().String(), false
+	case !c.target.takesNew() || c.leaving:
+		return "target " + c.target.state().String(), false
 	}
 	return "", true
 }
 
-// toHost delivers a packet that the host may bounce.
-func (c *Core) toHost(now time.Time, key flow.Key, packet []byte) {
+// toTarget delivers a packet that the target may bounce.
+func (c *Core) toTarget(now time.Time, key flow.Key, packet []byte) {
 	c.codec.SetEcho(packet, c.notes.put(key, &c.env))
-	c.host.owes(now)
+	c.target.owes(now)
 	c.events.Delivered()
-	c.port.ToHost(packet)
+	c.port.ToTarget(packet)
 }
 
-// deliverOpen gives a packet of an open flow to the host if it may be the
-// host's, and passes it on otherwise.
+// deliverOpen gives a packet of an open flow to the target if it may be the
+// target's, and passes it on otherwise.
 func (c *Core) deliverOpen(now time.Time, h *flow.Header, packet []byte) {
 	key := h.FromClient()
 	r := c.flows.get(key)
@@ -221,13 +221,13 @@
 		return
 	}
 	if r.stage == dead {
-		c.events.Reset(key, "its host has ended")
+		c.events.Reset(key, "its target has ended")
 		c.port.Reset(key, h.Ack)
 		return
 	}
 	c.noteClient(now, r, h)
-	// The acknowledgement fits this host's: the flow is nowhere else, also while
-	// the host has not seen it yet.
+	// The acknowledgement fits this target's: the flow is nowhere else, also while
+	// the target has not seen it yet.
 	if c.env.Flags&envelope.Search != 0 || c.env.Hops > 0 {
 		c.tellOwner(key, c.env.Balancer, c.env.Hops)
 	}
@@ -241,16 +241,16 @@
 	}
 }
 
-// toOpen gives a packet to the host of its flow.
+// toOpen gives a packet to the target of its flow.
 func (c *Core) toOpen(now time.Time, key flow.Key, r *record, packet []byte) {
 	if r.stage == halfOpen {
-		c.toHost(now, key, packet)
+		c.toTarget(now, key, packet)
 		return
 	}
 	c.codec.SetEcho(packet, 0)
-	c.host.owes(now)
+	c.target.owes(now)
 	c.events.Delivered()
-	c.port.ToHost(packet)
+	c.port.ToTarget(packet)
 }
 
 // noteClient keeps what a client's packet says of its flow.
@@ -266,23 +266,23 @@
 }
 
 // deliverUnknown handles a packet of a flow that is not known here. An agent
-// that saw its host start knows all its flows; another one asks the host.
+// that saw its target start knows all its flows; another one asks the target.
 func (c *Core) deliverUnknown(now time.Time, key flow.Key, packet []byte) {
-	if c.host.state() == fleet.Absent || c.host.state() == fleet.Gone {
-		c.passOn(packet, c.host.holdsNothing())
+	if c.target.state() == fleet.Absent || c.target.state() == fleet.Gone {
+		c.passOn(packet, c.target.holdsNothing())
 		return
 	}
-	if c.host.sawStart && !c.flows.overflowed {
+	if c.target.sawStart && !c.flows.overflowed {
 		c.passOn(packet, true)
 		return
 	}
-	// What the host sends on this flow will show that it holds it.
+	// What the target sends on this flow will show that it holds it.
 	c.flows.ensure(now, key).balancer = c.env.Balancer
-	c.toHost(now, key, packet)
+	c.toTarget(now, key, packet)
 }
 
 // passOn sends a packet to its next candidate, or back to its balancer when
-// there is none. sure tells that this host certainly does not hold the flow.
+// there is none. sure tells that this target certainly does not hold the flow.
 func (c *Core) passOn(packet []byte, sure bool) {
 	if !sure {
 		c.env.Flags |= envelope.Unsure
@@ -291,7 +291,7 @@
 	next, ok := c.env.Pop()
 	if ok && c.env.Hops < envelope.MaxHops {
 		c.env.Service = next.Service
-		c.sendEnvelope(next.Host, packet)
+		c.sendEnvelope(next.Target, packet)
 		return
 	}
 	if ok {
--- a/agent/packetfront/core_test.go
+++ b/agent/packetfront/core_test.go
@@ -24,11 +24,11 @@
 type port struct {
 	envelopetest.Recorder
 
-	host   [][]byte
+	target [][]byte
 	client int
 }
 
-func (p *port) ToHost(packet []byte)           { p.host = append(p.host, append([]byte(nil), packet...)) }
+func (p *port) ToTarget(packet []byte)         { p.target = append(p.target, append([]byte(nil), packet...)) }
 func (p *port) ToClient(_ flow.IPv4, _ []byte) { p.client++ }
 
 // quiet hears nothing.
@@ -43,13 +43,13 @@
 func (quiet) Bounced(flow.Key, bool)                       {}
 func (quiet) Reset(flow.Key, string)                       {}
 func (quiet) Dropped(Drop)                                 {}
-func (quiet) HostReport(string, fleet.Heartbeat)           {}
+func (quiet) TargetReport(string, fleet.Heartbeat)         {}
 func (quiet) Failed()                                      {}
 func (quiet) Ejected(bool, int, int)                       {}
 func (quiet) Unproven(int, time.Duration)                  {}
 func (quiet) PeerChanged(flow.IPv4, string)                {}
 
-// fixture is a core with a host of four slots that the agent saw start.
+// fixture is a core with a target of four slots that the agent saw start.
 type fixture struct {
 	*Core
 	port *port
@@ -75,7 +75,7 @@
 
 func (f *fixture) beat(draining bool) {
 	f.seq++
-	f.Heartbeat(f.now, fleet.Heartbeat{Life: fleet.Life{HostID: "i-1"}, Slots: 4, Draining: draining, Sequence: f.seq})
+	f.Heartbeat(f.now, fleet.Heartbeat{Life: fleet.Life{TargetID: "i-1"}, Slots: 4, Draining: draining, Sequence: f.seq})
 }
 
 func (f *fixture) pass(d time.Duration) {
@@ -110,21 +110,21 @@
 	f.deliver(envelope.Envelope{Service: service, Priority: priority}, packet(keyOf(client), flow.SYN, copies, ""))
 }
 
-// hostSends hands a packet of the host to the agent.
-func (f *fixture) hostSends(client int, flags flow.Flags, seq uint32, length int) {
+// targetSends hands a packet of the target to the agent.
+func (f *fixture) targetSends(client int, flags flow.Flags, seq uint32, length int) {
 	k := keyOf(client)
-	f.HandleHost(f.now, &flow.Header{Src: k.FrontIP, SrcPort: k.FrontPort, Dst: k.ClientIP, DstPort: k.ClientPort, Flags: flags, Seq: seq, Len: length}, make([]byte, platform.HeadLen+length))
+	f.HandleTarget(f.now, &flow.Header{Src: k.FrontIP, SrcPort: k.FrontPort, Dst: k.ClientIP, DstPort: k.ClientPort, Flags: flags, Seq: seq, Len: length}, make([]byte, platform.HeadLen+length))
 }
 
-// bounce returns the last packet that the host got.
+// bounce returns the last packet that the target got.
 func (f *fixture) bounce() {
-	p := append([]byte(nil), f.port.host[len(f.port.host)-1]...)
+	p := append([]byte(nil), f.port.target[len(f.port.target)-1]...)
 	platformtest.Bounce(p)
 	h, err := platform.DecodePacket(p)
 	if err != nil {
 		panic(err)
 	}
-	f.HandleHost(f.now, &h, p)
+	f.HandleTarget(f.now, &h, p)
 }
 
 // owners are the balancers that were told that a flow is held here.
@@ -138,7 +138,7 @@
 	return out
 }
 
-func TestNewFlowsGoToTheHostThatTakesThem(t *testing.T) {
+func TestNewFlowsGoToTheTargetThatTakesThem(t *testing.T) {
 	for name, c := range map[string]struct {
 		prepare func(f *fixture)
 		service flow.Tag
@@ -147,8 +147,8 @@
 		"ready":            {func(*fixture) {}, service, true},
 		"another service":  {func(*fixture) {}, service + 1, false},
 		"draining":         {func(f *fixture) { f.beat(true) }, service, false},
-		"left":             {func(f *fixture) { f.Leave(f.now, fleet.Life{HostID: "i-1"}) }, service, false},
-		"another one left": {func(f *fixture) { f.Leave(f.now, fleet.Life{HostID: "i-0"}) }, service, true},
+		"left":             {func(f *fixture) { f.Leave(f.now, fleet.Life{TargetID: "i-1"}) }, service, false},
+		"another one left": {func(f *fixture) { f.Leave(f.now, fleet.Life{TargetID: "i-0"}) }, service, true},
 		"not listening":    {func(f *fixture) { f.Probed(f.now, ProbeRefused) }, service, false},
 		"silent probe":     {func(f *fixture) { f.Probed(f.now, ProbeSilent) }, service, true},
 		"agent stops":      {func(f *fixture) { f.Stop(f.now) }, service, false},
@@ -156,9 +156,9 @@
 		f := newFixture()
 		c.prepare(f)
 		e := envelope.Envelope{Service: c.service}
-		e.SetCandidates([]flow.Candidate{{Host: nextIP, Service: service}})
+		e.SetCandidates([]flow.Candidate{{Target: nextIP, Service: service}})
 		f.deliver(e, packet(keyOf(1), flow.SYN, 0, ""))
-		require.Equal(t, c.taken, len(f.port.host) == 1, name)
+		require.Equal(t, c.taken, len(f.port.target) == 1, name)
 		if !c.taken {
 			require.Equal(t, nextIP, f.port.Last().To, name)
 			require.EqualValues(t, 1, f.port.Last().Env.Hops, name)
@@ -169,18 +169,18 @@
 func TestLateHeartbeatsChangeNothing(t *testing.T) {
 	f := newFixture()
 	f.beat(true)
-	f.Heartbeat(f.now, fleet.Heartbeat{Life: fleet.Life{HostID: "i-1"}, Slots: 4, Sequence: 1})
-	require.Equal(t, fleet.Draining, f.host.state())
-	f.Heartbeat(f.now, fleet.Heartbeat{Life: fleet.Life{HostID: "i-2"}, Slots: 4, Sequence: 1})
-	require.Equal(t, fleet.Ready, f.host.state())
-	f.Heartbeat(f.now, fleet.Heartbeat{Life: fleet.Life{HostID: "i-1"}, Slots: 4, Draining: true, Sequence: 99})
-	require.Equal(t, fleet.Ready, f.host.state(), "the former host's")
+	f.Heartbeat(f.now, fleet.Heartbeat{Life: fleet.Life{TargetID: "i-1"}, Slots: 4, Sequence: 1})
+	require.Equal(t, fleet.Draining, f.target.state())
+	f.Heartbeat(f.now, fleet.Heartbeat{Life: fleet.Life{TargetID: "i-2"}, Slots: 4, Sequence: 1})
+	require.Equal(t, fleet.Ready, f.target.state())
+	f.Heartbeat(f.now, fleet.Heartbeat{Life: fleet.Life{TargetID: "i-1"}, Slots: 4, Draining: true, Sequence: 99})
+	require.Equal(t, fleet.Ready, f.target.state(), "the former target's")
 }
 
 func TestABouncedPacketGoesOnUnmarked(t *testing.T) {
 	f := newFixture()
 	e := envelope.Envelope{Service: service}
-	e.SetCandidates([]flow.Candidate{{Host: nextIP, Service: service}})
+	e.SetCandidates([]flow.Candidate{{Target: nextIP, Service: service}})
 	syn := packet(keyOf(1), flow.SYN, 0, "")
 	f.deliver(e, syn)
 	f.bounce()
@@ -197,29 +197,29 @@
 	last := f.port.Last()
 	require.Equal(t, balancerIP, last.To)
 	require.Equal(t, envelope.Returned, last.Kind)
-	require.Equal(t, envelope.Search|envelope.Searched, last.Env.Flags, "sure: the agent saw its host start")
+	require.Equal(t, envelope.Search|envelope.Searched, last.Env.Flags, "sure: the agent saw its target start")
 }
 
-func TestAFreshAgentAsksItsHost(t *testing.T) {
+func TestAFreshAgentAsksItsTarget(t *testing.T) {
 	f := newFixture()
 	f.Core = New(f.opts, f.port, platform.Codec{}, quiet{})
 	f.Probed(f.now, ProbeAccepted)
 	f.deliver(envelope.Envelope{Service: service, Flags: envelope.Search}, packet(keyOf(1), flow.ACK, 500, "x"))
-	require.Len(t, f.port.host, 1)
+	require.Len(t, f.port.target, 1)
 	f.bounce()
 	require.Equal(t, envelope.Returned, f.port.Last().Kind)
 	require.Zero(t, f.port.Last().Env.Flags&envelope.Unsure, "a bounce is a certain no")
 }
 
-// TestALateSYNDoesNotSetAFlowBack: the host answers it again; the flow stays
+// TestALateSYNDoesNotSetAFlowBack: the target answers it again; the flow stays
 // open and is remembered (found by the stateful test).
 func TestALateSYNDoesNotSetAFlowBack(t *testing.T) {
 	f := newFixture()
 	f.syn(1, 0, 0)
-	f.hostSends(1, flow.SYN|flow.ACK, 500, 0)
-	f.hostSends(1, flow.ACK, 500, 100)
+	f.targetSends(1, flow.SYN|flow.ACK, 500, 0)
+	f.targetSends(1, flow.ACK, 500, 100)
 	f.syn(1, 1, 0)
-	f.hostSends(1, flow.SYN|flow.ACK, 500, 0)
+	f.targetSends(1, flow.SYN|flow.ACK, 500, 0)
 	f.pass(openingTTL + time.Second)
 	f.beat(false)
 	f.pass(time.Second)
@@ -227,23 +227,23 @@
 	require.Equal(t, open, f.flows.get(keyOf(1)).stage)
 }
 
-// TestARefusedCopyKeepsTheHalfOpenFlow: a host may refuse a copy of a SYN whose
+// TestARefusedCopyKeepsTheHalfOpenFlow: a target may refuse a copy of a SYN whose
 // flow it holds.
 func TestARefusedCopyKeepsTheHalfOpenFlow(t *testing.T) {
 	f := newFixture()
 	f.syn(1, 0, 0)
-	f.hostSends(1, flow.SYN|flow.ACK, 500, 0)
+	f.targetSends(1, flow.SYN|flow.ACK, 500, 0)
 	f.syn(1, 1, 0)
 	f.bounce()
 	require.NotNil(t, f.flows.get(keyOf(1)))
 }
 
-func TestFlowsOfAHostThatEndedAreReset(t *testing.T) {
+func TestFlowsOfATargetThatEndedAreReset(t *testing.T) {
 	open := func() *fixture {
 		f := newFixture()
 		f.syn(1, 0, 0)
-		f.hostSends(1, flow.SYN|flow.ACK, 500, 0)
-		f.hostSends(1, flow.ACK, 500, 100)
+		f.targetSends(1, flow.SYN|flow.ACK, 500, 0)
+		f.targetSends(1, flow.ACK, 500, 100)
 		return f
 	}
 	t.Run("it refuses connections", func(t *testing.T) {
@@ -258,7 +258,7 @@
 	})
 	t.Run("it has left", func(t *testing.T) {
 		f := open()
-		f.Leave(f.now, fleet.Life{HostID: "i-1"})
+		f.Leave(f.now, fleet.Life{TargetID: "i-1"})
 		f.pass(leaveGrace / 2)
 		require.Empty(t, f.port.Resets, "it may still send")
 		f.pass(leaveGrace)
@@ -282,22 +282,22 @@
 	f := newFixture()
 	for i := range f.limit() {
 		f.syn(i, 0, 0)
-		f.hostSends(i, flow.SYN|flow.ACK, 500, 0)
+		f.targetSends(i, flow.SYN|flow.ACK, 500, 0)
 	}
 	require.Equal(t, f.limit(), f.Busy())
 	f.pass(openingLoad + time.Millisecond)
 	require.Zero(t, f.Busy())
 }
 
-// TestAHostThatSpeaksIsThere, whatever a probe said before.
-func TestAHostThatSpeaksIsThere(t *testing.T) {
+// TestATargetThatSpeaksIsThere, whatever a probe said before.
+func TestATargetThatSpeaksIsThere(t *testing.T) {
 	f := newFixture()
 	f.Probed(f.now, ProbeRefused)
 	require.Equal(t, fleet.Gone, f.announcement(f.now).State)
 	f.beat(false)
 	require.Equal(t, fleet.Ready, f.announcement(f.now).State)
 	f.syn(1, 0, 0)
-	require.Len(t, f.port.host, 1)
+	require.Len(t, f.port.target, 1)
 }
 
 func TestProbesAreWantedInDoubtOnly(t *testing.T) {
@@ -307,14 +307,14 @@
 	f.syn(1, 0, 0)
 	f.pass(silenceProbe + time.Millisecond)
 	require.True(t, f.WantsProbe(f.now), "it owes an answer")
-	f.hostSends(1, flow.SYN|flow.ACK, 500, 0)
+	f.targetSends(1, flow.SYN|flow.ACK, 500, 0)
 	require.False(t, f.WantsProbe(f.now))
 	f.pass(4 * time.Second)
 	require.True(t, f.WantsProbe(f.now), "its heartbeats fail to come")
 }
 
 // FuzzHandleNode: whatever arrives between nodes, only whole envelopes around
-// whole packets reach the host.
+// whole packets reach the target.
 func FuzzHandleNode(f *testing.F) {
 	f.Add([]byte("nonsense"))
 	e := envelope.Envelope{Kind: envelope.Deliver, Service: service + 1, Count: 1}
@@ -322,7 +322,7 @@
 	f.Fuzz(func(t *testing.T, b []byte) {
 		x := newFixture()
 		x.HandleNode(x.now, 77, b)
-		for _, p := range x.port.host {
+		for _, p := range x.port.target {
 			_, err := platform.DecodePacket(p)
 			require.NoError(t, err)
 		}
--- a/agent/packetfront/events.go
+++ b/agent/packetfront/events.go
@@ -23,28 +23,28 @@
 // Events hears of what the core decides; the shell logs and counts.
 type Events interface {
 	Delivered()
-	// Request is the first packet of a request, delivered to the host.
+	// Request is the first packet of a request, delivered to the target.
 	Request(key flow.Key, requestID []byte, busy, slots int)
-	// Waiting is a request for which the host has no slot at the moment; wait is
+	// Waiting is a request for which the target has no slot at the moment; wait is
 	// how long it is expected to.
 	Waiting(key flow.Key, requestID []byte, held int, wait time.Duration)
 	// Postponed is a new flow that waits for its client's next opening packet; wait
-	// is what it would have waited at the best host.
+	// is what it would have waited at the best target.
 	Postponed(key flow.Key, wait time.Duration)
 	// GaveUp is a request that waited until its client had gone.
 	GaveUp(key flow.Key, waited time.Duration)
 	PassedOn(key flow.Key, reason string, hops int)
-	// Bounced is a packet that the host did not take.
+	// Bounced is a packet that the target did not take.
 	Bounced(key flow.Key, opening bool)
 	Reset(key flow.Key, reason string)
 	Dropped(reason Drop)
-	HostReport(what string, b fleet.Heartbeat)
-	// Failed is a request that the host answered with a failure or a reset.
+	TargetReport(what string, b fleet.Heartbeat)
+	// Failed is a request that the target answered with a failure or a reset.
 	Failed()
-	// Ejected tells that the host gets no new flows because it fails, or that this
+	// Ejected tells that the target gets no new flows because it fails, or that this
 	// has ended; trials and failures are those of the time before.
 	Ejected(ejected bool, trials, failures int)
-	// Unproven tells that the host is up again after so many unplanned ends in a row
+	// Unproven tells that the target is up again after so many unplanned ends in a row
 	// and gets no new flows for a while.
 	Unproven(ends int, proof time.Duration)
 	PeerChanged(ip flow.IPv4, what string)
--- a/agent/packetfront/flows.go
+++ b/agent/packetfront/flows.go
@@ -8,19 +8,19 @@
 	"github.com/poppywall/poppywall/flow"
 )
 
-// stage is how far a flow has come at this host.
+// stage is how far a flow has come at this target.
 type stage uint8
 
 const (
-	// offered: a SYN was delivered, the host has not answered.
+	// offered: a SYN was delivered, the target has not answered.
 	offered stage = iota
-	// halfOpen: the host answered the SYN; the client may have chosen another.
+	// halfOpen: the target answered the SYN; the client may have chosen another.
 	halfOpen
-	// open: the host has sent something after its handshake.
+	// open: the target has sent something after its handshake.
 	open
-	// closed: both ends are done, or the host reset the flow.
+	// closed: both ends are done, or the target reset the flow.
 	closed
-	// dead: the host that held the flow has ended.
+	// dead: the target that held the flow has ended.
 	dead
 )
 
@@ -33,43 +33,43 @@
 	// pendingTTL is how long a request counts as load when no answer is seen:
 	// longer than the deadlines of clients in use.
 	pendingTTL = 10 * time.Second
-	// maxFlows bounds the table; a host takes some 2,000 connections.
+	// maxFlows bounds the table; a target takes some 2,000 connections.
 	maxFlows = 1 << 14
 )
 
 // record is what an agent knows of one flow.
 type record struct {
 	stage stage
-	// hostSeq is the host's last sequence number: it tells this flow from a
+	// targetSeq is the target's last sequence number: it tells this flow from a
 	// later one between the same ports.
-	hostSeq uint32
+	targetSeq uint32
 	// clientAck is the client's last acknowledgement, for a reset.
 	clientAck uint32
 	usedAt    time.Time
 	// pendingAt is when the client sent a request that was not answered yet, or
-	// its flow was given to the host.
+	// its flow was given to the target.
 	pendingAt time.Time
 	// request is what the flow's requests ask for.
 	request terms
 	// held is the request that waits for a slot, nil when none does; runningAt is
-	// when the present request was given to the host, zero before, and among how
-	// many the host had then, this one included.
+	// when the present request was given to the target, zero before, and among how
+	// many the target had then, this one included.
 	held      *heldRequest
 	runningAt time.Time
 	among     int
-	// balancer is told that the flow is here once the host has taken it; zero
+	// balancer is told that the flow is here once the target has taken it; zero
 	// when it knows.
-	balancer           flow.IPv4
-	clientFin, hostFin bool
+	balancer             flow.IPv4
+	clientFin, targetFin bool
 }
 
 // holds tells whether a client's packet belongs to this record's flow.
 func (r *record) holds(h *flow.Header) bool {
-	return r.stage != offered && flow.SameFlow(h.Ack, r.hostSeq)
+	return r.stage != offered && flow.SameFlow(h.Ack, r.targetSeq)
 }
 
 // awaited tells that a request of the flow has no answer yet. The first one's answer
-// may be all that the host sends after its handshake; before the host has got the
+// may be all that the target sends after its handshake; before the target has got the
 // request it may only refuse the flow, which is no answer.
 func (r *record) awaited() bool {
 	return !r.pendingAt.IsZero() && (r.stage == open || !r.runningAt.IsZero())
@@ -81,7 +81,7 @@
 	// overflowed is set once a flow had to be forgotten early.
 	overflowed bool
 	// busy counts the flows that owe an answer or may soon, running those whose
-	// request the host has.
+	// request the target has.
 	busy, running, open int
 }
 
@@ -125,7 +125,7 @@
 	r.stage = s
 }
 
-// requested notes that the host owes an answer.
+// requested notes that the target owes an answer.
 func (f *flows) requested(now time.Time, r *record) {
 	if r.pendingAt.IsZero() {
 		r.pendingAt = now
@@ -133,13 +133,13 @@
 	}
 }
 
-// started notes that the host has the flow's request.
+// started notes that the target has the flow's request.
 func (f *flows) started(now time.Time, r *record) {
 	f.running++
 	r.runningAt, r.among = now, f.running
 }
 
-// answered notes that the host owes nothing.
+// answered notes that the target owes nothing.
 func (f *flows) answered(r *record) {
 	if !r.runningAt.IsZero() {
 		r.runningAt = time.Time{}
@@ -172,7 +172,7 @@
 	}
 }
 
-// kill marks all flows of a host that has ended and calls each for every open
+// kill marks all flows of a target that has ended and calls each for every open
 // one, in an order that repeats.
 func (f *flows) kill(now time.Time, each func(flow.Key, *record)) {
 	keys := slices.Collect(maps.Keys(f.byKey))
--- a/agent/packetfront/fromhost.go
+++ b/agent/packetfront/fromhost.go
@@ -6,22 +6,22 @@
 	"github.com/poppywall/poppywall/flow"
 )
 
-// HandleHost takes a packet that the host sent.
-func (c *Core) HandleHost(now time.Time, h *flow.Header, packet []byte) {
+// HandleTarget takes a packet that the target sent.
+func (c *Core) HandleTarget(now time.Time, h *flow.Header, packet []byte) {
 	c.heard(now)
 	c.learned(now)
 	if h.Flags.Has(flow.Bounced) {
 		c.handleBounced(now, h, packet)
 		return
 	}
-	key := h.FromHost()
-	c.noteHost(now, key, h, packet)
+	key := h.FromTarget()
+	c.noteTarget(now, key, h, packet)
 	c.releaseHeld(now)
 	c.port.ToClient(key.ClientIP, packet)
 }
 
-// noteHost keeps what a host's packet says of its flow.
-func (c *Core) noteHost(now time.Time, key flow.Key, h *flow.Header, packet []byte) {
+// noteTarget keeps what a target's packet says of its flow.
+func (c *Core) noteTarget(now time.Time, key flow.Key, h *flow.Header, packet []byte) {
 	r := c.flows.ensure(now, key)
 	switch {
 	case h.Flags.Has(flow.RST):
@@ -37,7 +37,7 @@
 			c.answered(now, r, c.codec.Answer(packet))
 		}
 		if h.Len > 0 && !r.runningAt.IsZero() {
-			c.pace.Done(now.Sub(r.runningAt), r.among, c.host.slots())
+			c.pace.Done(now.Sub(r.runningAt), r.among, c.target.slots())
 		}
 		c.noteSent(key, r, h)
 	}
@@ -46,11 +46,11 @@
 // noteAccepted notes a SYN+ACK. A balancer whose SYN was passed on learns where
 // it went. The answer to a late copy of the SYN does not set an open flow back.
 func (c *Core) noteAccepted(now time.Time, key flow.Key, r *record, h *flow.Header) {
-	if (r.stage == halfOpen || r.stage == open) && flow.SameFlow(h.Seq, r.hostSeq) {
+	if (r.stage == halfOpen || r.stage == open) && flow.SameFlow(h.Seq, r.targetSeq) {
 		return
 	}
 	c.flows.setStage(r, halfOpen)
-	r.hostSeq, r.clientFin, r.hostFin = h.Seq, false, false
+	r.targetSeq, r.clientFin, r.targetFin = h.Seq, false, false
 	c.tellFound(key, r)
 }
 
@@ -65,14 +65,14 @@
 // noteSent notes a packet after the handshake: the flow is open here.
 func (c *Core) noteSent(key flow.Key, r *record, h *flow.Header) {
 	c.tellFound(key, r)
-	r.hostSeq = h.Seq + uint32(h.Len)
+	r.targetSeq = h.Seq + uint32(h.Len)
 	if h.Len > 0 {
 		c.flows.answered(r)
 	}
 	if h.Flags.Has(flow.FIN) {
-		r.hostFin = true
+		r.targetFin = true
 	}
-	if r.hostFin && r.clientFin {
+	if r.targetFin && r.clientFin {
 		c.flows.answered(r)
 		c.flows.setStage(r, closed)
 		return
@@ -82,7 +82,7 @@
 	}
 }
 
-// handleBounced takes back a packet that the host did not accept.
+// handleBounced takes back a packet that the target did not accept.
 func (c *Core) handleBounced(now time.Time, h *flow.Header, packet []byte) {
 	key := h.FromClient()
 	c.codec.Unmark(packet)
@@ -92,7 +92,7 @@
 		c.bouncedOpen(now, key, r, h)
 		return
 	}
-	// A host may refuse a copy of a SYN whose flow it holds half open.
+	// A target may refuse a copy of a SYN whose flow it holds half open.
 	if r != nil && (r.stage == offered || (r.stage == halfOpen && !h.IsOpening())) {
 		c.flows.remove(key, r)
 	}
@@ -101,8 +101,8 @@
 	c.passOn(packet, true)
 }
 
-// bouncedOpen handles a packet that was delivered to an open flow. The host that
-// held it has ended then, for it was seen open here: no other host can hold it.
+// bouncedOpen handles a packet that was delivered to an open flow. The target that
+// held it has ended then, for it was seen open here: no other target can hold it.
 func (c *Core) bouncedOpen(now time.Time, key flow.Key, r *record, h *flow.Header) {
 	if r == nil || r.stage != open || !r.holds(h) {
 		c.events.Dropped(DropBounced)
@@ -111,6 +111,6 @@
 	c.flows.answered(r)
 	c.flows.setStage(r, dead)
 	r.usedAt = now
-	c.events.Reset(key, "its host no longer holds it")
+	c.events.Reset(key, "its target no longer holds it")
 	c.port.Reset(key, h.Ack)
 }
--- a/agent/packetfront/front.go
+++ b/agent/packetfront/front.go
@@ -27,7 +27,7 @@
 const (
 	// tickPeriod drives the core.
 	tickPeriod = 50 * time.Millisecond
-	// probeTimeout bounds a connection to the host, which is on the same VM.
+	// probeTimeout bounds a connection to the target, which is on the same VM.
 	probeTimeout = 250 * time.Millisecond
 	// lonePeriod is how often an agent looks whether it knows a balancer.
 	lonePeriod = 500 * time.Millisecond
@@ -46,7 +46,7 @@
 	self               flow.IPv4
 	port               uint16
 	clientPort         uint16
-	host               netip.AddrPort
+	target             netip.AddrPort
 
 	// mu guards core and observer; nothing else is locked under it.
 	mu       sync.Mutex
@@ -60,7 +60,7 @@
 func NewFront(cfg Settings, log *zap.Logger) (*Front, error) {
 	f := &Front{
 		cfg: cfg, log: log, store: platform.NewStore(cfg.Store, storeTimeout),
-		reg: prometheus.NewRegistry(), host: netip.MustParseAddrPort(cfg.Host),
+		reg: prometheus.NewRegistry(), target: netip.MustParseAddrPort(cfg.Target),
 		clientPort: netip.MustParseAddrPort(cfg.Data).Port(),
 	}
 	f.self, f.port = flow.ParseAddrPort(cfg.Internal)
@@ -87,8 +87,8 @@
 	_ = f.internal.Send(netip.AddrPortFrom(node.Addr(), f.port), head, packet)
 }
 
-// ToHost implements Port.
-func (f *Front) ToHost(packet []byte) { _ = f.outbound.Send(f.host, nil, packet) }
+// ToTarget implements Port.
+func (f *Front) ToTarget(packet []byte) { _ = f.outbound.Send(f.target, nil, packet) }
 
 // ToClient implements Port.
 func (f *Front) ToClient(client flow.IPv4, packet []byte) {
@@ -101,7 +101,7 @@
 	f.ToClient(key.ClientIP, platform.AppendReset(b[:0], key, seq))
 }
 
-// Run serves until ctx ends. An agent stops at once: it is back soon, and a host
+// Run serves until ctx ends. An agent stops at once: it is back soon, and a target
 // beside it keeps its flows.
 func (f *Front) Run(ctx context.Context) error {
 	f.log.Info("start", zap.String("zone", f.cfg.Zone), zap.String(telemetry.FieldService, f.cfg.Service),
@@ -110,12 +110,12 @@
 	defer stop()
 	group := worker.NewGroup(f.log)
 	group.Go(work, "internal", func(ctx context.Context) error { return f.internal.Serve(ctx, f.handleNode) })
-	group.Go(work, "outbound", func(ctx context.Context) error { return f.outbound.Serve(ctx, f.handleHost) })
+	group.Go(work, "outbound", func(ctx context.Context) error { return f.outbound.Serve(ctx, f.handleTarget) })
 	group.Go(work, "tick", func(ctx context.Context) error {
 		f.tick()
 		return worker.Every(ctx, tickPeriod, f.tick)
 	})
-	group.Go(work, "probe", f.probeHost)
+	group.Go(work, "probe", f.probeTarget)
 	group.Go(work, "join", f.followRegistry)
 	group.Go(ctx, "registry", f.entry.Run)
 	group.Go(work, "heartbeats", func(ctx context.Context) error {
@@ -137,7 +137,7 @@
 	f.showPresence()
 }
 
-// showPresence keeps the agent's entry in the registry as its host is.
+// showPresence keeps the agent's entry in the registry as its target is.
 func (f *Front) showPresence() {
 	presence := fleet.PresenceUnknown
 	f.locked(func(now time.Time) { presence = f.core.Presence(now) })
@@ -146,7 +146,7 @@
 	}
 }
 
-// stop takes the agent out of the registry unless its host may live on, and tells the
+// stop takes the agent out of the registry unless its target may live on, and tells the
 // balancers.
 func (f *Front) stop() {
 	leaves := false
@@ -173,48 +173,48 @@
 	f.locked(func(now time.Time) { f.core.HandleNode(now, flow.FromAddr(from.Addr()), datagram) })
 }
 
-func (f *Front) handleHost(_ netip.AddrPort, datagram []byte) {
+func (f *Front) handleTarget(_ netip.AddrPort, datagram []byte) {
 	h, err := platform.DecodePacket(datagram)
 	f.locked(func(now time.Time) {
 		if err != nil {
 			f.core.events.Dropped(DropMalformed)
 			return
 		}
-		f.core.HandleHost(now, &h, datagram)
+		f.core.HandleTarget(now, &h, datagram)
 	})
 }
 
-// Heartbeat implements platform.Hosts.
+// Heartbeat implements platform.Targets.
 func (f *Front) Heartbeat(b fleet.Heartbeat) (present bool) {
 	f.locked(func(now time.Time) { present = f.core.Heartbeat(now, b) })
 	return present
 }
 
-// Leave implements platform.Hosts.
+// Leave implements platform.Targets.
 func (f *Front) Leave(l fleet.Life) {
 	f.locked(func(now time.Time) { f.core.Leave(now, l) })
 }
 
-// Refused implements platform.Hosts.
+// Refused implements platform.Targets.
 func (f *Front) Refused(err *platform.ReportError) {
 	f.locked(func(time.Time) { f.observer.ReportRefused(err.Field, err.Fault) })
 }
 
-// Pauses between probes of a host: short while it is expected to come up.
+// Pauses between probes of a target: short while it is expected to come up.
 const (
 	probePause     = 15 * time.Millisecond
 	probePauseLong = 50 * time.Millisecond
 	quickProbes    = 40
 )
 
-// probeHost connects to the host whenever the core wants to know whether it
+// probeTarget connects to the target whenever the core wants to know whether it
 // lives.
-func (f *Front) probeHost(ctx context.Context) error {
+func (f *Front) probeTarget(ctx context.Context) error {
 	for tries := 0; ctx.Err() == nil; tries++ {
 		wanted := false
 		f.locked(func(now time.Time) { wanted = f.core.WantsProbe(now) })
 		if wanted {
-			p := probe(ctx, f.host)
+			p := probe(ctx, f.target)
 			f.locked(func(now time.Time) { f.core.Probed(now, p) })
 			f.showPresence()
 		}
@@ -227,9 +227,9 @@
 	return nil
 }
 
-func probe(ctx context.Context, host netip.AddrPort) Probe {
+func probe(ctx context.Context, target netip.AddrPort) Probe {
 	dialer := net.Dialer{Timeout: probeTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp4", host.String())
+	conn, err := dialer.DialContext(ctx, "tcp4", target.String())
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return ProbeRefused
 	}
--- a/agent/packetfront/front_test.go
+++ b/agent/packetfront/front_test.go
@@ -26,15 +26,15 @@
 	at := func(port int) string { return fmt.Sprintf("127.0.90.1:%d", port) }
 	cfg := Defaults()
 	cfg.Name, cfg.Zone, cfg.Service, cfg.Store = "a", "z1", "alpha", store
-	cfg.Internal, cfg.Outbound, cfg.Host, cfg.Control, cfg.Data = at(22011), at(22012), at(22013), at(22014), at(22015)
+	cfg.Internal, cfg.Outbound, cfg.Target, cfg.Control, cfg.Data = at(22011), at(22012), at(22013), at(22014), at(22015)
 	f, err := NewFront(cfg, zap.NewNop())
 	require.NoError(t, err)
 	return f, worker.Start(f.Run)
 }
 
-// TestAStoppedAgentStaysRegisteredBesideALivingHost, and not beside none: its
+// TestAStoppedAgentStaysRegisteredBesideALivingTarget, and not beside none: its
 // VM goes then.
-func TestAStoppedAgentStaysRegisteredBesideALivingHost(t *testing.T) {
+func TestAStoppedAgentStaysRegisteredBesideALivingTarget(t *testing.T) {
 	s := standin.NewStore(time.Now)
 	server := httptest.NewServer(platformtest.Store(s))
 	defer server.Close()
@@ -50,14 +50,14 @@
 			return yes && entries() == 1
 		}
 	}
-	host, err := net.Listen("tcp4", "127.0.90.1:22013")
+	target, err := net.Listen("tcp4", "127.0.90.1:22013")
 	require.NoError(t, err)
 	f, stop := startFront(t, address)
 	require.Eventually(t, known(f, fleet.Ready), 5*time.Second, 5*time.Millisecond)
 	stop()
 	require.Equal(t, 1, entries())
 
-	require.NoError(t, host.Close())
+	require.NoError(t, target.Close())
 	f, stop = startFront(t, address)
 	require.Eventually(t, known(f, fleet.Gone), 5*time.Second, 5*time.Millisecond)
 	stop()
--- a/agent/packetfront/health.go
+++ b/agent/packetfront/health.go
@@ -7,23 +7,23 @@
 	"github.com/poppywall/poppywall/outlier"
 )
 
-// comebackTime is how long a host counts as warming after an ejection, so that it
+// comebackTime is how long a target counts as warming after an ejection, so that it
 // gets its share back gradually.
 const comebackTime = 2 * time.Second
 
-// hostTarget names the one host in its detector.
-const hostTarget = "host"
+// onlyTarget names the one target in its detector.
+const onlyTarget = "target"
 
-// health judges the host by the outcomes of its requests: answers that say that it
-// has failed, and resets. A host that fails quickly looks idle, and would draw more
+// health judges the target by the outcomes of its requests: answers that say that it
+// has failed, and resets. A target that fails quickly looks idle, and would draw more
 // work than any other. One that is slow or does not answer needs no judge: what it
 // owes counts as load, and the limit of its load keeps new flows away.
 //
-// The agent sees one host only, so the judgement is against what a healthy service
-// shows (outlier.Binomial's prior). When most hosts of a service fail alike the
+// The agent sees one target only, so the judgement is against what a healthy service
+// shows (outlier.Binomial's prior). When most targets of a service fail alike the
 // balancers pay no heed to it (ejectable).
 //
-// A host that ends without a word takes with it what it was given, and one that has
+// A target that ends without a word takes with it what it was given, and one that has
 // ended so a moment ago is likelier than others to end again. It proves itself: it
 // counts as ejected for a time after each such start, longer after each relapse.
 type health struct {
@@ -32,21 +32,21 @@
 	// backAt is when the last ejection ended.
 	backAt time.Time
 	// ends counts the unplanned ends in a row, lastEnd is when the last one was seen;
-	// provenAt is when the host has been up for long enough since.
+	// provenAt is when the target has been up for long enough since.
 	ends     int
 	lastEnd  time.Time
 	provenAt time.Time
 }
 
-// Times of the proof of a host that has ended unplanned.
+// Times of the proof of a target that has ended unplanned.
 const (
-	// leastProof is how long it has to stay up after the first end, as long as a host
+	// leastProof is how long it has to stay up after the first end, as long as a target
 	// is slow after its start anyway; each further end in a row doubles it up to
-	// mostProof. Of the writes to hosts that go down and up each 0.8 s 0.10% are lost
+	// mostProof. Of the writes to targets that go down and up each 0.8 s 0.10% are lost
 	// with it and 0.25% without (model, pattern "flap").
 	leastProof = 2 * time.Second
 	mostProof  = 30 * time.Second
-	// relapseTime is how long after an end another one counts as a relapse: a host that
+	// relapseTime is how long after an end another one counts as a relapse: a target that
 	// has stayed up for the longest proof starts over.
 	relapseTime = 30 * time.Second
 )
@@ -60,7 +60,7 @@
 	h.lastEnd = now
 }
 
-// startedAgain notes that the host is up, and tells how long it has to prove itself;
+// startedAgain notes that the target is up, and tells how long it has to prove itself;
 // zero where it has not ended lately.
 func (h *health) startedAgain(now time.Time) time.Duration {
 	if h.ends == 0 || now.Sub(h.lastEnd) > relapseTime {
@@ -78,10 +78,10 @@
 	return health{detector: outlier.New(outlier.Defaults(), outlier.DefaultJudge())}
 }
 
-// answered takes the answer to a request. That a host sheds what it would have to
+// answered takes the answer to a request. That a target sheds what it would have to
 // queue is no fault of its own; it is where it has slots.
 func (c *Core) answered(now time.Time, r *record, a flow.Answer) {
-	if a == flow.AnswerShed && r.among > c.host.slots() {
+	if a == flow.AnswerShed && r.among > c.target.slots() {
 		c.events.Failed()
 		return
 	}
@@ -93,8 +93,8 @@
 	if failed {
 		c.events.Failed()
 	}
-	before := c.health.detector.Counts(now, hostTarget)
-	if !c.health.detector.Report(now, hostTarget, failed) {
+	before := c.health.detector.Counts(now, onlyTarget)
+	if !c.health.detector.Report(now, onlyTarget, failed) {
 		return
 	}
 	c.health.ejected = true
@@ -104,7 +104,7 @@
 
 // checkHealth ends an ejection whose time is over.
 func (c *Core) checkHealth(now time.Time) {
-	if !c.health.ejected || c.health.detector.Ejected(now, hostTarget) || now.Before(c.health.provenAt) {
+	if !c.health.ejected || c.health.detector.Ejected(now, onlyTarget) || now.Before(c.health.provenAt) {
 		return
 	}
 	c.health.ejected, c.health.backAt = false, now
@@ -112,9 +112,9 @@
 	c.announceChange(now)
 }
 
-// warmup is how long the host is to get less than its share: it says so itself
+// warmup is how long the target is to get less than its share: it says so itself
 // after its start, or comes back from an ejection.
 func (c *Core) warmup(now time.Time) time.Duration {
 	comeback := c.health.backAt.Add(comebackTime).Sub(now)
-	return max(c.host.warmup(now), comeback, 0)
+	return max(c.target.warmup(now), comeback, 0)
 }
--- a/agent/packetfront/health_test.go
+++ b/agent/packetfront/health_test.go
@@ -12,32 +12,32 @@
 	"github.com/poppywall/poppywall/platform/platformtest"
 )
 
-// answers are what a host may do with a request.
+// answers are what a target may do with a request.
 type answer func(f *fixture, client int)
 
 func says(data string) answer {
 	return func(f *fixture, client int) {
-		p := platformtest.FromHost(keyOf(client), flow.ACK, 500, 0, []byte(data))
+		p := platformtest.FromTarget(keyOf(client), flow.ACK, 500, 0, []byte(data))
 		h, err := f.codec.Decode(p)
 		if err != nil {
 			panic(err)
 		}
-		f.HandleHost(f.now, &h, p)
+		f.HandleTarget(f.now, &h, p)
 	}
 }
 
-func resets(f *fixture, client int) { f.hostSends(client, flow.RST, 500, 0) }
+func resets(f *fixture, client int) { f.targetSends(client, flow.RST, 500, 0) }
 
-// request opens a flow, asks on it, and lets the host answer.
+// request opens a flow, asks on it, and lets the target answer.
 func (f *fixture) request(client int, a answer) {
 	f.ask(client)
-	f.hostSends(client, flow.ACK, 500, 0)
+	f.targetSends(client, flow.ACK, 500, 0)
 	if a != nil {
 		a(f, client)
 	}
 }
 
-// requestAtOnce does the same at a host whose answer is the first that it sends.
+// requestAtOnce does the same at a target whose answer is the first that it sends.
 func (f *fixture) requestAtOnce(client int, a answer) {
 	f.ask(client)
 	if a != nil {
@@ -47,13 +47,13 @@
 
 func (f *fixture) ask(client int) {
 	f.syn(client, 0, 0)
-	f.hostSends(client, flow.SYN|flow.ACK, 500, 0)
+	f.targetSends(client, flow.SYN|flow.ACK, 500, 0)
 	f.deliver(envelope.Envelope{}, packet(keyOf(client), flow.ACK, 500, "GET"))
 }
 
-// TestAHostThatFailsIsEjected, by what it answers and by resets, and not for
+// TestATargetThatFailsIsEjected, by what it answers and by resets, and not for
 // answers that are its clients' own fault or for resets that nobody waits for.
-func TestAHostThatFailsIsEjected(t *testing.T) {
+func TestATargetThatFailsIsEjected(t *testing.T) {
 	const requests = 40
 	for name, c := range map[string]struct {
 		good, bad answer
@@ -88,8 +88,8 @@
 	}
 }
 
-// TestAHostThatDidWellBeforeIsEjectedSoon: a third of its requests fail from now on.
-func TestAHostThatDidWellBeforeIsEjectedSoon(t *testing.T) {
+// TestATargetThatDidWellBeforeIsEjectedSoon: a third of its requests fail from now on.
+func TestATargetThatDidWellBeforeIsEjectedSoon(t *testing.T) {
 	f := newFixture()
 	next := 0
 	do := func(a answer) {
@@ -112,7 +112,7 @@
 	require.Less(t, failed, 15)
 }
 
-// TestLoadThatIsShedIsNoFailure: of requests that the host had to queue.
+// TestLoadThatIsShedIsNoFailure: of requests that the target had to queue.
 func TestLoadThatIsShedIsNoFailure(t *testing.T) {
 	f := newFixture()
 	for i := range 4 {
@@ -131,18 +131,18 @@
 	require.True(t, f.health.ejected, "with slots free")
 }
 
-// TestAHostThatRefusesAFlowHasNotFailed: nothing was asked of it yet.
-func TestAHostThatRefusesAFlowHasNotFailed(t *testing.T) {
+// TestATargetThatRefusesAFlowHasNotFailed: nothing was asked of it yet.
+func TestATargetThatRefusesAFlowHasNotFailed(t *testing.T) {
 	f := newFixture()
 	for i := range 40 {
 		f.syn(i, 0, 0)
-		f.hostSends(i, flow.SYN|flow.ACK, 500, 0)
+		f.targetSends(i, flow.SYN|flow.ACK, 500, 0)
 		resets(f, i)
 	}
 	require.False(t, f.health.ejected)
 }
 
-// TestResetsThatNobodyWaitsForAreNoFailures: a host resets what belongs to flows
+// TestResetsThatNobodyWaitsForAreNoFailures: a target resets what belongs to flows
 // that it has ended.
 func TestResetsThatNobodyWaitsForAreNoFailures(t *testing.T) {
 	f := newFixture()
@@ -153,22 +153,22 @@
 	require.False(t, f.health.ejected)
 }
 
-// TestAnEjectedHostComesBack after a while, slowly, and meanwhile takes new flows
-// only when no other host does.
-func TestAnEjectedHostComesBack(t *testing.T) {
+// TestAnEjectedTargetComesBack after a while, slowly, and meanwhile takes new flows
+// only when no other target does.
+func TestAnEjectedTargetComesBack(t *testing.T) {
 	f := newFixture()
 	for i := range 10 {
 		f.request(i, says("HTTP/1.1 500 Internal"))
 	}
 	require.True(t, f.health.ejected)
-	before := len(f.port.host)
+	before := len(f.port.target)
 	e := envelope.Envelope{Service: service}
-	e.SetCandidates([]flow.Candidate{{Host: nextIP, Service: service}})
+	e.SetCandidates([]flow.Candidate{{Target: nextIP, Service: service}})
 	f.deliver(e, packet(keyOf(100), flow.SYN, 0, ""))
-	require.Len(t, f.port.host, before)
+	require.Len(t, f.port.target, before)
 	require.Equal(t, nextIP, f.port.Last().To)
 	f.syn(101, 0, 0)
-	require.Len(t, f.port.host, before+1, "nobody else has it")
+	require.Len(t, f.port.target, before+1, "nobody else has it")
 	f.pass(10 * time.Second)
 	a := f.announcement(f.now)
 	require.False(t, a.Ejected)
@@ -178,14 +178,14 @@
 	require.Zero(t, f.announcement(f.now).WarmupMillis)
 }
 
-// goesDownAndUp lets the host end without a word and start again.
+// goesDownAndUp lets the target end without a word and start again.
 func (f *fixture) goesDownAndUp(down time.Duration) {
 	f.Probed(f.now, ProbeRefused)
 	f.pass(down)
 	f.Probed(f.now, ProbeAccepted)
 }
 
-// unprovenFor is how long a host that is up gets no new flow.
+// unprovenFor is how long a target that is up gets no new flow.
 func (f *fixture) unprovenFor() time.Duration {
 	began := f.now
 	for f.announcement(f.now).Ejected {
@@ -194,9 +194,9 @@
 	return f.now.Sub(began)
 }
 
-// TestAHostThatEndsUnplannedProvesItself: for longer after each relapse, and as at
+// TestATargetThatEndsUnplannedProvesItself: for longer after each relapse, and as at
 // first again when it has been up for long.
-func TestAHostThatEndsUnplannedProvesItself(t *testing.T) {
+func TestATargetThatEndsUnplannedProvesItself(t *testing.T) {
 	f := newFixture()
 	require.Zero(t, f.unprovenFor(), "a first start proves itself by what it does")
 	for _, want := range []time.Duration{2, 4, 8, 16, 30} {
@@ -208,8 +208,8 @@
 	require.Equal(t, leastProof, f.unprovenFor(), "it was up for long")
 }
 
-// TestAHostThatGoesDownAndUpByTurnsGetsNoFlow: it does not stay up for long enough.
-func TestAHostThatGoesDownAndUpByTurnsGetsNoFlow(t *testing.T) {
+// TestATargetThatGoesDownAndUpByTurnsGetsNoFlow: it does not stay up for long enough.
+func TestATargetThatGoesDownAndUpByTurnsGetsNoFlow(t *testing.T) {
 	f := newFixture()
 	for range 20 {
 		f.goesDownAndUp(400 * time.Millisecond)
@@ -220,12 +220,12 @@
 	}
 }
 
-// TestPlannedEndsAreNoRelapses: of a release, or of a host that starts again after its
+// TestPlannedEndsAreNoRelapses: of a release, or of a target that starts again after its
 // farewell; nor is a start that a fresh agent finds.
 func TestPlannedEndsAreNoRelapses(t *testing.T) {
 	for name, do := range map[string]func(f *fixture){
 		"after a farewell": func(f *fixture) {
-			f.Leave(f.now, fleet.Life{HostID: "i-1"})
+			f.Leave(f.now, fleet.Life{TargetID: "i-1"})
 			f.Probed(f.now, ProbeRefused)
 			f.beatOf(time.Second, "i-2", 1, false)
 		},
@@ -241,7 +241,7 @@
 	} {
 		f := newFixture()
 		do(f)
-		require.Equal(t, fleet.Ready, f.host.state(), name)
+		require.Equal(t, fleet.Ready, f.target.state(), name)
 		require.Zero(t, f.unprovenFor(), name)
 	}
 }
--- a/agent/packetfront/life_test.go
+++ b/agent/packetfront/life_test.go
@@ -12,14 +12,14 @@
 	"github.com/poppywall/poppywall/flow/envelope"
 )
 
-// Lives of a host that starts again under its ID.
+// Lives of a target that starts again under its ID.
 var (
-	firstLife  = fleet.Life{HostID: "i-2", Born: 1_700_000_000_000}
-	secondLife = fleet.Life{HostID: "i-2", Born: 1_700_000_060_000}
+	firstLife  = fleet.Life{TargetID: "i-2", Born: 1_700_000_000_000}
+	secondLife = fleet.Life{TargetID: "i-2", Born: 1_700_000_060_000}
 	// steppedLife started after the first one on a clock that was stepped back.
-	steppedLife = fleet.Life{HostID: "i-2", Born: 1_699_999_990_000}
+	steppedLife = fleet.Life{TargetID: "i-2", Born: 1_699_999_990_000}
 	// silentLife does not say when it started.
-	silentLife = fleet.Life{HostID: "i-2"}
+	silentLife = fleet.Life{TargetID: "i-2"}
 )
 
 const heartbeatPause = 1200 * time.Millisecond
@@ -43,9 +43,9 @@
 	return f
 }
 
-// TestAHostThatStartsAgainUnderItsIDIsBelieved: its counts start anew. However little
+// TestATargetThatStartsAgainUnderItsIDIsBelieved: its counts start anew. However little
 // its reports tell of the order, it is shut out for two of them at most.
-func TestAHostThatStartsAgainUnderItsIDIsBelieved(t *testing.T) {
+func TestATargetThatStartsAgainUnderItsIDIsBelieved(t *testing.T) {
 	for name, c := range map[string]struct {
 		former, next fleet.Life
 		seen         bool
@@ -80,21 +80,21 @@
 			}
 			require.NotZero(t, believed, "%s, down for %v", name, down)
 			require.LessOrEqual(t, believed-1, c.shutOut, "%s, down for %v", name, down)
-			require.Equal(t, fleet.Ready, f.host.state(), "%s: the life before was draining", name)
-			require.Equal(t, c.next, f.host.life, name)
+			require.Equal(t, fleet.Ready, f.target.state(), "%s: the life before was draining", name)
+			require.Equal(t, c.next, f.target.life, name)
 			require.True(t, f.report(heartbeatPause, c.next, 9, true), name)
-			require.Equal(t, fleet.Draining, f.host.state(), "%s: its own drain counts", name)
+			require.Equal(t, fleet.Draining, f.target.state(), "%s: its own drain counts", name)
 		}
 	}
 }
 
 // TestAFreshAgentBelievesTheLifeThatGoesOn: it started meanwhile and knows neither.
 func TestAFreshAgentBelievesTheLifeThatGoesOn(t *testing.T) {
-	for name, late := range map[string]fleet.Life{"born before": firstLife, "born after, on a clock stepped back since": {HostID: "i-2", Born: secondLife.Born + 5}} {
+	for name, late := range map[string]fleet.Life{"born before": firstLife, "born after, on a clock stepped back since": {TargetID: "i-2", Born: secondLife.Born + 5}} {
 		f := freshAgent()
 		require.True(t, f.report(0, late, 298, true), name)
 		require.True(t, f.report(10*time.Millisecond, late, 299, true), name)
-		require.Equal(t, fleet.Draining, f.host.state(), name)
+		require.Equal(t, fleet.Draining, f.target.state(), name)
 		believed := 0
 		for i := range uint64(3) {
 			if f.report(heartbeatPause, secondLife, 40+i, false) {
@@ -102,8 +102,8 @@
 			}
 		}
 		require.NotZero(t, believed, name)
-		require.Equal(t, secondLife, f.host.life, name)
-		require.Equal(t, fleet.Ready, f.host.state(), name)
+		require.Equal(t, secondLife, f.target.life, name)
+		require.Equal(t, fleet.Ready, f.target.state(), name)
 	}
 }
 
@@ -117,7 +117,7 @@
 		"reports that do not say when":                     func(f *fixture, i uint64) { f.report(0, silentLife, 301+i, true) },
 		"an earlier one of the own life":                   func(f *fixture, i uint64) { f.report(0, secondLife, 2+i/8, true) },
 		"its farewell":                                     func(f *fixture, _ uint64) { f.Leave(f.now, firstLife) },
-		"the farewell of another host":                     func(f *fixture, _ uint64) { f.Leave(f.now, fleet.Life{HostID: "i-1"}) },
+		"the farewell of another target":                   func(f *fixture, _ uint64) { f.Leave(f.now, fleet.Life{TargetID: "i-1"}) },
 	} {
 		f := afterALife(firstLife)
 		require.True(t, f.report(heartbeatPause, secondLife, 1, false), name)
@@ -127,22 +127,22 @@
 			late(f, 2*i)
 			f.now = f.now.Add(heartbeatPause / 4)
 			late(f, 2*i+1)
-			require.Equal(t, fleet.Ready, f.host.state(), name)
-			require.Equal(t, secondLife, f.host.life, name)
+			require.Equal(t, fleet.Ready, f.target.state(), name)
+			require.Equal(t, secondLife, f.target.life, name)
 		}
 	}
 }
 
 // TestAFarewellThatDoesNotSayWhichLifeEndsNoLivingFlow: it may be a former life's. The
-// host still listens, and its next report proves that it has not left.
+// target still listens, and its next report proves that it has not left.
 func TestAFarewellThatDoesNotSayWhichLifeEndsNoLivingFlow(t *testing.T) {
 	f := afterALife(firstLife)
 	require.True(t, f.report(heartbeatPause, secondLife, 1, false))
 	f.syn(1, 0, 0)
-	f.hostSends(1, flow.SYN|flow.ACK, 500, 0)
-	f.hostSends(1, flow.ACK, 500, 10)
+	f.targetSends(1, flow.SYN|flow.ACK, 500, 0)
+	f.targetSends(1, flow.ACK, 500, 10)
 	f.Leave(f.now, silentLife)
-	require.Equal(t, fleet.Gone, f.host.state(), "no new flows, in case that it is true")
+	require.Equal(t, fleet.Gone, f.target.state(), "no new flows, in case that it is true")
 	for range 20 {
 		require.True(t, f.WantsProbe(f.now))
 		f.Probed(f.now, ProbeAccepted)
@@ -151,21 +151,21 @@
 	}
 	require.Empty(t, f.port.Resets)
 	require.True(t, f.report(0, secondLife, 2, false))
-	require.Equal(t, fleet.Ready, f.host.state())
+	require.Equal(t, fleet.Ready, f.target.state())
 	require.Empty(t, f.port.Resets)
 }
 
-// TestFlowsOfAFormerLifeEndAndThoseOfThePresentStay: an unseen restart. The host
+// TestFlowsOfAFormerLifeEndAndThoseOfThePresentStay: an unseen restart. The target
 // bounces what it does not hold, and only that is reset.
 func TestFlowsOfAFormerLifeEndAndThoseOfThePresentStay(t *testing.T) {
 	for name, seen := range map[string]bool{"seen": true, "unseen": false} {
 		f := afterALife(firstLife)
 		open := func(client int, seq uint32) {
 			f.syn(client, 0, 0)
-			f.hostSends(client, flow.SYN|flow.ACK, seq, 0)
-			f.hostSends(client, flow.ACK, seq, 10)
+			f.targetSends(client, flow.SYN|flow.ACK, seq, 0)
+			f.targetSends(client, flow.ACK, seq, 10)
 		}
-		f.host.beat.Draining = false
+		f.target.beat.Draining = false
 		open(1, 500)
 		if seen {
 			f.Probed(f.now, ProbeRefused)
@@ -185,7 +185,7 @@
 	}
 }
 
-// TestIncarnationsTellLives: a balancer sees that the host is another one.
+// TestIncarnationsTellLives: a balancer sees that the target is another one.
 func TestIncarnationsTellLives(t *testing.T) {
 	require.NotEqual(t, firstLife.Tag(), secondLife.Tag())
 	require.NotEqual(t, firstLife.Tag(), silentLife.Tag())
@@ -195,7 +195,7 @@
 	require.Equal(t, secondLife.Tag(), f.announcement(f.now).Incarnation)
 }
 
-// TestThePresentLifeIsKnownAfterThreeHeartbeats: hosts crash and start again under
+// TestThePresentLifeIsKnownAfterThreeHeartbeats: targets crash and start again under
 // their ID or another one, seen or not, on a clock that is stepped, while reports and
 // farewells of dead lives arrive at any moment and agents start anew. The oracle knows
 // who lives.
@@ -207,9 +207,9 @@
 		f.Core = New(f.opts, f.port, f.codec, f.events)
 		f.Probed(f.now, ProbeAccepted)
 		clock := int64(1_700_000_000_000)
-		var lives []liveHost
+		var lives []liveTarget
 		begin := func(id string) {
-			l := liveHost{Life: fleet.Life{HostID: id}}
+			l := liveTarget{Life: fleet.Life{TargetID: id}}
 			if says {
 				l.Born = clock
 			}
@@ -233,7 +233,7 @@
 			case "stepped":
 				clock += int64(rapid.IntRange(-5000, 5000).Draw(t, "step"))
 			case "restart", "replaced":
-				id := present.HostID
+				id := present.TargetID
 				if rapid.Bool().Draw(t, "another ID") {
 					id = "i-" + string(rune('0'+len(lives)))
 				}
@@ -258,19 +258,19 @@
 			f.Tick(f.now)
 			f.beatOfLife(present)
 		}
-		require.Equal(t, present.Life, f.host.life)
-		require.Equal(t, present.sequence, f.host.sequence)
-		require.Equal(t, fleet.Ready, f.host.state())
+		require.Equal(t, present.Life, f.target.life)
+		require.Equal(t, present.sequence, f.target.sequence)
+		require.Equal(t, fleet.Ready, f.target.state())
 	})
 }
 
-// liveHost is a life that reports.
-type liveHost struct {
+// liveTarget is a life that reports.
+type liveTarget struct {
 	fleet.Life
 	sequence uint64
 }
 
-func (f *fixture) beatOfLife(l *liveHost) {
+func (f *fixture) beatOfLife(l *liveTarget) {
 	l.sequence++
 	f.report(0, l.Life, l.sequence, false)
 }
--- a/agent/packetfront/lifetime.go
+++ b/agent/packetfront/lifetime.go
@@ -11,13 +11,13 @@
 const (
 	// formerLives is how many earlier lives at this address are remembered.
 	formerLives = 8
-	// aliveBeats is how many heartbeat periods a host may be silent and still
+	// aliveBeats is how many heartbeat periods a target may be silent and still
 	// count as alive when another life reports.
 	aliveBeats = 1.5
-	// firstCalls is how many calls a host may have made by the time its first
+	// firstCalls is how many calls a target may have made by the time its first
 	// heartbeat gets through, beside one for each leastCallGap since its start.
 	firstCalls = 4
-	// leastCallGap is the least mean pause between the calls of a host: a fifth
+	// leastCallGap is the least mean pause between the calls of a target: a fifth
 	// of the second after which one that gets no answer repeats its call.
 	leastCallGap = 200 * time.Millisecond
 )
@@ -30,7 +30,7 @@
 //     was born before it.
 //   - Another life while the present one is alive must belong to a process that
 //     started after its last heartbeat. If it claims more calls than such a process
-//     can have made, it is not believed. That decides alone where hosts do not say
+//     can have made, it is not believed. That decides alone where targets do not say
 //     when they were born: IDs have no order.
 //   - Clocks are stepped back between two lives, and two may be born in the same
 //     millisecond. So a life that is not believed is the present one after all if it
@@ -45,7 +45,7 @@
 
 // retire remembers a life that was replaced.
 func (l *lifetimes) retire(life fleet.Life) {
-	if life.HostID == "" {
+	if life.TargetID == "" {
 		return
 	}
 	l.former = slices.DeleteFunc(l.former, func(f fleet.Life) bool { return f == life })
@@ -75,15 +75,15 @@
 )
 
 // judge tells whose a heartbeat is.
-func (h *host) judge(now time.Time, b fleet.Heartbeat, period time.Duration) belief {
+func (h *target) judge(now time.Time, b fleet.Heartbeat, period time.Duration) belief {
 	switch {
-	case h.life.HostID == "":
+	case h.life.TargetID == "":
 		return firstBeat
 	case b.Life == h.life && b.Sequence > h.sequence:
 		h.lifetimes.claimant = fleet.Life{}
 		return ownBeat
 	case b.Born == 0 && h.life.Born != 0:
-		// The present host says when it was born; a report that does not is not its own.
+		// The present target says when it was born; a report that does not is not its own.
 		return lateBeat
 	case h.succeeded(now, b, period):
 		return firstBeat
@@ -95,7 +95,7 @@
 }
 
 // succeeded tells whether another life has taken the place of the present one.
-func (h *host) succeeded(now time.Time, b fleet.Heartbeat, period time.Duration) bool {
+func (h *target) succeeded(now time.Time, b fleet.Heartbeat, period time.Duration) bool {
 	if h.sawEnd && h.up && h.mayHaveStarted(now, b) {
 		return true
 	}
@@ -106,10 +106,10 @@
 }
 
 // gaveWay tells whether the present life may have ended, given that another one goes
-// on to report. Where hosts say when they were born a late report is told from the
+// on to report. Where targets say when they were born a late report is told from the
 // present life's by the silence of that one, too; otherwise only its being repeated
 // counts.
-func (h *host) gaveWay(now time.Time, b fleet.Heartbeat, period time.Duration) bool {
+func (h *target) gaveWay(now time.Time, b fleet.Heartbeat, period time.Duration) bool {
 	if b.Life == h.life {
 		return !h.alive(now, period) && h.mayHaveStarted(now, b)
 	}
@@ -117,12 +117,12 @@
 }
 
 // alive tells whether the present life reported lately and has not ended since.
-func (h *host) alive(now time.Time, period time.Duration) bool {
-	return h.life.HostID != "" && h.up && !h.sawEnd && h.left.IsZero() && now.Sub(h.beatAt) <= time.Duration(aliveBeats*float64(period))
+func (h *target) alive(now time.Time, period time.Duration) bool {
+	return h.life.TargetID != "" && h.up && !h.sawEnd && h.left.IsZero() && now.Sub(h.beatAt) <= time.Duration(aliveBeats*float64(period))
 }
 
 // mayHaveStarted tells whether the sender of a heartbeat may have started after the
 // present life's last one.
-func (h *host) mayHaveStarted(now time.Time, b fleet.Heartbeat) bool {
+func (h *target) mayHaveStarted(now time.Time, b fleet.Heartbeat) bool {
 	return b.Sequence <= firstCalls+uint64(now.Sub(h.beatAt)/leastCallGap)
 }
--- a/agent/packetfront/lifetime_test.go
+++ b/agent/packetfront/lifetime_test.go
@@ -10,12 +10,12 @@
 	"github.com/poppywall/poppywall/fleet"
 )
 
-// beatOf lets a host report after a pause.
+// beatOf lets a target report after a pause.
 func (f *fixture) beatOf(after time.Duration, id string, sequence uint64, draining bool) {
-	f.report(after, fleet.Life{HostID: id}, sequence, draining)
+	f.report(after, fleet.Life{TargetID: id}, sequence, draining)
 }
 
-// freshAgent is one that started beside a host that was there before it.
+// freshAgent is one that started beside a target that was there before it.
 func freshAgent() *fixture {
 	f := newFixture()
 	f.Core = New(f.opts, f.port, f.codec, f.events)
@@ -23,61 +23,61 @@
 	return f
 }
 
-// TestDelayedHeartbeatsOfAnEarlierHostChangeNothing: a report that a cut has
+// TestDelayedHeartbeatsOfAnEarlierTargetChangeNothing: a report that a cut has
 // delayed arrives after its sender has ended and its successor has reported.
-func TestDelayedHeartbeatsOfAnEarlierHostChangeNothing(t *testing.T) {
+func TestDelayedHeartbeatsOfAnEarlierTargetChangeNothing(t *testing.T) {
 	for name, c := range map[string]struct {
 		fresh bool
 		late  func(f *fixture)
 	}{
-		"the host before":                      {late: func(f *fixture) { f.beatOf(100*time.Millisecond, "i-1", 50, true) }},
-		"the host before, that made few calls": {late: func(f *fixture) { f.beatOf(time.Second, "i-1", 4, true) }},
-		"two hosts before": {late: func(f *fixture) {
+		"the target before":                      {late: func(f *fixture) { f.beatOf(100*time.Millisecond, "i-1", 50, true) }},
+		"the target before, that made few calls": {late: func(f *fixture) { f.beatOf(time.Second, "i-1", 4, true) }},
+		"two targets before": {late: func(f *fixture) {
 			f.beatOf(time.Second, "i-3", 1, false)
 			f.beatOf(100*time.Millisecond, "i-1", 50, true)
 		}},
 		"not known to a fresh agent": {fresh: true, late: func(f *fixture) { f.beatOf(100*time.Millisecond, "i-0", 50, true) }},
-		"its last word":              {late: func(f *fixture) { f.Leave(f.now, fleet.Life{HostID: "i-1"}) }},
+		"its last word":              {late: func(f *fixture) { f.Leave(f.now, fleet.Life{TargetID: "i-1"}) }},
 	} {
 		f := newFixture()
 		if c.fresh {
 			f = freshAgent()
 		}
 		f.beatOf(time.Second, "i-2", 3, false)
-		present := f.host.life.HostID
+		present := f.target.life.TargetID
 		c.late(f)
-		if name == "two hosts before" {
+		if name == "two targets before" {
 			present = "i-3"
 		}
-		require.Equal(t, present, f.host.life.HostID, name)
-		require.Equal(t, fleet.Ready, f.host.state(), name)
+		require.Equal(t, present, f.target.life.TargetID, name)
+		require.Equal(t, fleet.Ready, f.target.state(), name)
 	}
 }
 
-// TestAHostThatWasTakenForAnEarlierOneIsBelievedAgain: the present host is told
+// TestATargetThatWasTakenForAnEarlierOneIsBelievedAgain: the present target is told
 // by its going on, whatever a late report has made of it.
-func TestAHostThatWasTakenForAnEarlierOneIsBelievedAgain(t *testing.T) {
+func TestATargetThatWasTakenForAnEarlierOneIsBelievedAgain(t *testing.T) {
 	f := freshAgent()
 	f.beatOf(0, "i-2", 30, false)
 	// So low that its sender may have started since.
 	f.beatOf(900*time.Millisecond, "i-1", 2, false)
-	require.Equal(t, "i-1", f.host.life.HostID)
+	require.Equal(t, "i-1", f.target.life.TargetID)
 	f.beatOf(100*time.Millisecond, "i-2", 31, true)
 	f.beatOf(time.Second, "i-2", 32, true)
-	require.Equal(t, "i-2", f.host.life.HostID)
-	require.Equal(t, fleet.Draining, f.host.state())
-	require.False(t, f.host.sawStart, "flows from before may live at it")
+	require.Equal(t, "i-2", f.target.life.TargetID)
+	require.Equal(t, fleet.Draining, f.target.state())
+	require.False(t, f.target.sawStart, "flows from before may live at it")
 }
 
-// TestAHostIsSeenToStartOnlyAfterTheEndOfTheOneBefore: without that the host is
+// TestATargetIsSeenToStartOnlyAfterTheEndOfTheOneBefore: without that the target is
 // asked for unknown flows, for two IDs prove no order.
-func TestAHostIsSeenToStartOnlyAfterTheEndOfTheOneBefore(t *testing.T) {
+func TestATargetIsSeenToStartOnlyAfterTheEndOfTheOneBefore(t *testing.T) {
 	for name, c := range map[string]struct {
 		end  func(f *fixture)
 		seen bool
 	}{
 		"no sign of its end": {end: func(*fixture) {}, seen: false},
-		"it left":            {end: func(f *fixture) { f.Leave(f.now, fleet.Life{HostID: "i-1"}) }, seen: true},
+		"it left":            {end: func(f *fixture) { f.Leave(f.now, fleet.Life{TargetID: "i-1"}) }, seen: true},
 		"refused, then there": {end: func(f *fixture) {
 			f.Probed(f.now, ProbeRefused)
 			f.Probed(f.now, ProbeAccepted)
@@ -86,15 +86,15 @@
 		f := newFixture()
 		c.end(f)
 		f.beatOf(time.Second, "i-2", 1, false)
-		require.Equal(t, "i-2", f.host.life.HostID, name)
-		require.Equal(t, c.seen, f.host.sawStart, name)
+		require.Equal(t, "i-2", f.target.life.TargetID, name)
+		require.Equal(t, c.seen, f.target.sawStart, name)
 	}
 }
 
-// TestThePresentHostIsKnownWithinThreeHeartbeats lets hosts succeed each other
+// TestThePresentTargetIsKnownWithinThreeHeartbeats lets targets succeed each other
 // while reports of earlier ones arrive late at any moment, and asks after three
 // undisturbed heartbeats who is there.
-func TestThePresentHostIsKnownWithinThreeHeartbeats(t *testing.T) {
+func TestThePresentTargetIsKnownWithinThreeHeartbeats(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFixture()
 		type life struct {
@@ -124,7 +124,7 @@
 			last.sequence++
 			f.beatOf(time.Second, last.id, last.sequence, false)
 		}
-		require.Equal(t, last.id, f.host.life.HostID)
-		require.Equal(t, fleet.Ready, f.host.state())
+		require.Equal(t, last.id, f.target.life.TargetID)
+		require.Equal(t, fleet.Ready, f.target.state())
 	})
 }
--- a/agent/packetfront/nodes.go
+++ b/agent/packetfront/nodes.go
@@ -7,7 +7,7 @@
 	"github.com/poppywall/poppywall/flow"
 )
 
-// handleBeacon notes a balancer; a new one hears of the host at once.
+// handleBeacon notes a balancer; a new one hears of the target at once.
 func (c *Core) handleBeacon(now time.Time, from flow.IPv4, datagram []byte) error {
 	m, err := fleet.DecodeBeacon(datagram)
 	if err != nil {
@@ -24,7 +24,7 @@
 	return nil
 }
 
-// handlePeers announces the host to balancers that are not known yet.
+// handlePeers announces the target to balancers that are not known yet.
 func (c *Core) handlePeers(now time.Time, datagram []byte) error {
 	names, err := fleet.DecodeNames(datagram)
 	if err != nil {
@@ -35,10 +35,10 @@
 	return nil
 }
 
-// Greet announces the host to balancers that the store names.
+// Greet announces the target to balancers that the store names.
 func (c *Core) Greet(now time.Time, balancers []flow.IPv4) { c.greet(now, balancers, true) }
 
-// greet announces the host to balancers that are not known yet; they answer with
+// greet announces the target to balancers that are not known yet; they answer with
 // a beacon.
 func (c *Core) greet(now time.Time, balancers []flow.IPv4, wantPeers bool) {
 	for _, ip := range balancers {
@@ -52,8 +52,8 @@
 func (c *Core) Tick(now time.Time) {
 	c.introduce(now)
 	c.join(now)
-	if left := c.host.left; !left.IsZero() && now.Sub(left) > leaveGrace && !c.host.listens(now) {
-		c.kill(now, "its host has left")
+	if left := c.target.left; !left.IsZero() && now.Sub(left) > leaveGrace && !c.target.listens(now) {
+		c.kill(now, "its target has left")
 	}
 	c.checkHealth(now)
 	c.expireOpening(now)
@@ -71,11 +71,11 @@
 	}
 }
 
-// join announces the host to the seeds while no balancer is known. While the
-// registry does not have the host either, the seeds hear of it again and again:
+// join announces the target to the seeds while no balancer is known. While the
+// registry does not have the target either, the seeds hear of it again and again:
 // balancers that start have only each other to learn of it from.
 func (c *Core) join(now time.Time) {
-	alone, unlisted := len(c.view.Balancers()) == 0, c.host.up && c.listing != fleet.ListingThere
+	alone, unlisted := len(c.view.Balancers()) == 0, c.target.up && c.listing != fleet.ListingThere
 	if !c.introduced || !(alone || unlisted) || now.Before(c.nextJoin) {
 		return
 	}
@@ -113,7 +113,7 @@
 	}
 }
 
-// announceChange tells every balancer at once when the host's state changed.
+// announceChange tells every balancer at once when the target's state changed.
 func (c *Core) announceChange(now time.Time) {
 	next := c.announcement(now)
 	if next.State != c.announced.State || next.Incarnation != c.announced.Incarnation ||
@@ -144,22 +144,22 @@
 }
 
 // Stop tells the balancers that no packet will be delivered for a while, and
-// the clients of a host that has left that their flows are over. An entry that is
-// still in the registry beside a host that has ended is left to the balancers.
+// the clients of a target that has left that their flows are over. An entry that is
+// still in the registry beside a target that has ended is left to the balancers.
 func (c *Core) Stop(now time.Time) {
 	c.leaving = true
-	if !c.host.left.IsZero() {
-		c.kill(now, "its host has left")
+	if !c.target.left.IsZero() {
+		c.kill(now, "its target has left")
 	}
-	if c.host.holdsNothing() && c.listing != fleet.ListingTakenAway {
+	if c.target.holdsNothing() && c.listing != fleet.ListingTakenAway {
 		c.listing = fleet.ListingLeft
 	}
 	c.announceAll(now)
 }
 
 func (c *Core) announcement(now time.Time) fleet.Announcement {
-	state := c.host.state()
-	if c.host.holdsNothing() || (c.host.sawStart && c.awaitsRegistry(now)) {
+	state := c.target.state()
+	if c.target.holdsNothing() || (c.target.sawStart && c.awaitsRegistry(now)) {
 		// Balancers need not ask here for open flows.
 		state = fleet.Gone
 	}
@@ -170,7 +170,7 @@
 		Zone: c.opts.Zone, Service: c.opts.Service,
 		Incarnation:  c.incarnation(),
 		State:        state,
-		Slots:        uint16(min(c.host.slots(), 1<<16-1)),
+		Slots:        uint16(min(c.target.slots(), 1<<16-1)),
 		Busy:         uint16(min(c.flows.busy, 1<<16-1)),
 		Open:         uint16(min(c.flows.open, 1<<16-1)),
 		WarmupMillis: uint16(min(c.warmup(now).Milliseconds(), 1<<16-1)),
@@ -179,20 +179,20 @@
 	}
 }
 
-// incarnation tells the host's life from others, zero while it is not known.
+// incarnation tells the target's life from others, zero while it is not known.
 func (c *Core) incarnation() flow.Tag {
-	if c.host.life.HostID == "" {
+	if c.target.life.TargetID == "" {
 		return 0
 	}
-	return c.host.life.Tag()
+	return c.target.life.Tag()
 }
 
-// registerPatience is how long an agent with a host waits for its entry in the
-// registry before it offers the host all the same: the store answers in
+// registerPatience is how long an agent with a target waits for its entry in the
+// registry before it offers the target all the same: the store answers in
 // milliseconds, and may be away for long.
 const registerPatience = 250 * time.Millisecond
 
-// learned notes that something is known of the host.
+// learned notes that something is known of the target.
 func (c *Core) learned(now time.Time) {
 	c.known = true
 	c.introduce(now)
@@ -213,14 +213,14 @@
 	c.announceChange(now)
 }
 
-// awaitsRegistry tells that the host is there and the agent is not registered
-// yet: a host takes no flow before balancers that have not heard of it can find
+// awaitsRegistry tells that the target is there and the agent is not registered
+// yet: a target takes no flow before balancers that have not heard of it can find
 // it in the registry.
 func (c *Core) awaitsRegistry(now time.Time) bool {
-	return c.host.up && c.listing != fleet.ListingThere && now.Sub(c.host.upSince) < registerPatience
+	return c.target.up && c.listing != fleet.ListingThere && now.Sub(c.target.upSince) < registerPatience
 }
 
-// introduce lets the balancers hear of the agent once it knows its host. What it
+// introduce lets the balancers hear of the agent once it knows its target. What it
 // said before would only be its own ignorance, and would stand for long if it was
 // the last thing that a balancer heard.
 func (c *Core) introduce(now time.Time) {
--- a/agent/packetfront/nodes_test.go
+++ b/agent/packetfront/nodes_test.go
@@ -39,29 +39,29 @@
 	require.Len(t, f.port.Nodes, 3)
 }
 
-// TestTheRegistryEntryStaysWhileTheHostMayLive: an agent that stops beside a host
+// TestTheRegistryEntryStaysWhileTheTargetMayLive: an agent that stops beside a target
 // that is not known to have ended is soon back, and its flows must not be taken
 // for over meanwhile.
-func TestTheRegistryEntryStaysWhileTheHostMayLive(t *testing.T) {
+func TestTheRegistryEntryStaysWhileTheTargetMayLive(t *testing.T) {
 	for name, c := range map[string]struct {
 		prepare func(f *fixture)
 		ended   bool
 	}{
-		"a host that reports":          {func(*fixture) {}, false},
-		"a host that is silent":        {func(f *fixture) { f.Probed(f.now, ProbeSilent) }, false},
-		"a host that drains":           {func(f *fixture) { f.beat(true) }, false},
-		"a host that has left":         {func(f *fixture) { f.Leave(f.now, fleet.Life{HostID: "i-1"}) }, true},
-		"nothing listens there":        {func(f *fixture) { f.Probed(f.now, ProbeRefused) }, true},
-		"another host came after that": {func(f *fixture) { f.Probed(f.now, ProbeRefused); f.Probed(f.now, ProbeAccepted) }, false},
+		"a target that reports":          {func(*fixture) {}, false},
+		"a target that is silent":        {func(f *fixture) { f.Probed(f.now, ProbeSilent) }, false},
+		"a target that drains":           {func(f *fixture) { f.beat(true) }, false},
+		"a target that has left":         {func(f *fixture) { f.Leave(f.now, fleet.Life{TargetID: "i-1"}) }, true},
+		"nothing listens there":          {func(f *fixture) { f.Probed(f.now, ProbeRefused) }, true},
+		"another target came after that": {func(f *fixture) { f.Probed(f.now, ProbeRefused); f.Probed(f.now, ProbeAccepted) }, false},
 	} {
 		f := newFixture()
 		c.prepare(f)
-		require.Equal(t, c.ended, f.HostEnded(), name)
+		require.Equal(t, c.ended, f.TargetEnded(), name)
 	}
 }
 
-// TestOtherZonesHearOfAHostLessOften, and are told how soon they hear again.
-func TestOtherZonesHearOfAHostLessOften(t *testing.T) {
+// TestOtherZonesHearOfATargetLessOften, and are told how soon they hear again.
+func TestOtherZonesHearOfATargetLessOften(t *testing.T) {
 	f := newFixture()
 	const farBalancers = 8
 	for i := range flow.IPv4(farBalancers) {
@@ -93,9 +93,9 @@
 	require.Len(t, f.port.Nodes, farBalancers+1, "a change is told to all at once")
 }
 
-// TestNothingIsSaidBeforeTheHostIsKnown: an agent that has just started and is
+// TestNothingIsSaidBeforeTheTargetIsKnown: an agent that has just started and is
 // taken away again must not leave its ignorance behind.
-func TestNothingIsSaidBeforeTheHostIsKnown(t *testing.T) {
+func TestNothingIsSaidBeforeTheTargetIsKnown(t *testing.T) {
 	for name, c := range map[string]struct {
 		learn func(f *fixture)
 		want  fleet.State
@@ -104,7 +104,7 @@
 		"no answer":       {func(f *fixture) { f.Probed(f.now, ProbeSilent) }, fleet.Absent},
 		"it listens":      {func(f *fixture) { f.Probed(f.now, ProbeAccepted) }, fleet.Ready},
 		"it reports":      {func(f *fixture) { f.beat(true) }, fleet.Draining},
-		"it sends":        {func(f *fixture) { f.hostSends(1, flow.ACK, 500, 10) }, fleet.Ready},
+		"it sends":        {func(f *fixture) { f.targetSends(1, flow.ACK, 500, 10) }, fleet.Ready},
 	} {
 		f := newFixture()
 		f.opts.Seeds = []flow.IPv4{nextIP}
@@ -113,7 +113,7 @@
 		f.pass(fleet.NearPeriod)
 		require.Empty(t, f.port.Nodes, name)
 		c.learn(f)
-		if f.host.up {
+		if f.target.up {
 			require.Empty(t, f.port.Nodes, "%s: not in the registry yet", name)
 			f.registered()
 		}
@@ -135,9 +135,9 @@
 	require.NotEmpty(t, f.port.Nodes)
 }
 
-// TestTheRegistryFollowsTheHost: an entry comes with the host, and goes as soon as
-// it is certain that the host has ended.
-func TestTheRegistryFollowsTheHost(t *testing.T) {
+// TestTheRegistryFollowsTheTarget: an entry comes with the target, and goes as soon as
+// it is certain that the target has ended.
+func TestTheRegistryFollowsTheTarget(t *testing.T) {
 	f := newFixture()
 	f.Core = New(f.opts, f.port, f.codec, f.events)
 	require.Equal(t, fleet.PresenceUnknown, f.Presence(f.now))
@@ -151,7 +151,7 @@
 	f.Probed(f.now, ProbeSilent)
 	require.Equal(t, fleet.PresenceHere, f.Presence(f.now), "silence proves nothing")
 	f.beat(false)
-	f.Leave(f.now, fleet.Life{HostID: "i-1"})
+	f.Leave(f.now, fleet.Life{TargetID: "i-1"})
 	require.Equal(t, fleet.PresenceUnknown, f.Presence(f.now), "it may send its last packets")
 	require.True(t, f.WantsProbe(f.now))
 	f.Probed(f.now, ProbeRefused)
@@ -159,11 +159,11 @@
 	require.False(t, f.WantsProbe(f.now))
 }
 
-// TestAHostWhoseExitIsNotSeenLeavesTheRegistryAfterItsGrace: nothing answers a
+// TestATargetWhoseExitIsNotSeenLeavesTheRegistryAfterItsGrace: nothing answers a
 // probe where it has left.
-func TestAHostWhoseExitIsNotSeenLeavesTheRegistryAfterItsGrace(t *testing.T) {
+func TestATargetWhoseExitIsNotSeenLeavesTheRegistryAfterItsGrace(t *testing.T) {
 	f := newFixture()
-	f.Leave(f.now, fleet.Life{HostID: "i-1"})
+	f.Leave(f.now, fleet.Life{TargetID: "i-1"})
 	f.Probed(f.now, ProbeSilent)
 	f.pass(leaveGrace)
 	require.Equal(t, fleet.PresenceUnknown, f.Presence(f.now))
@@ -171,9 +171,9 @@
 	require.Equal(t, fleet.PresenceEnded, f.Presence(f.now))
 }
 
-// TestAHostThatGoesDownAndUpByTurnsIsNotWrittenEachTime: one that was there for long
+// TestATargetThatGoesDownAndUpByTurnsIsNotWrittenEachTime: one that was there for long
 // and ends is taken off at once.
-func TestAHostThatGoesDownAndUpByTurnsIsNotWrittenEachTime(t *testing.T) {
+func TestATargetThatGoesDownAndUpByTurnsIsNotWrittenEachTime(t *testing.T) {
 	for name, c := range map[string]struct {
 		up   time.Duration
 		want fleet.Presence
@@ -192,22 +192,22 @@
 func TestOwnersAreToldAfterASearch(t *testing.T) {
 	f := newFixture()
 	f.syn(1, 0, 0)
-	f.hostSends(1, flow.SYN|flow.ACK, 500, 0)
-	f.hostSends(1, flow.ACK, 500, 10)
+	f.targetSends(1, flow.SYN|flow.ACK, 500, 0)
+	f.targetSends(1, flow.ACK, 500, 10)
 	f.deliver(envelope.Envelope{Service: service, Flags: envelope.Search}, packet(keyOf(1), flow.ACK, 510, "x"))
 	require.Equal(t, envelope.Owner, f.port.Last().Kind)
-	require.Len(t, f.port.host, 2)
+	require.Len(t, f.port.target, 2)
 }
 
-// TestAFreshAgentTellsTheOwnerOnceItsHostAnswers: it does not know the flow, its
-// host does.
-func TestAFreshAgentTellsTheOwnerOnceItsHostAnswers(t *testing.T) {
+// TestAFreshAgentTellsTheOwnerOnceItsTargetAnswers: it does not know the flow, its
+// target does.
+func TestAFreshAgentTellsTheOwnerOnceItsTargetAnswers(t *testing.T) {
 	f := freshAgent()
 	f.deliver(envelope.Envelope{Flags: envelope.Search}, packet(keyOf(1), flow.ACK, 500, ""))
-	require.Len(t, f.port.host, 1)
+	require.Len(t, f.port.target, 1)
 	require.Empty(t, f.owners())
-	f.hostSends(1, flow.ACK, 500, 10)
+	f.targetSends(1, flow.ACK, 500, 10)
 	require.Equal(t, []flow.IPv4{balancerIP}, f.owners())
-	f.hostSends(1, flow.ACK, 510, 10)
+	f.targetSends(1, flow.ACK, 510, 10)
 	require.Len(t, f.owners(), 1, "told once")
 }
--- a/agent/packetfront/notes.go
+++ b/agent/packetfront/notes.go
@@ -5,8 +5,8 @@
 	"github.com/poppywall/poppywall/flow/envelope"
 )
 
-// noteSlots bounds the packets whose way is remembered until the host bounces
-// them: a host answers within milliseconds, and at 10,000 packets a second the
+// noteSlots bounds the packets whose way is remembered until the target bounces
+// them: a target answers within milliseconds, and at 10,000 packets a second the
 // ring lasts for 200 ms.
 const (
 	noteBits  = 11
@@ -20,7 +20,7 @@
 	env        envelope.Envelope
 }
 
-// notes is a ring of the last delivered packets whose host may not take them.
+// notes is a ring of the last delivered packets whose target may not take them.
 // The echo field of a packet carries the index and a generation.
 type notes struct {
 	ring []note
--- a/agent/packetfront/observer.go
+++ b/agent/packetfront/observer.go
@@ -13,13 +13,13 @@
 
 // Log field names of the packet front; shared ones stand in package telemetry.
 const (
-	fieldFlow    = "flow"
-	fieldRequest = "request"
-	fieldLoad    = "load"
-	fieldSlots   = "slots"
-	fieldHops    = "hops"
-	fieldReason  = "reason"
-	fieldHostID  = "host_id"
+	fieldFlow     = "flow"
+	fieldRequest  = "request"
+	fieldLoad     = "load"
+	fieldSlots    = "slots"
+	fieldHops     = "hops"
+	fieldReason   = "reason"
+	fieldTargetID = "target_id"
 )
 
 // Lines a second of each kind; what is above is counted and said with the next
@@ -53,20 +53,20 @@
 		passes:    telemetry.Budget{PerSecond: passLines},
 		reports:   telemetry.Budget{PerSecond: reportLines},
 		other:     telemetry.Budget{PerSecond: otherLines},
-		delivered: c.Counter("delivered_packets_total", "Packets handed to the host."),
-		requested: c.Counter("requests_total", "Requests whose first packet was handed to the host."),
-		waited:    c.Counter("waiting_requests_total", "Requests that waited for a slot of the host."),
+		delivered: c.Counter("delivered_packets_total", "Packets handed to the target."),
+		requested: c.Counter("requests_total", "Requests whose first packet was handed to the target."),
+		waited:    c.Counter("waiting_requests_total", "Requests that waited for a slot of the target."),
 		postponed: c.Counter("postponed_flows_total", "New flows left to their client's next opening packet."),
 		gaveUp:    c.Counter("given_up_requests_total", "Requests that waited until their client had gone."),
-		passedOn:  c.Counter("passed_on_packets_total", "Packets that the agent did not hand to the host."),
-		bounced:   c.Counter("bounced_packets_total", "Packets that the host did not take."),
-		resets:    c.Counter("reset_flows_total", "Flows reset because their host has ended."),
-		failed:    c.Counter("failed_requests_total", "Requests that the host answered with a failure or a reset."),
-		ejections: c.Counter("ejections_total", "Times that the host was taken out because it fails."),
-		unproven:  c.Counter("unproven_starts_total", "Starts of a host that had ended unplanned a moment ago."),
+		passedOn:  c.Counter("passed_on_packets_total", "Packets that the agent did not hand to the target."),
+		bounced:   c.Counter("bounced_packets_total", "Packets that the target did not take."),
+		resets:    c.Counter("reset_flows_total", "Flows reset because their target has ended."),
+		failed:    c.Counter("failed_requests_total", "Requests that the target answered with a failure or a reset."),
+		ejections: c.Counter("ejections_total", "Times that the target was taken out because it fails."),
+		unproven:  c.Counter("unproven_starts_total", "Starts of a target that had ended unplanned a moment ago."),
 		drops:     telemetry.ByReason(c, "dropped_packets_total", "Packets dropped, by reason.", Drops),
 		load: c.Histogram("load_at_request",
-			"Requests that the host works on or has queued when another one comes.", []float64{0, 1, 2, 4, 8, 16, 32, 64}),
+			"Requests that the target works on or has queued when another one comes.", []float64{0, 1, 2, 4, 8, 16, 32, 64}),
 	}
 	o.refusedReports = c.Vector("refused_reports_total", "Invalid reports, by the field at fault.", "field")
 	return o
@@ -117,7 +117,7 @@
 // Bounced implements Events.
 func (o *observer) Bounced(key flow.Key, opening bool) {
 	o.bounced.Inc()
-	o.Write(&o.passes, "packet bounced by host", zap.Stringer(fieldFlow, key), zap.Bool("opening", opening))
+	o.Write(&o.passes, "packet bounced by target", zap.Stringer(fieldFlow, key), zap.Bool("opening", opening))
 }
 
 // Reset implements Events.
@@ -132,9 +132,9 @@
 	o.Write(&o.other, "packet dropped", zap.String(fieldReason, string(reason)))
 }
 
-// HostReport implements Events.
-func (o *observer) HostReport(what string, b fleet.Heartbeat) {
-	o.Write(&o.reports, what, zap.String(fieldHostID, b.HostID), zap.Int64("born", b.Born), zap.Bool("draining", b.Draining), zap.Int(fieldSlots, b.Slots),
+// TargetReport implements Events.
+func (o *observer) TargetReport(what string, b fleet.Heartbeat) {
+	o.Write(&o.reports, what, zap.String(fieldTargetID, b.TargetID), zap.Int64("born", b.Born), zap.Bool("draining", b.Draining), zap.Int(fieldSlots, b.Slots),
 		zap.Duration("warmup", b.WarmupLeft), zap.Uint64("sequence", b.Sequence))
 }
 
@@ -144,17 +144,17 @@
 // Ejected implements Events.
 func (o *observer) Ejected(ejected bool, trials, failures int) {
 	if !ejected {
-		o.Log.Info("host back after ejection")
+		o.Log.Info("target back after ejection")
 		return
 	}
 	o.ejections.Inc()
-	o.Log.Warn("host ejected", zap.Int("trials", trials), zap.Int("failures", failures))
+	o.Log.Warn("target ejected", zap.Int("trials", trials), zap.Int("failures", failures))
 }
 
 // Unproven implements Events.
 func (o *observer) Unproven(ends int, proof time.Duration) {
 	o.unproven.Inc()
-	o.Write(&o.reports, "host up again, not proven", zap.Int("ends", ends), zap.Duration("proof", proof))
+	o.Write(&o.reports, "target up again, not proven", zap.Int("ends", ends), zap.Duration("proof", proof))
 }
 
 // PeerChanged implements Events.
--- a/agent/packetfront/presence.go
+++ b/agent/packetfront/presence.go
@@ -6,20 +6,20 @@
 	"github.com/poppywall/poppywall/fleet"
 )
 
-// endedTime is how long a host has to be away before its agent's entry in the
+// endedTime is how long a target has to be away before its agent's entry in the
 // registry goes if it was there for less: one that goes down and up by turns costs
-// no writes. The end of any other host is told at once, for balancers that start
+// no writes. The end of any other target is told at once, for balancers that start
 // just then wait for every agent on the list.
 const endedTime = 2 * time.Second
 
-// HostEnded tells whether the host has ended for certain, so that no flow can be
+// TargetEnded tells whether the target has ended for certain, so that no flow can be
 // open here.
-func (c *Core) HostEnded() bool { return !c.host.left.IsZero() || c.host.holdsNothing() }
+func (c *Core) TargetEnded() bool { return !c.target.left.IsZero() || c.target.holdsNothing() }
 
 // TakesLeave tells whether the agent, which is about to stop, has to take its entry out
-// of the registry: its host has ended.
+// of the registry: its target has ended.
 func (c *Core) TakesLeave() bool {
-	if !c.HostEnded() || c.listing == fleet.ListingTakenAway {
+	if !c.TargetEnded() || c.listing == fleet.ListingTakenAway {
 		return false
 	}
 	c.wanted = fleet.PresenceEnded
@@ -27,9 +27,9 @@
 }
 
 // Presence tells what the agent's entry in the registry is to show: it is there
-// while the host may live.
+// while the target may live.
 func (c *Core) Presence(now time.Time) fleet.Presence {
-	h, wanted := &c.host, fleet.PresenceUnknown
+	h, wanted := &c.target, fleet.PresenceUnknown
 	switch {
 	case h.up && h.left.IsZero():
 		wanted = fleet.PresenceHere
@@ -43,11 +43,11 @@
 	return wanted
 }
 
-// stayedAway tells whether a host that has ended is not expected back at once: it
+// stayedAway tells whether a target that has ended is not expected back at once: it
 // has said farewell, was there for long before, or has been away for long. One that
 // this process has never seen may be about to start; until then the agent answers
 // for it.
-func (h *host) stayedAway(now time.Time) bool {
+func (h *target) stayedAway(now time.Time) bool {
 	steady := !h.upSince.IsZero() && h.downSince.Sub(h.upSince) > endedTime
 	return !h.left.IsZero() || steady || now.Sub(h.downSince) > endedTime
 }
--- a/agent/packetfront/probe.go
+++ b/agent/packetfront/probe.go
@@ -6,11 +6,11 @@
 	"github.com/poppywall/poppywall/fleet"
 )
 
-// WantsProbe tells whether the host should be probed by a connection: it is not
+// WantsProbe tells whether the target should be probed by a connection: it is not
 // known to be up, its heartbeats fail to come, it owes answers, or it has said
 // farewell and its end was not seen yet.
 func (c *Core) WantsProbe(now time.Time) bool {
-	h := &c.host
+	h := &c.target
 	if !h.left.IsZero() {
 		return !h.killed
 	}
@@ -22,17 +22,17 @@
 	}
 	silent := !h.owesSince.IsZero() && now.Sub(h.owesSince) > silenceProbe
 	missed := time.Duration(missedHeartbeats * float64(c.opts.HeartbeatPeriod))
-	return silent || (h.life.HostID != "" && now.Sub(h.beatAt) > missed && now.Sub(h.probedAt) > c.opts.HeartbeatPeriod)
+	return silent || (h.life.TargetID != "" && now.Sub(h.beatAt) > missed && now.Sub(h.probedAt) > c.opts.HeartbeatPeriod)
 }
 
-// Probe is the outcome of a connection to the host.
+// Probe is the outcome of a connection to the target.
 type Probe uint8
 
 // The outcomes.
 const (
 	// ProbeAccepted: something listens.
 	ProbeAccepted Probe = iota
-	// ProbeRefused: nothing listens; a host that lives always does.
+	// ProbeRefused: nothing listens; a target that lives always does.
 	ProbeRefused
 	// ProbeSilent: no answer, which proves nothing.
 	ProbeSilent
@@ -40,7 +40,7 @@
 
 // Probed takes the outcome of a probe.
 func (c *Core) Probed(now time.Time, p Probe) {
-	h := &c.host
+	h := &c.target
 	h.probedAt = now
 	if p == ProbeAccepted {
 		h.acceptedAt = now
@@ -51,7 +51,7 @@
 		c.cameUp(now)
 		h.beat = fleet.Heartbeat{Slots: h.beat.Slots}
 		h.sawStart = h.sawDown
-		c.events.HostReport("host listens", h.beat)
+		c.events.TargetReport("target listens", h.beat)
 		c.announceChange(now)
 	case p == ProbeAccepted:
 		h.owesSince = time.Time{}
@@ -60,9 +60,9 @@
 	}
 }
 
-// refused notes that no host listens.
+// refused notes that no target listens.
 func (c *Core) refused(now time.Time) {
-	h := &c.host
+	h := &c.target
 	h.sawDown = true
 	if h.downSince.IsZero() {
 		h.downSince = now
@@ -75,7 +75,7 @@
 	}
 	h.up, h.owesSince = false, time.Time{}
 	h.sawEnd = true
-	c.events.HostReport("host does not listen", h.beat)
-	c.kill(now, "its host has ended")
+	c.events.TargetReport("target does not listen", h.beat)
+	c.kill(now, "its target has ended")
 	c.announceChange(now)
 }
--- a/agent/packetfront/settings.go
+++ b/agent/packetfront/settings.go
@@ -12,16 +12,16 @@
 	Name string `json:"name" validate:"required,hostname_rfc1123"`
 	// Zone is the availability zone.
 	Zone string `json:"zone" validate:"required,max=63"`
-	// Service is what the host beside the agent serves.
+	// Service is what the target beside the agent serves.
 	Service string `json:"service" validate:"required,max=255"`
 	// Internal is the address for datagrams between nodes; its port is the same
 	// on all nodes.
 	Internal string `json:"internal" validate:"required,addrport4"`
-	// Outbound is the address that the host sends its packets to.
+	// Outbound is the address that the target sends its packets to.
 	Outbound string `json:"outbound" validate:"required,addrport4"`
-	// Host is the address at which the host takes packets and connections.
-	Host string `json:"host" validate:"required,addrport4"`
-	// Control is the address that the host sends its heartbeats to.
+	// Target is the address at which the target takes packets and connections.
+	Target string `json:"target" validate:"required,addrport4"`
+	// Control is the address that the target sends its heartbeats to.
 	Control string `json:"control" validate:"required,addrport4"`
 	// Data is the platform's address for packets at this VM. Nothing is taken
 	// there; clients take packets at the same port of their own addresses.
@@ -32,7 +32,7 @@
 	Seeds []string `json:"seeds,omitempty" validate:"max=64,dive,addrport4"`
 	// Store is the address of the platform's store.
 	Store string `json:"store" validate:"required,addrport4"`
-	// HeartbeatEvery is how often the host reports.
+	// HeartbeatEvery is how often the target reports.
 	HeartbeatEvery settings.Duration `json:"heartbeatEvery,omitempty" validate:"gte=10000000,lte=600000000000"`
 	// FlowTTL is the age from which a flow may be forgotten.
 	FlowTTL settings.Duration `json:"flowTTL,omitempty" validate:"gte=1000000000,lte=86400000000000"`
--- a/backlog/doc.go
+++ b/backlog/doc.go
@@ -1,9 +1,9 @@
-// Package backlog orders the requests that a host has no slot for, and says how
+// Package backlog orders the requests that a target has no slot for, and says how
 // long the next one would wait.
 //
 // The pattern that it answers is the return of everybody: a service was away for
-// a second or two, all callers of that time come back at once, hosts that have
-// just started are slow, and fresh requests arrive all the while. The hosts could
+// a second or two, all callers of that time come back at once, targets that have
+// just started are slow, and fresh requests arrive all the while. The targets could
 // answer every one in time for its caller, though not within its latency
 // objective. Served in order of arrival, all are late until the backlog is gone;
 // newest first, the callers that waited longest give up. The order here is a form
@@ -11,7 +11,7 @@
 //
 //   - a request that can still meet its objective goes first, the highest priority
 //     and of that the newest, as long as every other one can meet its deadline
-//     after it at the host's observed pace;
+//     after it at the target's observed pace;
 //   - otherwise the one with the earliest deadline goes, of those that can meet
 //     theirs one after the other. Where not all can, Moore's rule (1968) finds the
 //     most that can, and priority decides who is given up.
--- a/backlog/queue.go
+++ b/backlog/queue.go
@@ -115,10 +115,10 @@
 
 // standingDeadlines is how many deadlines a queue may last before it counts as
 // standing: after an outage of one deadline all callers of that time are served
-// or gone within the next, and a host at 0.7 of its capacity needs one more.
+// or gone within the next, and a target at 0.7 of its capacity needs one more.
 const standingDeadlines = 2
 
-// Factors on the host's pace in the look ahead.
+// Factors on the target's pace in the look ahead.
 const (
 	// spareFresh is for the question whether everybody can wait while a fresh request
 	// goes first: more fresh ones will come and ask the same.
@@ -127,7 +127,7 @@
 	spareDue = 1.0
 )
 
-// Next takes out the request to be served now. pace is how the host works.
+// Next takes out the request to be served now. pace is how the target works.
 func (q *Queue[K]) Next(now time.Time, pace Pace) (K, bool) {
 	if len(q.items) == 0 {
 		var none K
@@ -146,7 +146,7 @@
 }
 
 // GoesFirst tells whether a request that is not in the queue yet would be served as
-// soon as the host has a slot: it can meet its objective, and all others can wait.
+// soon as the target has a slot: it can meet its objective, and all others can wait.
 func (q *Queue[K]) GoesFirst(now time.Time, r Request, pace Pace) bool {
 	done := now.Add(pace.Took())
 	if !r.fresh(done) {
--- a/backlog/queue_test.go
+++ b/backlog/queue_test.go
@@ -12,7 +12,7 @@
 
 func at(d time.Duration) time.Time { return start.Add(d) }
 
-// steady is the pace of a host that answers a request each 10 ms, 40 ms after it
+// steady is the pace of a target that answers a request each 10 ms, 40 ms after it
 // was given to it.
 func steady() Pace { return NewPace(40*time.Millisecond, 4) }
 
@@ -137,7 +137,7 @@
 }
 
 // TestReturnOfEverybody is the load that the order is for: after an outage of 1.9 s
-// the callers of that time, whose age is known here, are back at once, and the host
+// the callers of that time, whose age is known here, are back at once, and the target
 // has a third of its capacity to spare. In order of arrival everybody is late,
 // newest first some are lost; here nobody is lost, and fewer are late than in order
 // of arrival.
@@ -173,7 +173,7 @@
 	return best
 }
 
-// returnOfEverybody plays the load on a host that answers each 10 ms, by this
+// returnOfEverybody plays the load on a target that answers each 10 ms, by this
 // package's order where none is given.
 func returnOfEverybody(by order) served {
 	const (
--- a/balancer/packetfront/bench_test.go
+++ b/balancer/packetfront/bench_test.go
@@ -17,7 +17,7 @@
 func (discard) ToNode(flow.IPv4, []byte, []byte) {}
 func (discard) Reset(flow.Key, uint32)           {}
 
-// benchCore is a balancer before a service of 40 hosts.
+// benchCore is a balancer before a service of 40 targets.
 func benchCore(b *testing.B) *fixture {
 	f := newFixture()
 	for i := range flow.IPv4(38) {
@@ -40,7 +40,7 @@
 	}
 }
 
-// BenchmarkOpen is a SYN: the choice among 40 hosts.
+// BenchmarkOpen is a SYN: the choice among 40 targets.
 func BenchmarkOpen(b *testing.B) {
 	f := benchCore(b)
 	p := packet(true, 0)
--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -38,7 +38,7 @@
 const (
 	// tickPeriod drives the core.
 	tickPeriod = 100 * time.Millisecond
-	// settleTime is how long after its start a balancer takes "no host known"
+	// settleTime is how long after its start a balancer takes "no target known"
 	// for not yet knowing: agents repeat their announcements each second.
 	settleTime = 2 * time.Second
 	// joinPeriod is the pause between tries to join by the seeds.
@@ -49,7 +49,7 @@
 	// rejoinPeriod is the same for seeds still unknown once others are known.
 	rejoinPeriod = 3 * time.Second
 	// refuseWithin is how long after the first copy of a SYN a flow may be
-	// reset: the client sends the next copy after 200 ms, and another host may
+	// reset: the client sends the next copy after 200 ms, and another target may
 	// take that one.
 	refuseWithin = 150 * time.Millisecond
 	// comparePeriod is the least pause between requests for another balancer's
@@ -115,7 +115,7 @@
 	buf     []byte
 	plan    plan
 	offers  []choose.Offer
-	offerOf []*fleet.Host
+	offerOf []*fleet.Target
 }
 
 // New returns a core that knows nothing yet.
@@ -174,19 +174,19 @@
 }
 
 // Ready tells whether clients' packets may come: a configuration is in force and
-// the hosts had the time to announce themselves.
+// the targets had the time to announce themselves.
 func (c *Core) Ready(now time.Time) bool {
 	if c.config == nil || c.leaving {
 		return false
 	}
-	return len(c.view.Hosts()) > 0 || now.Sub(c.startedAt) > settleTime
+	return len(c.view.Targets()) > 0 || now.Sub(c.startedAt) > settleTime
 }
 
 // Leave makes the balancer unready and tells the others.
 func (c *Core) Leave(now time.Time) {
 	c.leaving = true
 	c.sendBeacons(now, c.view.Balancers())
-	c.sendBeacons(now, c.view.Hosts())
+	c.sendBeacons(now, c.view.Targets())
 }
 
 // idle is how long an idle flow is remembered.
@@ -212,9 +212,9 @@
 		c.open(now, key, h, packet)
 		return
 	}
-	if host, ok := c.table.get(now, key); ok && c.heard(now, host) {
-		c.direct(key, host, packet)
-		c.release(key, host)
+	if target, ok := c.table.get(now, key); ok && c.heard(now, target) {
+		c.direct(key, target, packet)
+		c.release(key, target)
 		return
 	}
 	if !c.limbo.follow(key, packet) {
@@ -222,30 +222,30 @@
 	}
 }
 
-// heard tells whether a remembered host may be relied on: its VM may be gone, and
+// heard tells whether a remembered target may be relied on: its VM may be gone, and
 // the flow may have been opened elsewhere by a copy of its SYN.
-func (c *Core) heard(now time.Time, host flow.IPv4) bool {
-	h, known := c.view.Host(host)
+func (c *Core) heard(now time.Time, target flow.IPv4) bool {
+	h, known := c.view.Target(target)
 	return !known || !h.Quiet(now)
 }
 
-// settled tells whether the hosts had the time to announce themselves.
+// settled tells whether the targets had the time to announce themselves.
 func (c *Core) settled(now time.Time) bool { return now.Sub(c.startedAt) >= settleTime }
 
-// direct sends a packet to the host that is remembered for its flow.
-func (c *Core) direct(key flow.Key, host flow.IPv4, packet []byte) {
+// direct sends a packet to the target that is remembered for its flow.
+func (c *Core) direct(key flow.Key, target flow.IPv4, packet []byte) {
 	c.events.Forwarded()
 	c.env = envelope.Envelope{Kind: envelope.Deliver, Balancer: c.opts.Self}
-	c.send(host, packet)
+	c.send(target, packet)
 }
 
-func (c *Core) send(host flow.IPv4, packet []byte) {
+func (c *Core) send(target flow.IPv4, packet []byte) {
 	c.buf = c.env.Append(c.buf[:0])
-	c.port.ToNode(host, c.buf, packet)
+	c.port.ToNode(target, c.buf, packet)
 }
 
-// open sends a client's SYN to a host. A copy goes where the first one went; the
-// candidates behind it are for the case that the host refuses.
+// open sends a client's SYN to a target. A copy goes where the first one went; the
+// candidates behind it are for the case that the target refuses.
 func (c *Core) open(now time.Time, key flow.Key, h *flow.Header, packet []byte) {
 	route, ok := c.config.Routes[key.Front()]
 	if !ok {
@@ -259,24 +259,24 @@
 	backend := route.Pick(hash)
 	candidates := c.openCandidates(now, hash, backend.Tag)
 	if len(candidates) == 0 {
-		c.noHost(now, key, h, route, packet)
+		c.noTarget(now, key, h, route, packet)
 		return
 	}
 	c.limbo.drop(key)
-	host, known := c.table.get(now, key)
+	remembered, known := c.table.get(now, key)
 	repeated := known && h.Ack > 0
 	if repeated {
-		candidates = toFront(candidates, host)
+		candidates = toFront(candidates, remembered)
 	}
 	chosen := candidates[0]
 	if h.Ack == 0 {
-		c.table.opened(now, key, chosen.Host)
+		c.table.opened(now, key, chosen.Target)
 	} else {
-		c.table.put(now, key, chosen.Host)
+		c.table.put(now, key, chosen.Target)
 	}
-	target, _ := c.view.Host(chosen.Host)
+	target, _ := c.view.Target(chosen.Target)
 	target.Sent++
-	c.events.Opened(Decision{Key: key, Route: route.Name, Service: backend.Name, Host: target, Config: c.config.Version,
+	c.events.Opened(Decision{Key: key, Route: route.Name, Service: backend.Name, Target: target, Config: c.config.Version,
 		Age: now.Sub(target.HeardAt), Candidates: len(candidates), Copy: h.Ack})
 	c.env = envelope.Envelope{
 		Kind: envelope.Deliver, Balancer: c.opts.Self, Service: chosen.Service, Priority: route.Priority,
@@ -286,17 +286,17 @@
 		c.env.Flags |= envelope.Repeated
 	}
 	c.env.SetCandidates(candidates[1:])
-	c.send(chosen.Host, packet)
+	c.send(chosen.Target, packet)
 }
 
-// noHost answers a SYN for which no host is known.
-func (c *Core) noHost(now time.Time, key flow.Key, h *flow.Header, route *flow.Route, packet []byte) {
+// noTarget answers a SYN for which no target is known.
+func (c *Core) noTarget(now time.Time, key flow.Key, h *flow.Header, route *flow.Route, packet []byte) {
 	if !c.settled(now) {
 		c.park(now, key, h, packet, KeepUnsettled)
 		return
 	}
 	c.limbo.drop(key)
-	c.refuse(key, h, "no host of the service", route.Name)
+	c.refuse(key, h, "no target of the service", route.Name)
 }
 
 // refuse resets a flow that cannot be opened; nothing of it has run. Only the
--- a/balancer/packetfront/core_test.go
+++ b/balancer/packetfront/core_test.go
@@ -21,7 +21,7 @@
 	require.Len(t, sent, 3)
 	require.Equal(t, sent[0].To, sent[1].To)
 	require.Equal(t, sent[0].To, sent[2].To)
-	require.Equal(t, 1, sent[0].Env.Count, "the other host, in case this one refuses")
+	require.Equal(t, 1, sent[0].Env.Count, "the other target, in case this one refuses")
 	require.Equal(t, alpha, sent[0].Env.Service)
 	require.Zero(t, sent[0].Env.Flags)
 	require.Equal(t, envelope.Repeated, sent[1].Env.Flags)
@@ -31,26 +31,26 @@
 	require.Zero(t, lone.port.Delivered()[0].Env.Flags, "nobody has seen the copies before")
 }
 
-func TestNewFlowsAvoidHostsThatTakeNone(t *testing.T) {
+func TestNewFlowsAvoidTargetsThatTakeNone(t *testing.T) {
 	f := newFixture()
-	f.announce(hostA, fleet.Draining)
+	f.announce(targetA, fleet.Draining)
 	f.client(packet(true, 0))
-	require.Equal(t, hostB, f.port.Delivered()[0].To)
+	require.Equal(t, targetB, f.port.Delivered()[0].To)
 	require.Zero(t, f.port.Delivered()[0].Env.Count)
-	f.announce(hostB, fleet.Gone)
+	f.announce(targetB, fleet.Gone)
 	f.client(packet(true, 0))
-	require.Len(t, f.port.Resets, 1, "no host of the service")
+	require.Len(t, f.port.Resets, 1, "no target of the service")
 }
 
-// TestEjectedHostsGetNoNewFlowsWhileTheOthersCanCarryThem.
-func TestEjectedHostsGetNoNewFlowsWhileTheOthersCanCarryThem(t *testing.T) {
+// TestEjectedTargetsGetNoNewFlowsWhileTheOthersCanCarryThem.
+func TestEjectedTargetsGetNoNewFlowsWhileTheOthersCanCarryThem(t *testing.T) {
 	for name, c := range map[string]struct {
 		ejected []flow.IPv4
 		avoided bool
 	}{
-		"one of four":   {[]flow.IPv4{hostA}, true},
-		"two of four":   {[]flow.IPv4{hostA, hostB}, false},
-		"all":           {[]flow.IPv4{hostA, hostB, other, other + 1}, false},
+		"one of four":   {[]flow.IPv4{targetA}, true},
+		"two of four":   {[]flow.IPv4{targetA, targetB}, false},
+		"all":           {[]flow.IPv4{targetA, targetB, other, other + 1}, false},
 		"none is taken": {nil, false},
 	} {
 		f := newFixture()
@@ -66,11 +66,11 @@
 			f.client(packet(true, 0))
 			sent := f.port.Delivered()
 			last := sent[len(sent)-1]
-			hosts := []flow.IPv4{last.To}
+			targets := []flow.IPv4{last.To}
 			for _, candidate := range last.Env.Candidates[:last.Env.Count] {
-				hosts = append(hosts, candidate.Host)
+				targets = append(targets, candidate.Target)
 			}
-			offered = offered || slices.Contains(hosts, hostA)
+			offered = offered || slices.Contains(targets, targetA)
 		}
 		require.Equal(t, !c.avoided, offered, name)
 	}
@@ -90,7 +90,7 @@
 		p := packet(true, c.copies)
 		f.client(p)
 		f.now = f.now.Add(c.after)
-		f.answer(hostB, 0, p)
+		f.answer(targetB, 0, p)
 		require.Len(t, f.port.Resets, c.resets, name)
 	}
 }
@@ -130,7 +130,7 @@
 	f.announce(other, fleet.Draining)
 	f.client(packet(false, 9))
 	first := f.port.Delivered()[0]
-	require.Equal(t, 2, first.Env.Count, "every host that may hold it, draining ones too")
+	require.Equal(t, 2, first.Env.Count, "every target that may hold it, draining ones too")
 	require.NotZero(t, first.Env.Flags&envelope.Search)
 	owner := envelope.Envelope{Kind: envelope.Owner}
 	f.HandleNode(f.now, other, envelope.AppendKey(owner.Append(nil), key))
@@ -143,9 +143,9 @@
 	require.Equal(t, 2, f.port.Delivered()[2].Env.Count)
 }
 
-// TestARememberedHostThatIsNotHeardIsSearchedFor: its SYN may have been lost there,
+// TestARememberedTargetThatIsNotHeardIsSearchedFor: its SYN may have been lost there,
 // and a copy that another balancer sent may have opened the flow elsewhere.
-func TestARememberedHostThatIsNotHeardIsSearchedFor(t *testing.T) {
+func TestARememberedTargetThatIsNotHeardIsSearchedFor(t *testing.T) {
 	for name, after := range map[string]time.Duration{
 		"heard lately": fleet.Quiet / 2, "silent": fleet.Quiet + time.Millisecond, "forgotten": fleet.Forget + time.Second,
 	} {
@@ -154,7 +154,7 @@
 		opened := f.port.Delivered()[0].To
 		for end := f.now.Add(after); f.now.Before(end); {
 			f.now = f.now.Add(min(time.Second, end.Sub(f.now)))
-			f.announce(hostA+hostB-opened, fleet.Ready)
+			f.announce(targetA+targetB-opened, fleet.Ready)
 			f.Tick(f.now)
 			f.table.get(f.now, key)
 		}
@@ -170,7 +170,7 @@
 	}
 }
 
-// TestSearchesAskThoseThatAFlowWasChosenAmongFirst: with many hosts in the own
+// TestSearchesAskThoseThatAFlowWasChosenAmongFirst: with many targets in the own
 // zone, one that was chosen elsewhere is found in the first round.
 func TestSearchesAskThoseThatAFlowWasChosenAmongFirst(t *testing.T) {
 	f := newFixture()
@@ -186,14 +186,14 @@
 	chosen := f.port.Delivered()[0]
 	among := map[flow.IPv4]bool{chosen.To: true}
 	for _, c := range chosen.Env.Candidates[:chosen.Env.Count] {
-		among[c.Host] = true
+		among[c.Target] = true
 	}
 	f.table.drop(key, chosen.To)
 	f.client(packet(false, 9))
 	sent := f.port.Delivered()[1]
 	asked := []flow.IPv4{sent.To}
 	for _, c := range sent.Env.Candidates[:2*searchFirst-1] {
-		asked = append(asked, c.Host)
+		asked = append(asked, c.Target)
 	}
 	for ip := range among {
 		require.Contains(t, asked, ip)
@@ -204,7 +204,7 @@
 	table := newTable(100)
 	now := time.Unix(1, 0)
 	for i := range flow.IPv4(1000) {
-		table.put(now, flow.Key{ClientIP: i}, hostA)
+		table.put(now, flow.Key{ClientIP: i}, targetA)
 		require.LessOrEqual(t, len(table.flows), 100)
 	}
 	table.expire(now.Add(time.Minute), time.Second)
--- a/balancer/packetfront/doc.go
+++ b/balancer/packetfront/doc.go
@@ -1,8 +1,8 @@
 // Package packetfront is a balancer's front for opaque flows: it takes clients'
-// packets from the platform's routers and hands each to the agent whose host
+// packets from the platform's routers and hands each to the agent whose target
 // serves its flow. Answers go from the agent to the client directly.
 //
-// A new flow is sent to a host chosen by load among the first of the flow's
+// A new flow is sent to a target chosen by load among the first of the flow's
 // rendezvous ranking. The balancer remembers the choice in a soft table. A
 // packet of a flow that it does not know travels along the ranking from agent to
 // agent until the one that holds the flow delivers it and tells the balancer.
--- a/balancer/packetfront/events.go
+++ b/balancer/packetfront/events.go
@@ -33,8 +33,8 @@
 const (
 	// KeepNoConfig: the balancer knows no configuration yet.
 	KeepNoConfig Keep = "no configuration"
-	// KeepUnsettled: it has just started and knows no host that may serve it.
-	KeepUnsettled Keep = "no host yet"
+	// KeepUnsettled: it has just started and knows no target that may serve it.
+	KeepUnsettled Keep = "no target yet"
 )
 
 // Keeps lists all reasons.
@@ -44,7 +44,7 @@
 type Decision struct {
 	Key            flow.Key
 	Route, Service string
-	Host           *fleet.Host
+	Target         *fleet.Target
 	// Config is the version of the configuration, Age that of the reading.
 	Config     int64
 	Age        time.Duration
@@ -59,15 +59,15 @@
 	Opened(d Decision)
 	Refused(key flow.Key, reason, route string)
 	Searching(key flow.Key, candidates, round int)
-	OwnerFound(key flow.Key, host flow.IPv4, hops int)
+	OwnerFound(key flow.Key, target flow.IPv4, hops int)
 	// Lost is a packet whose flow no candidate holds. doubt says why the flow is
-	// not reset all the same, empty when it is; missing is the host that was not
+	// not reset all the same, empty when it is; missing is the target that was not
 	// asked, if that is the doubt.
 	Lost(key flow.Key, hops int, doubt Doubt, missing flow.IPv4)
 	Dropped(reason Drop)
 	// Kept is a packet that came before the balancer knew its way.
 	Kept(key flow.Key, reason Keep)
-	HostChanged(h *fleet.Host, change fleet.Change)
-	HostForgotten(ip flow.IPv4)
+	TargetChanged(h *fleet.Target, change fleet.Change)
+	TargetForgotten(ip flow.IPv4)
 	PeerChanged(ip flow.IPv4, what string)
 }
--- a/balancer/packetfront/fixture_test.go
+++ b/balancer/packetfront/fixture_test.go
@@ -14,11 +14,11 @@
 )
 
 const (
-	self  = flow.IPv4(0x0a000001)
-	hostA = flow.IPv4(0x0a010001)
-	hostB = flow.IPv4(0x0a010002)
-	other = flow.IPv4(0x0a010003)
-	peer  = flow.IPv4(0x0a000002)
+	self    = flow.IPv4(0x0a000001)
+	targetA = flow.IPv4(0x0a010001)
+	targetB = flow.IPv4(0x0a010002)
+	other   = flow.IPv4(0x0a010003)
+	peer    = flow.IPv4(0x0a000002)
 )
 
 var (
@@ -38,11 +38,11 @@
 func (q quiet) Lost(_ flow.Key, _ int, d Doubt, _ flow.IPv4) { *q.doubt = d }
 func (quiet) Kept(flow.Key, Keep)                            {}
 func (quiet) Dropped(Drop)                                   {}
-func (quiet) HostChanged(*fleet.Host, fleet.Change)          {}
-func (quiet) HostForgotten(flow.IPv4)                        {}
+func (quiet) TargetChanged(*fleet.Target, fleet.Change)      {}
+func (quiet) TargetForgotten(flow.IPv4)                      {}
 func (quiet) PeerChanged(flow.IPv4, string)                  {}
 
-// fixture is a settled balancer with two hosts of a service.
+// fixture is a settled balancer with two targets of a service.
 type fixture struct {
 	*Core
 	port  *envelopetest.Recorder
@@ -57,9 +57,9 @@
 	f.Core = New(f.now, opts, f.port, platform.Codec{}, quiet{&f.doubt}, rand.New(rand.NewPCG(1, 1)))
 	f.SetConfig(f.now, config(5))
 	f.now = f.now.Add(settleTime + time.Second)
-	f.announce(hostA, fleet.Ready)
-	f.announce(hostB, fleet.Ready)
-	f.Surveyed(f.now, f.now, registered(hostA, hostB))
+	f.announce(targetA, fleet.Ready)
+	f.announce(targetB, fleet.Ready)
+	f.Surveyed(f.now, f.now, registered(targetA, targetB))
 	f.port.Nodes = nil
 	return f
 }
@@ -85,7 +85,7 @@
 	f.HandleNode(f.now, ip, a.Append(nil))
 }
 
-// announceRegistered announces a ready host whose agent is in the registry.
+// announceRegistered announces a ready target whose agent is in the registry.
 func (f *fixture) announceRegistered(ip flow.IPv4) {
 	f.seq++
 	a := fleet.Announcement{Identity: fleet.Identity{Epoch: uint64(ip), Seq: f.seq}, Service: alpha, State: fleet.Ready, Slots: 4, Listing: fleet.ListingThere}
@@ -117,7 +117,7 @@
 	f.HandleClient(f.now, &h, p)
 }
 
-// answer returns the last packet sent to a host as an agent would.
+// answer returns the last packet sent to a target as an agent would.
 func (f *fixture) answer(from flow.IPv4, flags envelope.Flags, p []byte) {
 	sent := f.port.Delivered()
 	e := sent[len(sent)-1].Env
@@ -126,9 +126,9 @@
 	f.HandleNode(f.now, from, append(e.Append(nil), p...))
 }
 
-// wait lets time go by while the two hosts are heard.
+// wait lets time go by while the two targets are heard.
 func (f *fixture) wait(d time.Duration) {
 	f.now = f.now.Add(d)
-	f.announce(hostA, fleet.Ready)
-	f.announce(hostB, fleet.Ready)
+	f.announce(targetA, fleet.Ready)
+	f.announce(targetB, fleet.Ready)
 }
--- a/balancer/packetfront/front.go
+++ b/balancer/packetfront/front.go
@@ -34,7 +34,7 @@
 	// decodePause is the pause between two pieces of a configuration that is decoded:
 	// long enough for the packets that came meanwhile, 33 of them for 4,200 routes.
 	decodePause = time.Millisecond
-	// warmingFactor weighs the load of a host that is slow after its start.
+	// warmingFactor weighs the load of a target that is slow after its start.
 	warmingFactor = 1.6
 	// maxConfig bounds a configuration that another balancer sends, in bytes.
 	maxConfig = 4 << 20
@@ -223,9 +223,9 @@
 	return ready
 }
 
-// Hosts is the number of hosts known.
-func (f *Front) Hosts() (count int) {
-	f.locked(func(time.Time) { count = len(f.core.view.Hosts()) })
+// Targets is the number of targets known.
+func (f *Front) Targets() (count int) {
+	f.locked(func(time.Time) { count = len(f.core.view.Targets()) })
 	return count
 }
 
--- a/balancer/packetfront/front_test.go
+++ b/balancer/packetfront/front_test.go
@@ -21,19 +21,19 @@
 )
 
 // startFront runs a front of zone z1; newFront tells the rest.
-func startFront(t *testing.T, host int, store string) *Front {
-	f := newFront(t, host, store, "z1")
+func startFront(t *testing.T, target int, store string) *Front {
+	f := newFront(t, target, store, "z1")
 	t.Cleanup(worker.Start(f.Run))
 	return f
 }
 
 // newFront returns a front at 127.0.HOST.1 before a store, not running yet.
-func newFront(t *testing.T, host int, store, zone string) *Front {
+func newFront(t *testing.T, target int, store, zone string) *Front {
 	t.Helper()
-	at := func(host, port int) string { return fmt.Sprintf("127.0.%d.1:%d", host, port) }
+	at := func(target, port int) string { return fmt.Sprintf("127.0.%d.1:%d", target, port) }
 	cfg := Defaults()
 	cfg.Name, cfg.Zone, cfg.Store = "b", zone, store
-	cfg.Data, cfg.Internal, cfg.Ready = at(host, 22001), at(host, 22002), at(host, 22003)
+	cfg.Data, cfg.Internal, cfg.Ready = at(target, 22001), at(target, 22002), at(target, 22003)
 	cfg.Seeds = []string{at(71, 22004), at(81, 22004)}
 	cfg.LeaveDelay = settings.Duration(0)
 	f, err := NewFront(cfg, zap.NewNop())
@@ -92,8 +92,8 @@
 	putVersion(t, s, 1)
 	address := serveStore(t, s)
 	var fronts []*Front
-	for host := 71; host < 76; host++ {
-		fronts = append(fronts, startFront(t, host, address))
+	for target := 71; target < 76; target++ {
+		fronts = append(fronts, startFront(t, target, address))
 	}
 	feeders := func() (n int) {
 		for _, f := range fronts {
--- a/balancer/packetfront/limbo.go
+++ b/balancer/packetfront/limbo.go
@@ -21,21 +21,21 @@
 	// parkTTL is how long a SYN is kept: its client sends the next copy after
 	// 200 ms.
 	parkTTL = 180 * time.Millisecond
-	// limboPause is the pause between searches for a flow that no host was found
+	// limboPause is the pause between searches for a flow that no target was found
 	// to hold, parkPause that between looks whether this balancer knows the
-	// configuration and the hosts, which takes some 30 ms from its start.
+	// configuration and the targets, which takes some 30 ms from its start.
 	limboPause = 150 * time.Millisecond
 	parkPause  = 20 * time.Millisecond
 )
 
 // limbo keeps the packets of flows whose way is not known yet: a search for the
-// flow is under way, or no host was found to hold it and that is not certain, or
-// the balancer has just started and knows no configuration or no host.
+// flow is under way, or no target was found to hold it and that is not certain, or
+// the balancer has just started and knows no configuration or no target.
 //
-// The first packet of a flow is the one that is sent along the hosts, again
+// The first packet of a flow is the one that is sent along the targets, again
 // after a pause, for the client's next retransmission may be seconds away. Those
-// that come meanwhile follow it once its host is known: a search visits up to
-// all hosts of a service, so one for each packet would be most of the traffic
+// that come meanwhile follow it once its target is known: a search visits up to
+// all targets of a service, so one for each packet would be most of the traffic
 // after a restart of everything.
 type limbo struct {
 	flows map[flow.Key]*keptFlow
@@ -54,25 +54,25 @@
 
 	// asking tells that a search is under way: the fields up to unsure are its own.
 	asking bool
-	// visits are the messages that carry the first packet along hosts and have not come
+	// visits are the messages that carry the first packet along targets and have not come
 	// back, by their number.
 	visits map[uint32][]flow.Candidate
-	// unasked are the hosts to ask after those.
+	// unasked are the targets to ask after those.
 	unasked []flow.Candidate
 	// generation is that of the view when the search began.
 	generation uint32
-	// unsure is set once a host could not say a certain no.
+	// unsure is set once a target could not say a certain no.
 	unsure bool
 
 	// searches counts the searches so far.
 	searches int
-	// denied tells that all hosts have said a certain no that the view had up to
+	// denied tells that all targets have said a certain no that the view had up to
 	// the generation deniedUpTo: they are not asked again.
 	denied     bool
 	deniedUpTo uint32
 }
 
-// begin starts a search that asks the hosts that may hold the flow in a generation of
+// begin starts a search that asks the targets that may hold the flow in a generation of
 // the view.
 func (k *keptFlow) begin(generation uint32) {
 	k.asking, k.unsure, k.generation = true, false, generation
@@ -80,19 +80,19 @@
 	k.searches++
 }
 
-// backward tells whether the next messages ask the likeliest hosts last. Each second
+// backward tells whether the next messages ask the likeliest targets last. Each second
 // time they do: a packet that is passed on through a VM that has died without a word
 // is lost there, and would be again.
 func (k *keptFlow) backward() bool { return k.searches%2 == 0 }
 
-// denials tells which hosts have denied a flow.
+// denials tells which targets have denied a flow.
 type denials struct {
 	any  bool
 	upTo uint32
 }
 
-// by tells whether a host has denied the flow.
-func (d denials) by(now time.Time, h *fleet.Host) bool {
+// by tells whether a target has denied the flow.
+func (d denials) by(now time.Time, h *fleet.Target) bool {
 	return d.any && !h.MayHoldSince(now, d.upTo)
 }
 
@@ -127,12 +127,12 @@
 	return k
 }
 
-// ask keeps a packet of an open flow for which hosts are about to be asked.
+// ask keeps a packet of an open flow for which targets are about to be asked.
 func (l *limbo) ask(now time.Time, key flow.Key, packet []byte) *keptFlow {
 	return l.keep(now, key, false, packet, now.Add(limboPause), limboTTL)
 }
 
-// wake lets the flows that all hosts have denied be looked at again, unless a host
+// wake lets the flows that all targets have denied be looked at again, unless a target
 // is being asked that came since.
 func (l *limbo) wake(now time.Time) {
 	for _, k := range l.flows {
@@ -142,7 +142,7 @@
 	}
 }
 
-// follow keeps a packet of a flow for which hosts are being asked, or that all
+// follow keeps a packet of a flow for which targets are being asked, or that all
 // have denied, and tells whether it is one.
 func (l *limbo) follow(key flow.Key, packet []byte) bool {
 	k, known := l.flows[key]
@@ -194,10 +194,10 @@
 	}
 }
 
-// release sends the packets that waited for a flow's host.
-func (c *Core) release(key flow.Key, host flow.IPv4) {
+// release sends the packets that waited for a flow's target.
+func (c *Core) release(key flow.Key, target flow.IPv4) {
 	for _, packet := range c.limbo.drop(key) {
-		c.direct(key, host, packet)
+		c.direct(key, target, packet)
 	}
 }
 
--- a/balancer/packetfront/limbo_test.go
+++ b/balancer/packetfront/limbo_test.go
@@ -38,12 +38,12 @@
 		require.Empty(t, f.port.Delivered(), name)
 		f.SetConfig(f.now, config(5))
 		f.pass(2 * parkPause)
-		require.Empty(t, f.port.Delivered(), "%s: no host yet", name)
-		f.announce(hostA, fleet.Ready)
+		require.Empty(t, f.port.Delivered(), "%s: no target yet", name)
+		f.announce(targetA, fleet.Ready)
 		f.pass(parkPause)
 		require.Len(t, f.port.Delivered(), 1, name)
 		f.pass(limboPause / 2)
-		require.Len(t, f.port.Delivered(), 1, "%s: the host was asked", name)
+		require.Len(t, f.port.Delivered(), 1, "%s: the target was asked", name)
 	}
 }
 
@@ -53,14 +53,14 @@
 	f.client(packet(true, 0))
 	f.pass(parkTTL + 2*parkPause)
 	f.SetConfig(f.now, config(5))
-	f.announce(hostA, fleet.Ready)
+	f.announce(targetA, fleet.Ready)
 	f.pass(2 * parkPause)
 	require.Empty(t, f.port.Delivered(), "it came too long ago")
 
 	f = newStarted()
 	f.client(packet(true, 0))
 	f.SetConfig(f.now, config(5))
-	f.announce(hostA, fleet.Ready)
+	f.announce(targetA, fleet.Ready)
 	f.client(packet(true, 1))
 	f.pass(2 * parkPause)
 	require.Len(t, f.port.Delivered(), 1, "the copy went instead")
@@ -73,7 +73,7 @@
 	f.client(packet(true, 0))
 	f.SetConfig(f.now, config(5))
 	f.client(packet(false, 9))
-	f.announce(hostA, fleet.Ready)
+	f.announce(targetA, fleet.Ready)
 	f.client(packet(false, 9))
 	f.pass(2 * parkPause)
 	for _, s := range f.port.Delivered() {
@@ -107,20 +107,20 @@
 	require.Empty(t, f.port.Resets)
 }
 
-// TestOnePacketOfAFlowIsSentAlongTheHosts: the others follow once one of them has
+// TestOnePacketOfAFlowIsSentAlongTheTargets: the others follow once one of them has
 // said that the flow is its own, in order.
-func TestOnePacketOfAFlowIsSentAlongTheHosts(t *testing.T) {
+func TestOnePacketOfAFlowIsSentAlongTheTargets(t *testing.T) {
 	f := newFixture()
 	for i := range byte(3) {
 		f.client(packet(false, 9+i))
 	}
 	require.Len(t, f.port.Delivered(), 1)
 	owner := envelope.Envelope{Kind: envelope.Owner, Balancer: self}
-	f.HandleNode(f.now, hostB, envelope.AppendKey(owner.Append(nil), key))
+	f.HandleNode(f.now, targetB, envelope.AppendKey(owner.Append(nil), key))
 	sent := f.port.Delivered()
 	require.Len(t, sent, 3)
 	for i, s := range sent[1:] {
-		require.Equal(t, hostB, s.To)
+		require.Equal(t, targetB, s.To)
 		require.Zero(t, s.Env.Flags&envelope.Search)
 		require.Equal(t, byte(10+i), s.Raw[len(s.Raw)-platform.HeadLen+7])
 	}
@@ -137,7 +137,7 @@
 	f.client(packet(false, 11))
 	require.Len(t, f.port.Delivered(), 2)
 	owner := envelope.Envelope{Kind: envelope.Owner, Balancer: self}
-	f.HandleNode(f.now, hostB, envelope.AppendKey(owner.Append(nil), key))
+	f.HandleNode(f.now, targetB, envelope.AppendKey(owner.Append(nil), key))
 	require.Len(t, f.port.Delivered(), 4)
 }
 
@@ -146,7 +146,7 @@
 	f := newFixture()
 	f.client(packet(false, 9))
 	f.client(packet(false, 10))
-	f.answer(hostB, envelope.Searched, packet(false, 9))
+	f.answer(targetB, envelope.Searched, packet(false, 9))
 	require.Len(t, f.port.Resets, 1)
 	require.Zero(t, f.limbo.packets)
 	f.pass(time.Second)
--- a/balancer/packetfront/nodes.go
+++ b/balancer/packetfront/nodes.go
@@ -41,13 +41,13 @@
 		return err
 	}
 	change := c.view.Announce(now, from, a)
-	host, _ := c.view.Host(from)
+	target, _ := c.view.Target(from)
 	if change == fleet.Joined || change == fleet.Altered {
 		c.digestAt = time.Time{}
-		c.events.HostChanged(host, change)
+		c.events.TargetChanged(target, change)
 	}
 	if change != fleet.Stale && a.Listing == fleet.ListingLeft && c.view.Keeper(now, c.opts.Self) {
-		c.departed = append(c.departed, Departed{fleet.RoleAgent, c.view.EntryOf(host)})
+		c.departed = append(c.departed, Departed{fleet.RoleAgent, c.view.EntryOf(target)})
 	}
 	if change == fleet.Joined || (change != fleet.Stale && (a.WantPeers || a.WantReply)) {
 		c.sendBeacon(now, from, fleet.Beacon{Reply: true})
@@ -107,7 +107,7 @@
 		}
 	}
 	for _, ip := range names.Holders {
-		if !c.view.KnowsHost(ip) {
+		if !c.view.KnowsTarget(ip) {
 			c.named[ip] = now
 		}
 	}
@@ -124,7 +124,7 @@
 		}
 	}
 	for _, ip := range agents {
-		if !c.view.KnowsHost(ip) {
+		if !c.view.KnowsTarget(ip) {
 			c.sendBeacon(now, ip, fleet.Beacon{WantPeers: true})
 		}
 	}
@@ -153,8 +153,8 @@
 		c.events.Dropped(DropCopyRefused)
 		return
 	}
-	c.table.drop(key, e.host)
-	c.refuse(key, h, "refused by all hosts", "")
+	c.table.drop(key, e.target)
+	c.refuse(key, h, "refused by all targets", "")
 }
 
 // Tick does what is due.
@@ -210,7 +210,7 @@
 		balancers, _ := c.view.BalancersByZone(c.opts.Zone)
 		c.sendBeacons(now, balancers)
 		if c.beaconRounds%agentBeacons == 0 {
-			agents, _ := c.view.HostsByZone(c.opts.Zone)
+			agents, _ := c.view.TargetsByZone(c.opts.Zone)
 			c.sendBeacons(now, agents)
 		}
 	}
@@ -221,7 +221,7 @@
 		c.nextFar = now.Add(c.farPeriod)
 		c.sendBeacons(now, balancers)
 		if c.farRounds%agentBeacons == 0 {
-			_, agents := c.view.HostsByZone(c.opts.Zone)
+			_, agents := c.view.TargetsByZone(c.opts.Zone)
 			c.sendBeacons(now, agents)
 		}
 	}
@@ -253,7 +253,7 @@
 	c.seq++
 	m.Identity = fleet.Identity{Epoch: c.opts.Epoch, Seq: c.seq}
 	m.Zone = c.opts.Zone
-	if h, known := c.view.Host(to); known {
+	if h, known := c.view.Target(to); known {
 		m.Heard = h.Identity
 	}
 	m.ConfigVersion = c.ConfigVersion()
--- a/balancer/packetfront/observer.go
+++ b/balancer/packetfront/observer.go
@@ -18,7 +18,7 @@
 const (
 	fieldFlow       = "flow"
 	fieldRoute      = "route"
-	fieldHost       = "host"
+	fieldTarget     = "target"
 	fieldConfig     = "config"
 	fieldReadingAge = "reading_age_ms"
 	fieldLoad       = "load"
@@ -62,16 +62,16 @@
 		opening:   telemetry.Budget{PerSecond: openLines},
 		searching: telemetry.Budget{PerSecond: searchLines},
 		other:     telemetry.Budget{PerSecond: otherLines},
-		forwarded: c.Counter("forwarded_packets_total", "Packets sent to the remembered host of their flow."),
-		opened:    c.Counter("opening_packets_total", "Opening packets for which a host was chosen."),
-		refused:   c.Counter("refused_flows_total", "Flows reset because no host can take them."),
+		forwarded: c.Counter("forwarded_packets_total", "Packets sent to the remembered target of their flow."),
+		opened:    c.Counter("opening_packets_total", "Opening packets for which a target was chosen."),
+		refused:   c.Counter("refused_flows_total", "Flows reset because no target can take them."),
 		searches:  c.Counter("searches_total", "Packets of unknown flows sent along their candidates."),
-		owners:    c.Counter("owners_found_total", "Flows whose host a search found."),
+		owners:    c.Counter("owners_found_total", "Flows whose target a search found."),
 		drops:     telemetry.ByReason(c, "dropped_packets_total", "Packets dropped, by reason.", Drops),
 		keeps:     telemetry.ByReason(c, "kept_packets_total", "Packets kept because their way was not known yet, by reason.", Keeps),
 		readingAge: c.Histogram("reading_age_seconds",
-			"Age of the host's load reading when a new flow was sent to it.", []float64{0.05, 0.1, 0.2, 0.5, 1, 2, 5}),
-		lost: c.Vector("lost_packets_total", "Packets whose flow no host holds.", "sure"),
+			"Age of the target's load reading when a new flow was sent to it.", []float64{0.05, 0.1, 0.2, 0.5, 1, 2, 5}),
+		lost: c.Vector("lost_packets_total", "Packets whose flow no target holds.", "sure"),
 	}
 	return o
 }
@@ -83,10 +83,10 @@
 func (o *observer) Opened(d Decision) {
 	o.opened.Inc()
 	o.readingAge.Observe(d.Age.Seconds())
-	o.Write(&o.opening, "flow sent to host",
+	o.Write(&o.opening, "flow sent to target",
 		zap.Stringer(fieldFlow, d.Key), zap.String(fieldRoute, d.Route),
-		zap.String(telemetry.FieldService, d.Service), zap.Stringer(fieldHost, d.Host.IP),
-		zap.Uint16(fieldLoad, d.Host.Busy), zap.Uint16(fieldSlots, d.Host.Slots),
+		zap.String(telemetry.FieldService, d.Service), zap.Stringer(fieldTarget, d.Target.IP),
+		zap.Uint16(fieldLoad, d.Target.Busy), zap.Uint16(fieldSlots, d.Target.Slots),
 		zap.Int64(fieldReadingAge, d.Age.Milliseconds()), zap.Int64(fieldConfig, d.Config),
 		zap.Int(fieldCandidates, d.Candidates), zap.Uint32(fieldCopy, d.Copy))
 }
@@ -104,9 +104,9 @@
 }
 
 // OwnerFound implements Events.
-func (o *observer) OwnerFound(key flow.Key, host flow.IPv4, hops int) {
+func (o *observer) OwnerFound(key flow.Key, target flow.IPv4, hops int) {
 	o.owners.Inc()
-	o.Write(&o.searching, "flow found", zap.Stringer(fieldFlow, key), zap.Stringer(fieldHost, host), zap.Int(fieldHops, hops))
+	o.Write(&o.searching, "flow found", zap.Stringer(fieldFlow, key), zap.Stringer(fieldTarget, target), zap.Int(fieldHops, hops))
 }
 
 // Lost implements Events.
@@ -116,7 +116,7 @@
 		outcome = "reset"
 	}
 	o.lost.WithLabelValues(outcome).Inc()
-	o.Write(&o.searching, "flow held by no host", zap.Stringer(fieldFlow, key), zap.Int(fieldHops, hops), zap.String("outcome", outcome),
+	o.Write(&o.searching, "flow held by no target", zap.Stringer(fieldFlow, key), zap.Int(fieldHops, hops), zap.String("outcome", outcome),
 		zap.Stringer("missing", missing))
 }
 
@@ -132,19 +132,19 @@
 	o.Write(&o.other, "packet kept", zap.Stringer(fieldFlow, key), zap.String(fieldReason, string(reason)))
 }
 
-// HostChanged implements Events.
-func (o *observer) HostChanged(h *fleet.Host, change fleet.Change) {
-	what := "host changed"
+// TargetChanged implements Events.
+func (o *observer) TargetChanged(h *fleet.Target, change fleet.Change) {
+	what := "target changed"
 	if change == fleet.Joined {
-		what = "host joined"
+		what = "target joined"
 	}
-	o.Log.Info(what, zap.Stringer(fieldHost, h.IP), zap.Stringer(fieldState, h.State), zap.Uint32("service_tag", uint32(h.Service)),
+	o.Log.Info(what, zap.Stringer(fieldTarget, h.IP), zap.Stringer(fieldState, h.State), zap.Uint32("service_tag", uint32(h.Service)),
 		zap.Uint32("incarnation", uint32(h.Incarnation)), zap.Uint16(fieldSlots, h.Slots), zap.Uint16("warmup_ms", h.WarmupMillis))
 }
 
-// HostForgotten implements Events.
-func (o *observer) HostForgotten(ip flow.IPv4) {
-	o.Log.Info("host forgotten", zap.Stringer(fieldHost, ip))
+// TargetForgotten implements Events.
+func (o *observer) TargetForgotten(ip flow.IPv4) {
+	o.Log.Info("target forgotten", zap.Stringer(fieldTarget, ip))
 }
 
 // PeerChanged implements Events.
--- a/balancer/packetfront/roll.go
+++ b/balancer/packetfront/roll.go
@@ -111,21 +111,21 @@
 // balancer keeps the registry. One that hears fewer nodes than it would strike
 // takes itself for cut off and strikes none.
 func (c *Core) forget(now time.Time) {
-	hosts, balancers := c.view.Expire(now)
+	targets, balancers := c.view.Expire(now)
 	c.digestAt = time.Time{}
-	for _, e := range hosts {
-		c.events.HostForgotten(e.IP)
-		c.table.dropHost(e.IP)
+	for _, e := range targets {
+		c.events.TargetForgotten(e.IP)
+		c.table.dropTarget(e.IP)
 	}
 	for _, e := range balancers {
 		c.events.PeerChanged(e.IP, "forgotten")
 	}
-	hosts = append(hosts, c.survey.strike(now, c.view.KnowsHost)...)
+	targets = append(targets, c.survey.strike(now, c.view.KnowsTarget)...)
 	balancers = append(balancers, c.balancerRoll.strike(now, c.view.KnowsBalancer)...)
-	if !c.view.Keeper(now, c.opts.Self) || len(hosts)+len(balancers) > c.view.Heard(now) {
+	if !c.view.Keeper(now, c.opts.Self) || len(targets)+len(balancers) > c.view.Heard(now) {
 		return
 	}
-	for _, e := range hosts {
+	for _, e := range targets {
 		c.departed = append(c.departed, Departed{fleet.RoleAgent, e})
 	}
 	for _, e := range balancers {
--- a/balancer/packetfront/roll_test.go
+++ b/balancer/packetfront/roll_test.go
@@ -46,23 +46,25 @@
 		balancers []flow.IPv4
 		want      []Departed
 	}{
-		"all live":               {agents: []flow.IPv4{hostA, hostB}, balancers: []flow.IPv4{higher}},
-		"an agent died":          {agents: []flow.IPv4{hostA}, balancers: []flow.IPv4{higher}, want: []Departed{agent(hostB)}},
-		"an agent died just now": {agents: []flow.IPv4{hostA}, balancers: []flow.IPv4{higher}, after: fleet.Forget / 2},
-		"another one keeps it":   {agents: []flow.IPv4{hostA}, balancers: []flow.IPv4{lower, higher}},
+		"all live":               {agents: []flow.IPv4{targetA, targetB}, balancers: []flow.IPv4{higher}},
+		"an agent died":          {agents: []flow.IPv4{targetA}, balancers: []flow.IPv4{higher}, want: []Departed{agent(targetB)}},
+		"an agent died just now": {agents: []flow.IPv4{targetA}, balancers: []flow.IPv4{higher}, after: fleet.Forget / 2},
+		"another one keeps it":   {agents: []flow.IPv4{targetA}, balancers: []flow.IPv4{lower, higher}},
 		"the other keeper died": {
 			prepare: func(f *fixture) { f.beacon(lower) },
-			agents:  []flow.IPv4{hostA}, balancers: []flow.IPv4{higher},
-			want: []Departed{agent(hostB), {fleet.RoleBalancer, fleet.Entry{IP: lower, Epoch: uint64(lower)}}},
+			agents:  []flow.IPv4{targetA}, balancers: []flow.IPv4{higher},
+			want: []Departed{agent(targetB), {fleet.RoleBalancer, fleet.Entry{IP: lower, Epoch: uint64(lower)}}},
 		},
 		"a registered agent was never heard": {
-			prepare: func(f *fixture) { f.Surveyed(f.now, f.now, registered(hostA, hostB, other)) },
-			agents:  []flow.IPv4{hostA, hostB}, balancers: []flow.IPv4{higher},
+			prepare: func(f *fixture) { f.Surveyed(f.now, f.now, registered(targetA, targetB, other)) },
+			agents:  []flow.IPv4{targetA, targetB}, balancers: []flow.IPv4{higher},
 			want: []Departed{surveyed(other)},
 		},
 		"a registered balancer was never heard": {
-			prepare: func(f *fixture) { f.Roster(f.now, f.now, registered(self, higher, lower), registered(hostA, hostB)) },
-			agents:  []flow.IPv4{hostA, hostB}, balancers: []flow.IPv4{higher},
+			prepare: func(f *fixture) {
+				f.Roster(f.now, f.now, registered(self, higher, lower), registered(targetA, targetB))
+			},
+			agents: []flow.IPv4{targetA, targetB}, balancers: []flow.IPv4{higher},
 			want: []Departed{{fleet.RoleBalancer, registered(lower)[0]}},
 		},
 		"this balancer is cut off": {},
--- a/balancer/packetfront/search.go
+++ b/balancer/packetfront/search.go
@@ -10,8 +10,8 @@
 	"github.com/poppywall/poppywall/flow/envelope"
 )
 
-// seek searches for the host of a flow that the balancer does not know, by one of
-// the flow's packets. Where all hosts of an earlier moment have denied the flow,
+// seek searches for the target of a flow that the balancer does not know, by one of
+// the flow's packets. Where all targets of an earlier moment have denied the flow,
 // only those that came since are asked.
 func (c *Core) seek(now time.Time, key flow.Key, h *flow.Header, packet []byte) {
 	route, ok := c.config.Routes[key.Front()]
@@ -27,7 +27,7 @@
 		return
 	}
 	if k = c.limbo.ask(now, key, packet); k == nil {
-		// There is no room to keep the packet: it is sent along the first hosts, and
+		// There is no room to keep the packet: it is sent along the first targets, and
 		// its client repeats it if none of them holds the flow.
 		c.sendAlong(packet, first(candidates, searchRound), 0)
 		return
@@ -42,7 +42,7 @@
 	c.visit(now, key, k, candidates)
 }
 
-// nobodyToAsk handles a packet of an unknown flow for which there is no host to
+// nobodyToAsk handles a packet of an unknown flow for which there is no target to
 // ask.
 func (c *Core) nobodyToAsk(now time.Time, key flow.Key, h *flow.Header, packet []byte) {
 	if k, kept := c.limbo.flows[key]; kept && k.denied {
@@ -57,34 +57,34 @@
 	c.park(now, key, h, packet, KeepUnsettled)
 }
 
-// Sizes of a visit of many hosts.
+// Sizes of a visit of many targets.
 const (
-	// mostParts is how many messages visit the hosts at the same time, so that a
-	// packet is passed on a few times, not hundreds of times: 600 flows that 263 hosts
+	// mostParts is how many messages visit the targets at the same time, so that a
+	// packet is passed on a few times, not hundreds of times: 600 flows that 263 targets
 	// deny are all decided within 100 ms, where one message after the other takes 200
 	// (simulated, 0.3 ms a hop).
 	mostParts = 16
-	// leastPart is how many hosts each of them visits at least: a message that goes to
-	// one host and back costs twice as much a host as one that visits many.
+	// leastPart is how many targets each of them visits at least: a message that goes to
+	// one target and back costs twice as much a target as one that visits many.
 	leastPart = 16
 )
 
-// partOf is how many of so many hosts one message visits. A single message visits as
+// partOf is how many of so many targets one message visits. A single message visits as
 // many as it can hold.
-func partOf(hosts int) int {
-	if hosts <= searchRound {
+func partOf(targets int) int {
+	if targets <= searchRound {
 		return searchRound
 	}
-	return min(max((hosts+mostParts-1)/mostParts, leastPart), searchRound)
+	return min(max((targets+mostParts-1)/mostParts, leastPart), searchRound)
 }
 
-// visit sends the first packet of a flow along hosts, with several messages at the
+// visit sends the first packet of a flow along targets, with several messages at the
 // same time where there are many. Whoever may not be there any more is visited alone:
 // a packet that is passed on through a VM that has died is lost there.
-func (c *Core) visit(now time.Time, key flow.Key, k *keptFlow, hosts []flow.Candidate) {
+func (c *Core) visit(now time.Time, key flow.Key, k *keptFlow, targets []flow.Candidate) {
 	var together, alone []flow.Candidate
-	for _, candidate := range hosts {
-		if h, known := c.view.Host(candidate.Host); known && h.State != fleet.Gone && !h.Quiet(now) {
+	for _, candidate := range targets {
+		if h, known := c.view.Target(candidate.Target); known && h.State != fleet.Gone && !h.Quiet(now) {
 			together = append(together, candidate)
 		} else {
 			alone = append(alone, candidate)
@@ -93,7 +93,7 @@
 	if k.backward() {
 		slices.Reverse(together)
 	}
-	c.events.Searching(key, len(hosts), k.searches)
+	c.events.Searching(key, len(targets), k.searches)
 	k.next = now.Add(limboPause)
 	for part := range slices.Chunk(together, partOf(len(together))) {
 		c.sendPart(k, part)
@@ -103,47 +103,47 @@
 	}
 }
 
-// sendPart sends the first packet of a flow along some of its hosts.
+// sendPart sends the first packet of a flow along some of its targets.
 func (c *Core) sendPart(k *keptFlow, part []flow.Candidate) {
 	c.searches++
 	k.visits[c.searches] = part
 	c.sendAlong(k.first, part, c.searches)
 }
 
-// askAgain goes on with a search whose messages do not come back: those hosts are
+// askAgain goes on with a search whose messages do not come back: those targets are
 // asked again that have not answered, unless they hold nothing any more, and the
 // others with them.
 func (c *Core) askAgain(now time.Time, key flow.Key, k *keptFlow, h *flow.Header) {
-	hosts := k.unasked
+	targets := k.unasked
 	for _, id := range slices.Sorted(maps.Keys(k.visits)) {
 		for _, candidate := range k.visits[id] {
-			if host, known := c.view.Host(candidate.Host); known && host.MayHold(now) {
-				hosts = append(hosts, candidate)
+			if target, known := c.view.Target(candidate.Target); known && target.MayHold(now) {
+				targets = append(targets, candidate)
 			}
 		}
 	}
 	clear(k.visits)
 	k.unasked = nil
-	if len(hosts) == 0 {
+	if len(targets) == 0 {
 		c.allAsked(now, key, k, h, 0)
 		return
 	}
 	k.searches++
-	c.visit(now, key, k, hosts)
+	c.visit(now, key, k, targets)
 }
 
-// sendAlong sends a packet to the first of some hosts, to be passed on to the
+// sendAlong sends a packet to the first of some targets, to be passed on to the
 // others.
-func (c *Core) sendAlong(packet []byte, hosts []flow.Candidate, searchID uint32) {
+func (c *Core) sendAlong(packet []byte, targets []flow.Candidate, searchID uint32) {
 	c.env = envelope.Envelope{
-		Kind: envelope.Deliver, Balancer: c.opts.Self, Flags: envelope.Search, SearchID: searchID, Service: hosts[0].Service,
+		Kind: envelope.Deliver, Balancer: c.opts.Self, Flags: envelope.Search, SearchID: searchID, Service: targets[0].Service,
 	}
-	c.env.SetCandidates(hosts[1:])
-	c.send(hosts[0].Host, packet)
+	c.env.SetCandidates(targets[1:])
+	c.send(targets[0].Target, packet)
 }
 
 // handleReturned takes a packet back that nobody took. One that was sent to the
-// remembered host of its flow is searched for; a search goes on, or ends.
+// remembered target of its flow is searched for; a search goes on, or ends.
 func (c *Core) handleReturned(now time.Time, from flow.IPv4, datagram []byte) error {
 	packet, err := c.env.Decode(datagram)
 	if err != nil {
@@ -182,11 +182,11 @@
 	return nil
 }
 
-// allAsked ends a search in which every host was asked and none has the flow.
+// allAsked ends a search in which every target was asked and none has the flow.
 func (c *Core) allAsked(now time.Time, key flow.Key, k *keptFlow, h *flow.Header, hops int) {
 	k.asking = false
 	if k.unsure {
-		c.events.Lost(key, hops, DoubtHost, 0)
+		c.events.Lost(key, hops, DoubtTarget, 0)
 		k.next = now.Add(limboPause)
 		return
 	}
@@ -194,7 +194,7 @@
 	c.conclude(now, key, k, h, hops)
 }
 
-// conclude decides on a flow that all hosts have denied that were known when its
+// conclude decides on a flow that all targets have denied that were known when its
 // search began. Those that came since are asked; otherwise its client is told at
 // once when the flow is certainly over, and while that is not certain it is looked
 // at again.
@@ -218,7 +218,7 @@
 	}
 }
 
-// anyoneSince tells whether a host that may hold flows came after a generation of
+// anyoneSince tells whether a target that may hold flows came after a generation of
 // the view.
 func (c *Core) anyoneSince(now time.Time, generation uint32) bool {
 	for _, tag := range c.view.Services() {
--- a/balancer/packetfront/search_test.go
+++ b/balancer/packetfront/search_test.go
@@ -14,13 +14,13 @@
 	"github.com/poppywall/poppywall/flow/envelope/envelopetest"
 )
 
-// manyHosts is a settled balancer that knows so many hosts.
-func manyHosts(count int) *fixture {
+// manyTargets is a settled balancer that knows so many targets.
+func manyTargets(count int) *fixture {
 	f := newFixture()
 	for i := range flow.IPv4(count - 2) {
 		f.announce(0x0a020000+i, fleet.Ready)
 	}
-	f.Surveyed(f.now, f.now, registered(f.View().Hosts()...))
+	f.Surveyed(f.now, f.now, registered(f.View().Targets()...))
 	f.port.Nodes = nil
 	return f
 }
@@ -34,19 +34,19 @@
 	return slices.DeleteFunc(f.port.Delivered(), func(s envelopetest.Sent) bool { return k.visits[s.Env.SearchID] == nil })
 }
 
-// hostsOf returns the hosts that messages visit.
-func hostsOf(messages ...envelopetest.Sent) []flow.IPv4 {
+// targetsOf returns the targets that messages visit.
+func targetsOf(messages ...envelopetest.Sent) []flow.IPv4 {
 	var out []flow.IPv4
 	for _, s := range messages {
 		out = append(out, s.To)
 		for _, c := range s.Env.Candidates[:s.Env.Count] {
-			out = append(out, c.Host)
+			out = append(out, c.Target)
 		}
 	}
 	return out
 }
 
-// comeBack lets a message return whose packet no host has taken.
+// comeBack lets a message return whose packet no target has taken.
 func (f *fixture) comeBack(s envelopetest.Sent, flags envelope.Flags) {
 	e := s.Env
 	e.Kind, e.Count = envelope.Returned, 0
@@ -54,11 +54,11 @@
 	f.HandleNode(f.now, s.To, append(e.Append(nil), packet(false, 9)...))
 }
 
-// TestAFlowIsResetOnceAllHostsHaveDeniedIt: however many there are, each visited
+// TestAFlowIsResetOnceAllTargetsHaveDeniedIt: however many there are, each visited
 // once, and none after more than a few others.
-func TestAFlowIsResetOnceAllHostsHaveDeniedIt(t *testing.T) {
-	for _, hosts := range []int{2, searchRound, searchRound + 1, 264, 265, 325, 1000} {
-		f := manyHosts(hosts)
+func TestAFlowIsResetOnceAllTargetsHaveDeniedIt(t *testing.T) {
+	for _, targets := range []int{2, searchRound, searchRound + 1, 264, 265, 325, 1000} {
+		f := manyTargets(targets)
 		f.client(packet(false, 9))
 		var visited []flow.IPv4
 		rounds := 0
@@ -66,53 +66,53 @@
 			messages := f.visiting()
 			for _, s := range messages {
 				require.Empty(t, f.port.Resets)
-				require.LessOrEqual(t, len(hostsOf(s)), searchRound)
+				require.LessOrEqual(t, len(targetsOf(s)), searchRound)
 				f.comeBack(s, 0)
 			}
-			visited = append(visited, hostsOf(messages...)...)
+			visited = append(visited, targetsOf(messages...)...)
 		}
 		require.Len(t, f.port.Resets, 1)
-		require.ElementsMatch(t, f.View().Hosts(), visited)
+		require.ElementsMatch(t, f.View().Targets(), visited)
 		want := 2
-		if hosts <= searchRound {
+		if targets <= searchRound {
 			want = 1
 		}
 		require.Equal(t, want, rounds)
 	}
 }
 
-// TestTheLikeliestHostsAreVisitedAlone: nearly every flow that lives is at one of them.
-func TestTheLikeliestHostsAreVisitedAlone(t *testing.T) {
-	f := manyHosts(200)
+// TestTheLikeliestTargetsAreVisitedAlone: nearly every flow that lives is at one of them.
+func TestTheLikeliestTargetsAreVisitedAlone(t *testing.T) {
+	f := manyTargets(200)
 	likeliest := f.searchCandidates(f.now, key, f.config.Routes[front], denials{})[:2*searchFirst]
 	f.client(packet(false, 9))
 	first := f.visiting()
 	require.Len(t, first, 1)
 	var want []flow.IPv4
 	for _, c := range likeliest {
-		want = append(want, c.Host)
+		want = append(want, c.Target)
 	}
-	require.Equal(t, want, hostsOf(first...))
+	require.Equal(t, want, targetsOf(first...))
 }
 
-// TestALostVisitIsRepeatedAlone: those that came back are not sent again, and hosts
+// TestALostVisitIsRepeatedAlone: those that came back are not sent again, and targets
 // that have ended meanwhile are not waited for.
 func TestALostVisitIsRepeatedAlone(t *testing.T) {
-	f := manyHosts(200)
+	f := manyTargets(200)
 	f.client(packet(false, 9))
 	f.comeBack(f.visiting()[0], 0)
 	parts := f.visiting()
 	for _, s := range parts[1:] {
 		f.comeBack(s, 0)
 	}
-	lost := hostsOf(parts[0])
+	lost := targetsOf(parts[0])
 	f.announce(lost[2], fleet.Gone)
-	f.Surveyed(f.now, f.now, registered(slices.DeleteFunc(f.View().Hosts(), func(ip flow.IPv4) bool { return ip == lost[2] })...))
+	f.Surveyed(f.now, f.now, registered(slices.DeleteFunc(f.View().Targets(), func(ip flow.IPv4) bool { return ip == lost[2] })...))
 	f.pass(limboPause)
 	again := f.visiting()
 	backward := slices.Delete(slices.Clone(lost), 2, 3)
 	slices.Reverse(backward)
-	require.Equal(t, backward, hostsOf(again...), "a VM that is dead is the last one then")
+	require.Equal(t, backward, targetsOf(again...), "a VM that is dead is the last one then")
 	f.comeBack(parts[0], envelope.Unsure)
 	require.Empty(t, f.port.Resets, "it had visited before the repetition")
 	f.comeBack(again[0], 0)
@@ -120,28 +120,28 @@
 }
 
 // TestAllAreVisitedWhenTheLikeliestDoNotAnswer: one of them may be dead, and the flow
-// at any other host.
+// at any other target.
 func TestAllAreVisitedWhenTheLikeliestDoNotAnswer(t *testing.T) {
-	f := manyHosts(200)
+	f := manyTargets(200)
 	f.client(packet(false, 9))
 	f.pass(limboPause)
-	require.ElementsMatch(t, f.View().Hosts(), hostsOf(f.visiting()...))
+	require.ElementsMatch(t, f.View().Targets(), targetsOf(f.visiting()...))
 }
 
-// TestHostsThatEndWhileTheyAreAskedAreNotWaitedFor.
-func TestHostsThatEndWhileTheyAreAskedAreNotWaitedFor(t *testing.T) {
+// TestTargetsThatEndWhileTheyAreAskedAreNotWaitedFor.
+func TestTargetsThatEndWhileTheyAreAskedAreNotWaitedFor(t *testing.T) {
 	f := newFixture()
 	f.client(packet(false, 9))
-	f.announce(hostA, fleet.Gone)
-	f.announce(hostB, fleet.Gone)
+	f.announce(targetA, fleet.Gone)
+	f.announce(targetB, fleet.Gone)
 	f.Surveyed(f.now, f.now, nil)
 	f.pass(limboPause)
 	require.Len(t, f.port.Resets, 1)
 }
 
-// TestAHostThatIsUnsureKeepsTheFlowInDoubt: whichever of the messages visited it.
-func TestAHostThatIsUnsureKeepsTheFlowInDoubt(t *testing.T) {
-	f := manyHosts(200)
+// TestATargetThatIsUnsureKeepsTheFlowInDoubt: whichever of the messages visited it.
+func TestATargetThatIsUnsureKeepsTheFlowInDoubt(t *testing.T) {
+	f := manyTargets(200)
 	f.client(packet(false, 9))
 	f.comeBack(f.visiting()[0], 0)
 	for i, s := range f.visiting() {
@@ -151,20 +151,20 @@
 		}
 		f.comeBack(s, flags)
 	}
-	require.Equal(t, DoubtHost, f.doubt)
+	require.Equal(t, DoubtTarget, f.doubt)
 	require.Empty(t, f.port.Resets)
 }
 
-// TestOnlyWhatEveryHostHasDeniedIsReset: hosts fall silent, are heard again, end,
+// TestOnlyWhatEveryTargetHasDeniedIsReset: targets fall silent, are heard again, end,
 // start and join while messages come back in any order, late, or never.
-func TestOnlyWhatEveryHostHasDeniedIsReset(t *testing.T) {
+func TestOnlyWhatEveryTargetHasDeniedIsReset(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		f := manyHosts(rapid.IntRange(3, 3*searchRound).Draw(t, "hosts"))
-		hosts := f.View().Hosts()
+		f := manyTargets(rapid.IntRange(3, 3*searchRound).Draw(t, "targets"))
+		targets := f.View().Targets()
 		denied, ended := map[flow.IPv4]bool{}, map[flow.IPv4]bool{}
 		f.client(packet(false, 9))
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			ip := rapid.SampledFrom(hosts).Draw(t, "host")
+			ip := rapid.SampledFrom(targets).Draw(t, "target")
 			switch rapid.IntRange(0, 9).Draw(t, "what") {
 			case 0:
 				f.announce(ip, fleet.Gone)
@@ -175,9 +175,9 @@
 					ended[ip], denied[ip] = false, false
 				}
 			case 2:
-				next := 0x0a030000 + flow.IPv4(len(hosts))
+				next := 0x0a030000 + flow.IPv4(len(targets))
 				f.announce(next, fleet.Ready)
-				hosts = append(hosts, next)
+				targets = append(targets, next)
 			case 3:
 				f.pass(time.Duration(rapid.IntRange(1, 200).Draw(t, "ms")) * time.Millisecond)
 			default:
@@ -186,8 +186,8 @@
 			if len(f.port.Resets) == 0 {
 				continue
 			}
-			for _, ip := range hosts {
-				require.True(t, denied[ip] || ended[ip], "host %v has not denied the flow", ip)
+			for _, ip := range targets {
+				require.True(t, denied[ip] || ended[ip], "target %v has not denied the flow", ip)
 			}
 			return
 		}
@@ -203,7 +203,7 @@
 			continue
 		}
 		if slices.ContainsFunc(waiting, func(w envelopetest.Sent) bool { return w.Env.SearchID == s.Env.SearchID }) {
-			for _, ip := range hostsOf(s) {
+			for _, ip := range targetsOf(s) {
 				denied[ip] = true
 			}
 		}
@@ -227,7 +227,7 @@
 	}
 	kinds := ""
 	for _, c := range f.searchCandidates(f.now, key, f.config.Routes[front], denials{}) {
-		switch c.Host >> 16 {
+		switch c.Target >> 16 {
 		case 0x0a01:
 			kinds += "q"
 		case 0x0a02:
--- a/balancer/packetfront/settings.go
+++ b/balancer/packetfront/settings.go
@@ -25,7 +25,7 @@
 	Seeds []string `json:"seeds,omitempty" validate:"max=64,dive,addrport4"`
 	// Store is the address of the platform's store.
 	Store string `json:"store" validate:"required,addrport4"`
-	// OtherZoneCost is the load, in busy requests per slot, at which a host in
+	// OtherZoneCost is the load, in busy requests per slot, at which a target in
 	// another zone is preferred.
 	OtherZoneCost float64 `json:"otherZoneCost,omitempty" validate:"gte=0,lte=100"`
 	// LeaveDelay is how long a stopping balancer forwards on while the routers
--- a/balancer/packetfront/survey.go
+++ b/balancer/packetfront/survey.go
@@ -14,20 +14,20 @@
 
 // The doubts.
 const (
-	// DoubtHost: a host that was asked could not say a certain no.
-	DoubtHost Doubt = "a host is unsure"
+	// DoubtTarget: a target that was asked could not say a certain no.
+	DoubtTarget Doubt = "a target is unsure"
 	// DoubtFresh: the balancer has just started; agents have not found it yet.
 	DoubtFresh Doubt = "just started"
 	// DoubtSurvey: the registry of agents was not read shortly before the packet
-	// came or since. An agent is registered before its host takes its first flow,
-	// so a reading that began later lists the flow's host.
+	// came or since. An agent is registered before its target takes its first flow,
+	// so a reading that began later lists the flow's target.
 	DoubtSurvey Doubt = "registry not read"
 	// DoubtRegistry: an agent that is heard is not registered, so others may be
 	// missing there: the store was away when they started.
 	DoubtRegistry Doubt = "registry incomplete"
 	// DoubtMissing: an agent that the registry or another balancer names was not
 	// heard.
-	DoubtMissing Doubt = "a host was not asked"
+	DoubtMissing Doubt = "a target was not asked"
 )
 
 // Times of the proof that a flow is over.
@@ -54,7 +54,7 @@
 
 // survey is the last reading of the agents' registry. An agent is registered
 // from its first start on: so a balancer that has just started learns from it
-// which hosts may hold flows, also when their agents are not back.
+// which targets may hold flows, also when their agents are not back.
 type survey struct {
 	roll
 	readAt time.Time
@@ -75,7 +75,7 @@
 	return DoubtSurvey
 }
 
-// incomplete tells why there may be hosts that this balancer does not know, and
+// incomplete tells why there may be targets that this balancer does not know, and
 // one of them if that is known.
 func (c *Core) incomplete(now time.Time) (Doubt, flow.IPv4) {
 	switch {
@@ -96,8 +96,8 @@
 }
 
 // fresh tells whether the balancer has just started. One that knows no other one
-// has nobody to ask, and is fresh until it would have heard the hosts itself. So is
-// one that has just heard of a seed: hosts that the registry lacks announce themselves
+// has nobody to ask, and is fresh until it would have heard the targets itself. So is
+// one that has just heard of a seed: targets that the registry lacks announce themselves
 // to the seeds, and those that have started together with this one have to hear of
 // them first. The others are not waited for: of hundreds one is always late.
 func (c *Core) fresh(now time.Time) bool {
@@ -113,37 +113,37 @@
 	return slices.ContainsFunc(c.opts.Seeds, func(ip flow.IPv4) bool { return ip != c.opts.Self })
 }
 
-// unheard returns a host that may hold flows and could not be asked.
+// unheard returns a target that may hold flows and could not be asked.
 func (c *Core) unheard(now time.Time) (flow.IPv4, bool) {
-	if ip, missing := c.survey.missing(now, c.view.KnowsHost); missing {
+	if ip, missing := c.survey.missing(now, c.view.KnowsTarget); missing {
 		// It may have been taken out of the registry since.
 		c.survey.wanted = true
 		return ip, true
 	}
 	for ip, at := range c.named {
-		if c.view.KnowsHost(ip) || now.Sub(at) > fleet.Forget {
+		if c.view.KnowsTarget(ip) || now.Sub(at) > fleet.Forget {
 			delete(c.named, ip)
 			continue
 		}
 		return ip, true
 	}
-	for _, ip := range c.view.Hosts() {
-		if h, _ := c.view.Host(ip); !answers(now, h) && c.mayLive(now, h) {
+	for _, ip := range c.view.Targets() {
+		if h, _ := c.view.Target(ip); !answers(now, h) && c.mayLive(now, h) {
 			return ip, true
 		}
 	}
 	return 0, false
 }
 
-// answers tells whether a host's agent is there to be asked.
-func answers(now time.Time, h *fleet.Host) bool {
+// answers tells whether a target's agent is there to be asked.
+func answers(now time.Time, h *fleet.Target) bool {
 	return !h.Quiet(now) && h.Listing != fleet.ListingLeft
 }
 
-// mayLive tells whether a host whose agent does not answer may hold flows. One that
+// mayLive tells whether a target whose agent does not answer may hold flows. One that
 // said before that it holds nothing may have started since; after a while its VM
 // counts as gone.
-func (c *Core) mayLive(now time.Time, h *fleet.Host) bool {
+func (c *Core) mayLive(now time.Time, h *fleet.Target) bool {
 	if h.State != fleet.Gone {
 		return true
 	}
@@ -157,8 +157,8 @@
 // unregistered returns an agent that is heard and not in the registry. One that was
 // heard to be there only after the reading began is newer than it.
 func (c *Core) unregistered() (flow.IPv4, bool) {
-	for _, ip := range c.view.Hosts() {
-		h, _ := c.view.Host(ip)
+	for _, ip := range c.view.Targets() {
+		h, _ := c.view.Target(ip)
 		if h.State != fleet.Gone && !h.Listed && !h.RegisteredSince(c.survey.readAt) {
 			return ip, true
 		}
@@ -186,7 +186,7 @@
 // Surveyed takes a reading of the agents' registry that began at the given time.
 // Flows that waited for it are looked at again.
 func (c *Core) Surveyed(now, began time.Time, agents []fleet.Entry) {
-	c.survey.take(began, agents, c.view.KnowsHost)
+	c.survey.take(began, agents, c.view.KnowsTarget)
 	c.view.List(now, began, agents)
 	c.survey.readAt, c.survey.wanted = began, false
 	c.Greet(now, nil, fleet.Addresses(agents))
--- a/balancer/packetfront/survey_test.go
+++ b/balancer/packetfront/survey_test.go
@@ -22,8 +22,8 @@
 		want    Doubt
 	}{
 		"all said no":    {want: ""},
-		"one was unsure": {flags: envelope.Unsure, want: DoubtHost},
-		"a host ended":   {during: func(f *fixture) { f.announce(hostA, fleet.Gone) }, want: ""},
+		"one was unsure": {flags: envelope.Unsure, want: DoubtTarget},
+		"a target ended": {during: func(f *fixture) { f.announce(targetA, fleet.Gone) }, want: ""},
 		"alone among its seeds": {
 			prepare: func(f *fixture) {
 				f.SetSeeds([]flow.IPv4{self, peer})
@@ -78,14 +78,14 @@
 		"just started": {prepare: func(f *fixture) { f.startedAt = f.now }, want: DoubtFresh},
 		"an agent was missing for a while": {
 			prepare: func(f *fixture) {
-				f.Surveyed(f.now, f.now, registered(hostA, hostB, other))
+				f.Surveyed(f.now, f.now, registered(targetA, targetB, other))
 				f.wait(absentTime - time.Millisecond)
 			},
 			want: DoubtMissing,
 		},
 		"an agent was missing for long": {
 			prepare: func(f *fixture) {
-				f.Surveyed(f.now, f.now, registered(hostA, hostB, other))
+				f.Surveyed(f.now, f.now, registered(targetA, targetB, other))
 				f.wait(absentTime)
 				f.survey.readAt = f.now
 			},
@@ -93,9 +93,9 @@
 		},
 		"an agent is missing still": {
 			prepare: func(f *fixture) {
-				f.Surveyed(f.now, f.now, registered(hostA, hostB, other))
+				f.Surveyed(f.now, f.now, registered(targetA, targetB, other))
 				f.wait(absentTime)
-				f.Surveyed(f.now, f.now, registered(hostA, hostB, other))
+				f.Surveyed(f.now, f.now, registered(targetA, targetB, other))
 			},
 			want: "",
 		},
@@ -103,14 +103,14 @@
 			prepare: func(f *fixture) {
 				f.announce(other, fleet.Gone)
 				f.wait(fleet.Quiet + time.Second)
-				f.Surveyed(f.now, f.now, registered(hostA, hostB, other))
+				f.Surveyed(f.now, f.now, registered(targetA, targetB, other))
 			},
 			want: DoubtMissing,
 		},
 		"one that said it is gone is registered, and falls silent": {
 			prepare: func(f *fixture) {
 				f.announce(other, fleet.Gone)
-				f.Surveyed(f.now, f.now, registered(hostA, hostB, other))
+				f.Surveyed(f.now, f.now, registered(targetA, targetB, other))
 			},
 			during: func(f *fixture) {
 				f.wait(fleet.Quiet + 1)
@@ -120,7 +120,7 @@
 		},
 		"one that was heard to be registered after the reading": {
 			prepare: func(f *fixture) {
-				f.Surveyed(f.now, f.now, registered(hostA, hostB))
+				f.Surveyed(f.now, f.now, registered(targetA, targetB))
 				f.now = f.now.Add(1)
 				f.announceRegistered(other)
 			},
@@ -129,14 +129,14 @@
 		"one that was heard to be registered before the reading": {
 			prepare: func(f *fixture) {
 				f.announceRegistered(other)
-				f.Surveyed(f.now, f.now, registered(hostA, hostB))
+				f.Surveyed(f.now, f.now, registered(targetA, targetB))
 			},
 			want: DoubtRegistry,
 		},
 		"registry not read":          {prepare: func(f *fixture) { f.survey.readAt = time.Time{} }, want: DoubtSurvey},
 		"registry read before":       {prepare: func(f *fixture) { f.survey.readAt = f.now.Add(-surveyTTL - 1) }, want: DoubtSurvey},
-		"an agent is missing":        {prepare: func(f *fixture) { f.Surveyed(f.now, f.now, registered(hostA, hostB, other)) }, want: DoubtMissing},
-		"an agent is not registered": {prepare: func(f *fixture) { f.Surveyed(f.now, f.now, registered(hostA)) }, want: DoubtRegistry},
+		"an agent is missing":        {prepare: func(f *fixture) { f.Surveyed(f.now, f.now, registered(targetA, targetB, other)) }, want: DoubtMissing},
+		"an agent is not registered": {prepare: func(f *fixture) { f.Surveyed(f.now, f.now, registered(targetA)) }, want: DoubtRegistry},
 		"another balancer names one": {
 			prepare: func(f *fixture) {
 				fleet.Names{Holders: []flow.IPv4{other}}.Append(nil, func(msg []byte) { f.HandleNode(f.now, peer, msg) })
@@ -144,33 +144,33 @@
 			want: DoubtMissing,
 		},
 		"an agent is quiet": {
-			prepare: func(f *fixture) { f.now = f.now.Add(fleet.Quiet + time.Second); f.announce(hostA, fleet.Ready) },
+			prepare: func(f *fixture) { f.now = f.now.Add(fleet.Quiet + time.Second); f.announce(targetA, fleet.Ready) },
 			want:    DoubtMissing,
 		},
-		"a quiet one has no host": {
+		"a quiet one has no target": {
 			prepare: func(f *fixture) {
-				f.announce(hostB, fleet.Gone)
+				f.announce(targetB, fleet.Gone)
 				f.now = f.now.Add(fleet.Quiet + time.Second)
-				f.announce(hostA, fleet.Ready)
-				f.Surveyed(f.now, f.now, registered(hostA))
+				f.announce(targetA, fleet.Ready)
+				f.Surveyed(f.now, f.now, registered(targetA))
 			},
 			want: "",
 		},
-		"a quiet one that had no host is registered": {
+		"a quiet one that had no target is registered": {
 			prepare: func(f *fixture) {
-				f.announce(hostB, fleet.Gone)
+				f.announce(targetB, fleet.Gone)
 				f.now = f.now.Add(fleet.Quiet + time.Second)
-				f.announce(hostA, fleet.Ready)
-				f.Surveyed(f.now, f.now, registered(hostA, hostB))
+				f.announce(targetA, fleet.Ready)
+				f.Surveyed(f.now, f.now, registered(targetA, targetB))
 			},
 			want: DoubtMissing,
 		},
-		"a quiet one that had no host is registered, for long": {
+		"a quiet one that had no target is registered, for long": {
 			prepare: func(f *fixture) {
-				f.announce(hostB, fleet.Gone)
+				f.announce(targetB, fleet.Gone)
 				f.now = f.now.Add(absentTime)
-				f.announce(hostA, fleet.Ready)
-				f.Surveyed(f.now, f.now, registered(hostA, hostB))
+				f.announce(targetA, fleet.Ready)
+				f.Surveyed(f.now, f.now, registered(targetA, targetB))
 			},
 			want: "",
 		},
@@ -196,7 +196,7 @@
 	f := newFixture()
 	f.startedAt = f.now
 	f.client(packet(false, 9))
-	f.answer(hostB, envelope.Searched, packet(false, 9))
+	f.answer(targetB, envelope.Searched, packet(false, 9))
 	require.Equal(t, DoubtFresh, f.doubt)
 	f.client(packet(false, 9))
 	f.pass(freshTime / 2)
@@ -208,32 +208,32 @@
 	require.Len(t, f.port.Resets, 1)
 }
 
-// TestARegisteredHostThatIsGoneIsAskedToo: it may have started since, and the
+// TestARegisteredTargetThatIsGoneIsAskedToo: it may have started since, and the
 // message that says so may be lost.
-func TestARegisteredHostThatIsGoneIsAskedToo(t *testing.T) {
+func TestARegisteredTargetThatIsGoneIsAskedToo(t *testing.T) {
 	for name, c := range map[string]struct {
 		agents []fleet.Entry
 		asked  bool
 	}{
-		"registered":     {registered(hostA, hostB, other), true},
-		"not registered": {registered(hostA, hostB), false},
+		"registered":     {registered(targetA, targetB, other), true},
+		"not registered": {registered(targetA, targetB), false},
 	} {
 		f := newFixture()
 		f.announce(other, fleet.Gone)
 		f.Surveyed(f.now, f.now, c.agents)
 		f.client(packet(false, 9))
-		require.Equal(t, c.asked, slices.Contains(hostsOf(f.visiting()...), other), name)
+		require.Equal(t, c.asked, slices.Contains(targetsOf(f.visiting()...), other), name)
 		for _, s := range f.visiting() {
-			require.False(t, len(hostsOf(s)) > 1 && slices.Contains(hostsOf(s), other), "its VM may be gone")
+			require.False(t, len(targetsOf(s)) > 1 && slices.Contains(targetsOf(s), other), "its VM may be gone")
 			f.comeBack(s, 0)
 		}
 		require.Len(t, f.port.Resets, 1, name)
 	}
 }
 
-// TestAHostThatComesAfterASearchIsAskedAlone: those that have denied the flow are
+// TestATargetThatComesAfterASearchIsAskedAlone: those that have denied the flow are
 // not asked again, and it ends only when the new one has denied it too.
-func TestAHostThatComesAfterASearchIsAskedAlone(t *testing.T) {
+func TestATargetThatComesAfterASearchIsAskedAlone(t *testing.T) {
 	for name, during := range map[string]bool{"after the last answer": false, "before it": true} {
 		f := newFixture()
 		f.startedAt = f.now
@@ -241,11 +241,11 @@
 		if during {
 			f.announce(other, fleet.Ready)
 		}
-		f.answer(hostB, envelope.Searched, packet(false, 9))
+		f.answer(targetB, envelope.Searched, packet(false, 9))
 		if !during {
 			f.announce(other, fleet.Ready)
 		}
-		f.Surveyed(f.now, f.now, registered(hostA, hostB, other))
+		f.Surveyed(f.now, f.now, registered(targetA, targetB, other))
 		f.pass(parkPause)
 		asked := f.port.Delivered()
 		require.Len(t, asked, 2, name)
@@ -259,7 +259,7 @@
 	}
 }
 
-// TestAnAnswerToAnEarlierSearchIsNone: the host that it asked last may have come
+// TestAnAnswerToAnEarlierSearchIsNone: the target that it asked last may have come
 // after it.
 func TestAnAnswerToAnEarlierSearchIsNone(t *testing.T) {
 	f := newFixture()
@@ -268,40 +268,40 @@
 	f.pass(limboPause + tickPeriod)
 	require.Len(t, f.port.Delivered(), 2, "repeated")
 	late.Env.Kind, late.Env.Count, late.Env.Flags = envelope.Returned, 0, envelope.Search|envelope.Searched
-	f.HandleNode(f.now, hostB, append(late.Env.Append(nil), packet(false, 9)...))
+	f.HandleNode(f.now, targetB, append(late.Env.Append(nil), packet(false, 9)...))
 	require.Empty(t, f.port.Resets)
-	f.answer(hostB, envelope.Searched, packet(false, 9))
+	f.answer(targetB, envelope.Searched, packet(false, 9))
 	require.Len(t, f.port.Resets, 1)
 }
 
-// TestAFlowIsNotSearchedForOverAndOverInDoubt: with a host missing for long, each
+// TestAFlowIsNotSearchedForOverAndOverInDoubt: with a target missing for long, each
 // flow costs one search.
 func TestAFlowIsNotSearchedForOverAndOverInDoubt(t *testing.T) {
 	f := newFixture()
-	f.Surveyed(f.now, f.now, registered(hostA, hostB, other))
+	f.Surveyed(f.now, f.now, registered(targetA, targetB, other))
 	f.client(packet(false, 9))
-	f.answer(hostB, envelope.Searched, packet(false, 9))
+	f.answer(targetB, envelope.Searched, packet(false, 9))
 	require.Equal(t, DoubtMissing, f.doubt)
 	f.pass(limboTTL - limboPause)
 	require.Len(t, f.port.Delivered(), 1)
 	require.Empty(t, f.port.Resets)
 }
 
-// TestAnAnswerToAFormerProcessIsNone: it had asked other hosts.
+// TestAnAnswerToAFormerProcessIsNone: it had asked other targets.
 func TestAnAnswerToAFormerProcessIsNone(t *testing.T) {
 	former, f := newFixture(), newFixture()
 	f.Core = New(f.now.Add(-freshTime), Options{Self: self, Epoch: 2}, f.port, platform.Codec{}, quiet{&f.doubt}, rand.New(rand.NewPCG(1, 1)))
 	f.SetConfig(f.now, config(5))
-	f.announce(hostA, fleet.Ready)
-	f.announce(hostB, fleet.Ready)
-	f.Surveyed(f.now, f.now, registered(hostA, hostB))
+	f.announce(targetA, fleet.Ready)
+	f.announce(targetB, fleet.Ready)
+	f.Surveyed(f.now, f.now, registered(targetA, targetB))
 	former.client(packet(false, 9))
 	f.client(packet(false, 9))
 	late := former.port.Delivered()[0]
 	late.Env.Kind, late.Env.Count, late.Env.Flags = envelope.Returned, 0, envelope.Search|envelope.Searched
-	f.HandleNode(f.now, hostB, append(late.Env.Append(nil), packet(false, 9)...))
+	f.HandleNode(f.now, targetB, append(late.Env.Append(nil), packet(false, 9)...))
 	require.Empty(t, f.port.Resets)
-	f.answer(hostB, envelope.Searched, packet(false, 9))
+	f.answer(targetB, envelope.Searched, packet(false, 9))
 	require.Len(t, f.port.Resets, 1)
 }
 
@@ -325,10 +325,10 @@
 	require.True(t, f.WantsSurvey(f.now), "calm again meanwhile")
 }
 
-// TestHostsThatAreGoneAreGreetedAndNotWaitedFor: an agent whose host has not
+// TestTargetsThatAreGoneAreGreetedAndNotWaitedFor: an agent whose target has not
 // started yet has to be known to everybody before it does, and who has not heard
 // of one that was taken away never will.
-func TestHostsThatAreGoneAreGreetedAndNotWaitedFor(t *testing.T) {
+func TestTargetsThatAreGoneAreGreetedAndNotWaitedFor(t *testing.T) {
 	names := func(f *fixture) (n fleet.Names) {
 		f.port.Nodes = nil
 		f.seq++
@@ -348,7 +348,7 @@
 	digest := f.View().Digest(f.now, self)
 	f.announce(other, fleet.Gone)
 	require.Equal(t, []flow.IPv4{other}, names(f).Idle)
-	require.ElementsMatch(t, []flow.IPv4{hostA, hostB}, names(f).Holders)
+	require.ElementsMatch(t, []flow.IPv4{targetA, targetB}, names(f).Holders)
 	require.NotEqual(t, digest, f.View().Digest(f.now, self), "others are to hear of it")
 	f.wait(fleet.Quiet + time.Second)
 	require.Empty(t, names(f).Idle)
@@ -358,6 +358,6 @@
 	fleet.Names{Idle: []flow.IPv4{other}}.Append(nil, func(msg []byte) { fresh.HandleNode(fresh.now, peer, msg) })
 	require.Equal(t, other, fresh.port.Nodes[0].To, "greeted")
 	fresh.client(packet(false, 9))
-	fresh.answer(hostB, envelope.Searched, packet(false, 9))
+	fresh.answer(targetB, envelope.Searched, packet(false, 9))
 	require.Len(t, fresh.port.Resets, 1)
 }
--- a/balancer/packetfront/table.go
+++ b/balancer/packetfront/table.go
@@ -18,7 +18,7 @@
 
 // entry is what the balancer remembers of a flow.
 type entry struct {
-	host   flow.IPv4
+	target flow.IPv4
 	usedAt time.Time
 	// openedAt is when the first copy of the flow's SYN came; zero when it did
 	// not come here.
@@ -36,7 +36,7 @@
 	return &table{flows: map[flow.Key]entry{}, limit: limit}
 }
 
-// get returns the host of a flow and marks the entry as used.
+// get returns the target of a flow and marks the entry as used.
 func (t *table) get(now time.Time, key flow.Key) (flow.IPv4, bool) {
 	e, ok := t.flows[key]
 	if !ok {
@@ -46,37 +46,37 @@
 		e.usedAt = now
 		t.flows[key] = e
 	}
-	return e.host, true
+	return e.target, true
 }
 
-// put remembers a flow's host. A full table gives up an arbitrary flow.
-func (t *table) put(now time.Time, key flow.Key, host flow.IPv4) {
+// put remembers a flow's target. A full table gives up an arbitrary flow.
+func (t *table) put(now time.Time, key flow.Key, target flow.IPv4) {
 	if _, known := t.flows[key]; !known && len(t.flows) >= t.limit {
 		for victim := range t.flows {
 			delete(t.flows, victim)
 			break
 		}
 	}
-	t.flows[key] = entry{host: host, usedAt: now, openedAt: t.flows[key].openedAt}
+	t.flows[key] = entry{target: target, usedAt: now, openedAt: t.flows[key].openedAt}
 }
 
 // opened remembers where the first copy of a SYN was sent.
-func (t *table) opened(now time.Time, key flow.Key, host flow.IPv4) {
-	t.put(now, key, host)
-	t.flows[key] = entry{host: host, usedAt: now, openedAt: now}
+func (t *table) opened(now time.Time, key flow.Key, target flow.IPv4) {
+	t.put(now, key, target)
+	t.flows[key] = entry{target: target, usedAt: now, openedAt: now}
 }
 
-// drop forgets a flow if it is remembered at the host.
-func (t *table) drop(key flow.Key, host flow.IPv4) {
-	if e, ok := t.flows[key]; ok && e.host == host {
+// drop forgets a flow if it is remembered at the target.
+func (t *table) drop(key flow.Key, target flow.IPv4) {
+	if e, ok := t.flows[key]; ok && e.target == target {
 		delete(t.flows, key)
 	}
 }
 
-// dropHost forgets all flows at a host.
-func (t *table) dropHost(host flow.IPv4) {
+// dropTarget forgets all flows at a target.
+func (t *table) dropTarget(target flow.IPv4) {
 	for key, e := range t.flows {
-		if e.host == host {
+		if e.target == target {
 			delete(t.flows, key)
 		}
 	}
--- a/choose/offer.go
+++ b/choose/offer.go
@@ -2,34 +2,34 @@
 
 import "math/rand/v2"
 
-// Offer is a host that may take a new flow, as one balancer sees it.
+// Offer is a target that may take a new flow, as one balancer sees it.
 type Offer struct {
-	// Busy is the host's own last word on the requests that it works on or has
+	// Busy is the target's own last word on the requests that it works on or has
 	// queued; Sent is what this balancer sent since.
 	Busy, Sent int
-	// Slots is what the host works on at once.
+	// Slots is what the target works on at once.
 	Slots int
-	// OtherZone hosts cost bytes between zones.
+	// OtherZone targets cost bytes between zones.
 	OtherZone bool
-	// Warming hosts are slow after their start.
+	// Warming targets are slow after their start.
 	Warming bool
-	// Avoid marks hosts that are unheard or refused lately: last resort.
+	// Avoid marks targets that are unheard or refused lately: last resort.
 	Avoid bool
 }
 
 // Weights are the policy's parameters, in units of busy requests per slot.
 type Weights struct {
-	// OtherZone is added for a host in another zone: at 1.0 an idle host
+	// OtherZone is added for a target in another zone: at 1.0 an idle target
 	// elsewhere equals one in the own zone whose slots are all taken.
 	OtherZone float64
-	// Warming is the factor on the load of a warming host.
+	// Warming is the factor on the load of a warming target.
 	Warming float64
 }
 
-// avoidCost puts hosts to be avoided behind all others.
+// avoidCost puts targets to be avoided behind all others.
 const avoidCost = 1e6
 
-// Cost is the expected load of a host with one more flow; lower is better.
+// Cost is the expected load of a target with one more flow; lower is better.
 func (w Weights) Cost(o Offer) float64 {
 	cost := float64(o.Busy+o.Sent+1) / float64(max(o.Slots, 1))
 	if o.Warming {
@@ -47,7 +47,7 @@
 // Cheapest returns the index of the offer for a new flow, or -1 without any. Two
 // random offers of the own zone and two of the other zones are compared (power of
 // two choices), so that balancers with the same stale readings do not all send to
-// the same host.
+// the same target.
 func (w Weights) Cheapest(offers []Offer, rnd *rand.Rand) int {
 	if len(offers) == 0 {
 		return -1
--- a/choose/offer_test.go
+++ b/choose/offer_test.go
@@ -38,7 +38,7 @@
 		rnd := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		var offers []Offer
 		usable := false
-		for range rapid.IntRange(1, 12).Draw(t, "hosts") {
+		for range rapid.IntRange(1, 12).Draw(t, "targets") {
 			o := Offer{
 				Slots: 4, Busy: rapid.IntRange(0, 40).Draw(t, "busy"),
 				OtherZone: rapid.Bool().Draw(t, "other"), Avoid: rapid.Bool().Draw(t, "avoid"),
@@ -57,7 +57,7 @@
 }
 
 // TestStaleReadingsDoNotHerd: balancers with the same old readings spread their
-// flows over the idle hosts.
+// flows over the idle targets.
 func TestStaleReadingsDoNotHerd(t *testing.T) {
 	rnd := rand.New(rand.NewPCG(1, 1))
 	count := make([]int, 6)
--- a/e2e/packets/blackout_test.go
+++ b/e2e/packets/blackout_test.go
@@ -7,8 +7,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// blackout ends all processes, and all hosts too if hostsDown is not zero.
-func blackout(w *world, down, hostsDown time.Duration) {
+// blackout ends all processes, and all targets too if targetsDown is not zero.
+func blackout(w *world, down, targetsDown time.Duration) {
 	for _, ip := range w.BalancerIPs() {
 		w.Balancers[ip].Restart(down + time.Duration(w.Rnd.Int64N(int64(300*time.Millisecond))))
 	}
@@ -17,11 +17,11 @@
 			continue
 		}
 		a.Restart(down + time.Duration(w.Rnd.Int64N(int64(300*time.Millisecond))))
-		if hostsDown > 0 && a.host != nil {
+		if targetsDown > 0 && a.target != nil {
 			a.crash()
-			w.After(hostsDown, func() {
-				if a.host == nil {
-					a.startHost()
+			w.After(targetsDown, func() {
+				if a.target == nil {
+					a.startTarget()
 				}
 			})
 		}
@@ -50,9 +50,9 @@
 	require.Empty(t, w.violations)
 }
 
-// TestVMWithoutHostDoesNotKeepDeadFlows: a VM whose host does not come back and
+// TestVMWithoutTargetDoesNotKeepDeadFlows: a VM whose target does not come back and
 // that is then taken away must not leave the balancers in doubt.
-func TestVMWithoutHostDoesNotKeepDeadFlows(t *testing.T) {
+func TestVMWithoutTargetDoesNotKeepDeadFlows(t *testing.T) {
 	w := newWorld(6)
 	deployment(w)
 	w.Run(3 * time.Second)
@@ -60,7 +60,7 @@
 	w.Run(time.Second)
 	var other *agentNode
 	for _, a := range sortedAgents(w) {
-		if a.host != c.host {
+		if a.target != c.target {
 			other = a
 		}
 	}
@@ -74,10 +74,10 @@
 	require.Equal(t, refused, c.state)
 }
 
-// TestAHostThatWasTakenAwayIsNotWaitedFor: after a power loss its VM is back for a
-// moment, tells some balancers that its host is gone, and is taken away before
+// TestATargetThatWasTakenAwayIsNotWaitedFor: after a power loss its VM is back for a
+// moment, tells some balancers that its target is gone, and is taken away before
 // the others start.
-func TestAHostThatWasTakenAwayIsNotWaitedFor(t *testing.T) {
+func TestATargetThatWasTakenAwayIsNotWaitedFor(t *testing.T) {
 	w := newWorld(11)
 	deployment(w)
 	w.Run(3 * time.Second)
@@ -96,7 +96,7 @@
 	gone.Stop()
 	delete(w.Registry, gone.IP)
 	w.Run(2500 * time.Millisecond)
-	require.NotContains(t, last.Core.View().Hosts(), gone.IP)
+	require.NotContains(t, last.Core.View().Targets(), gone.IP)
 	for _, c := range w.clients {
 		c.request()
 	}
@@ -106,7 +106,7 @@
 	}
 }
 
-// TestBlackoutOfTheSystemAloneResetsNothing: hosts that live keep their flows.
+// TestBlackoutOfTheSystemAloneResetsNothing: targets that live keep their flows.
 func TestBlackoutOfTheSystemAloneResetsNothing(t *testing.T) {
 	for seed := range uint64(10) {
 		w := newWorld(seed)
@@ -131,7 +131,7 @@
 }
 
 // TestALateAgentKeepsItsFlowsInDoubt: all processes are killed while the store is
-// away, and one agent comes back late: its host's flows are not reset meanwhile.
+// away, and one agent comes back late: its target's flows are not reset meanwhile.
 // With leases that lapsed they were (found by the soak).
 func TestALateAgentKeepsItsFlowsInDoubt(t *testing.T) {
 	w := newWorld(8)
@@ -146,7 +146,7 @@
 	}
 	for _, a := range sortedAgents(w) {
 		down := time.Second
-		if a.host == c.host {
+		if a.target == c.target {
 			down = 3500 * time.Millisecond
 		}
 		a.Restart(down)
@@ -159,10 +159,10 @@
 	require.Equal(t, c.asked, c.answered)
 }
 
-// TestBalancersThatStartTogetherFindHostsThatTheRegistryLacks: the store was away
+// TestBalancersThatStartTogetherFindTargetsThatTheRegistryLacks: the store was away
 // when those started, and is back just as all balancers start again. One balancer
-// alone must not take a host for not there that another one has heard of meanwhile.
-func TestBalancersThatStartTogetherFindHostsThatTheRegistryLacks(t *testing.T) {
+// alone must not take a target for not there that another one has heard of meanwhile.
+func TestBalancersThatStartTogetherFindTargetsThatTheRegistryLacks(t *testing.T) {
 	for seed := range uint64(400) {
 		w := newWorld(seed)
 		deployment(w)
@@ -175,11 +175,11 @@
 		w.Run(600 * time.Millisecond)
 		for _, a := range sortedAgents(w) {
 			if a.Service == serviceA && a != fresh {
-				a.host.full = true
+				a.target.full = true
 			}
 		}
 		for _, ip := range w.BalancerIPs() {
-			require.True(t, w.Balancers[ip].Core.View().KnowsHost(fresh.IP), "seed %d: %v", seed, ip)
+			require.True(t, w.Balancers[ip].Core.View().KnowsTarget(fresh.IP), "seed %d: %v", seed, ip)
 		}
 		for range 12 {
 			w.addClient("z1", frontA)
@@ -195,7 +195,7 @@
 		w.Run(3 * time.Second)
 		require.Empty(t, w.violations, "seed %d", seed)
 		for _, c := range w.clients {
-			require.Equal(t, fresh.host, c.host, "seed %d", seed)
+			require.Equal(t, fresh.target, c.target, "seed %d", seed)
 			require.Equal(t, 2, c.answered, "seed %d", seed)
 		}
 	}
