--- a/e2e/packets/client_test.go
+++ b/e2e/packets/client_test.go
@@ -15,10 +15,10 @@
 	key   flow.Key
 	zone  string
 	state clientState
-	// hostSeq is the sequence number of the SYN+ACK that was taken; host is the
-	// oracle's host behind it.
-	hostSeq uint32
-	host    *host
+	// targetSeq is the sequence number of the SYN+ACK that was taken; target is the
+	// oracle's target behind it.
+	targetSeq uint32
+	target    *target
 	// asked counts requests, answered those answered; retries the copies of the
 	// present one.
 	asked, answered, retries int
@@ -99,7 +99,7 @@
 // take is what a client does with a packet.
 func (c *client) take(p []byte) {
 	h, err := platform.DecodePacket(p)
-	if err != nil || h.FromHost() != c.key {
+	if err != nil || h.FromTarget() != c.key {
 		c.w.violate("a client got a packet that is not its own")
 		return
 	}
@@ -112,8 +112,8 @@
 		}
 	case h.Flags.Has(flow.SYN | flow.ACK):
 		if c.state == opening {
-			c.state, c.hostSeq = established, h.Seq
-			c.host = c.w.holder(c.key, h.Seq)
+			c.state, c.targetSeq = established, h.Seq
+			c.target = c.w.holder(c.key, h.Seq)
 			c.request()
 		}
 	case c.state == established && h.Len > 0 && int(h.Ack) == c.asked:
@@ -124,23 +124,23 @@
 	}
 }
 
-// holder finds the host that answered with the sequence number.
-func (w *world) holder(key flow.Key, seq uint32) *host {
+// holder finds the target that answered with the sequence number.
+func (w *world) holder(key flow.Key, seq uint32) *target {
 	for _, a := range w.agents {
-		if a.host == nil {
+		if a.target == nil {
 			continue
 		}
-		if f, ok := a.host.flows[key]; ok && f.seq == seq {
-			return a.host
+		if f, ok := a.target.flows[key]; ok && f.seq == seq {
+			return a.target
 		}
 	}
 	return nil
 }
 
-// alive tells whether a host still runs.
-func (w *world) alive(h *host) bool {
+// alive tells whether a target still runs.
+func (w *world) alive(h *target) bool {
 	for _, a := range w.agents {
-		if a.host == h && h != nil {
+		if a.target == h && h != nil {
 			return true
 		}
 	}
@@ -148,8 +148,8 @@
 }
 
 func (c *client) reset() {
-	if c.state == established && c.w.alive(c.host) && c.host.flows[c.key] != nil && c.host.flows[c.key].open {
-		c.w.violate("flow %v was reset while its host %s lives", c.key, c.host.id)
+	if c.state == established && c.w.alive(c.target) && c.target.flows[c.key] != nil && c.target.flows[c.key].open {
+		c.w.violate("flow %v was reset while its target %s lives", c.key, c.target.id)
 	}
 	if c.state == opening || c.state == established {
 		c.state = refused
@@ -177,7 +177,7 @@
 // lastAck is the client's acknowledgement.
 func (c *client) lastAck() uint32 {
 	if c.answered == 0 {
-		return c.hostSeq
+		return c.targetSeq
 	}
-	return c.hostSeq + 100*uint32(c.answered+1)
+	return c.targetSeq + 100*uint32(c.answered+1)
 }
--- a/e2e/packets/largefleet_test.go
+++ b/e2e/packets/largefleet_test.go
@@ -8,21 +8,21 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Sizes of the large fleet: those of a deployment of 136 hosts that has added its
+// Sizes of the large fleet: those of a deployment of 136 targets that has added its
 // spare ones twice, and a fifth of its balancers.
 const (
-	largeHosts     = 263
+	largeTargets   = 263
 	largeBalancers = 12
 	largeZones     = 6
 )
 
-// largeFleet is a deployment of hundreds of hosts.
+// largeFleet is a deployment of hundreds of targets.
 func largeFleet(w *world) {
 	zone := func(i int) string { return fmt.Sprintf("z%d", 1+i%largeZones) }
 	for i := range largeBalancers {
 		w.AddBalancer(zone(i))
 	}
-	for i := range largeHosts {
+	for i := range largeTargets {
 		service := serviceA
 		if i%5 == 4 {
 			service = serviceB
@@ -42,9 +42,9 @@
 	}
 }
 
-// farewell lets a host that has drained say its last word and exit.
+// farewell lets a target that has drained say its last word and exit.
 func (a *agentNode) farewell() {
-	a.Core.Leave(a.w.Now, a.host.life())
+	a.Core.Leave(a.w.Now, a.target.life())
 	a.crash()
 }
 
@@ -54,7 +54,7 @@
 	darkTime = 1200 * time.Millisecond
 	// startSpread is how far apart they are back.
 	startSpread = 300 * time.Millisecond
-	// learnTime is what a balancer that has just started takes to hear of all hosts.
+	// learnTime is what a balancer that has just started takes to hear of all targets.
 	learnTime = 500 * time.Millisecond
 	// resetWithin is how soon after that the clients of flows that are over are to
 	// know.
@@ -83,7 +83,7 @@
 	return told
 }
 
-// farewellIn returns a large fleet with open flows, one of whose hosts said farewell
+// farewellIn returns a large fleet with open flows, one of whose targets said farewell
 // some time ago.
 func farewellIn(seed uint64, clients int, ago time.Duration) (*world, *agentNode) {
 	w := newWorld(seed)
@@ -101,10 +101,10 @@
 
 const largeClients = 60
 
-// TestAHostThatHasEndedHoldsUpNoReset: a host says farewell some time before
-// everything loses power, and its VM does not come back. With hundreds of hosts
+// TestATargetThatHasEndedHoldsUpNoReset: a target says farewell some time before
+// everything loses power, and its VM does not come back. With hundreds of targets
 // under release there is always one.
-func TestAHostThatHasEndedHoldsUpNoReset(t *testing.T) {
+func TestATargetThatHasEndedHoldsUpNoReset(t *testing.T) {
 	for _, ago := range []time.Duration{100, 700, 1400, 2800, 5000} {
 		t.Run(fmt.Sprintf("%d ms", ago), func(t *testing.T) {
 			w, leaving := farewellIn(uint64(40+ago), largeClients, ago*time.Millisecond)
@@ -114,9 +114,9 @@
 	}
 }
 
-// TestAnAgentThatIsBackAnswersForItsHost: the host said farewell in the moment in
+// TestAnAgentThatIsBackAnswersForItsTarget: the target said farewell in the moment in
 // which everything lost power, so the store still lists its agent; that is back.
-func TestAnAgentThatIsBackAnswersForItsHost(t *testing.T) {
+func TestAnAgentThatIsBackAnswersForItsTarget(t *testing.T) {
 	w, leaving := farewellIn(46, largeClients, 0)
 	require.Contains(t, w.Registry, leaving.IP)
 	require.Equal(t, largeClients, deadFlowsReset(w))
@@ -124,7 +124,7 @@
 }
 
 // TestAnEndThatTheStoreHasNotHeardOfIsWaitedForOnce: neither the store nor the agent
-// can tell that the host has ended; for as long as a process takes to be restarted it
+// can tell that the target has ended; for as long as a process takes to be restarted it
 // may be back with its flows, and no longer.
 func TestAnEndThatTheStoreHasNotHeardOfIsWaitedForOnce(t *testing.T) {
 	w, leaving := farewellIn(47, largeClients, 0)
--- a/e2e/packets/life_test.go
+++ b/e2e/packets/life_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestFlowsOfAFormerLifeEndAndThoseOfTheNextStay: a host crashes and starts again under
+// TestFlowsOfAFormerLifeEndAndThoseOfTheNextStay: a target crashes and starts again under
 // its ID, seen by its agent or not, with an agent that goes on or starts anew; then a
 // balancer that knows nothing takes the packets of flows from before and after.
 func TestFlowsOfAFormerLifeEndAndThoseOfTheNextStay(t *testing.T) {
@@ -30,8 +30,8 @@
 				w.addClient("z1", frontA)
 			}
 			w.Run(time.Second)
-			a := w.nodeOf(w.clients[0].host)
-			former := a.host
+			a := w.nodeOf(w.clients[0].target)
+			former := a.target
 			if c.agentRestarts {
 				a.Restart(300 * time.Millisecond)
 			}
@@ -39,8 +39,8 @@
 			if c.seen {
 				w.Run(200 * time.Millisecond)
 			}
-			a.startHost()
-			require.Equal(t, former.id, a.host.id, name)
+			a.startTarget()
+			require.Equal(t, former.id, a.target.id, name)
 			w.Run(4 * time.Second)
 			for range 60 {
 				w.addClient("z1", frontA)
@@ -56,11 +56,11 @@
 			}
 			w.Run(2 * time.Second)
 			for _, client := range w.clients {
-				switch client.host {
+				switch client.target {
 				case former:
 					require.Equal(t, refused, client.state, "%s, seed %d", name, seed)
 					over++
-				case a.host:
+				case a.target:
 					require.Equal(t, client.asked, client.answered, "%s, seed %d", name, seed)
 					later++
 				}
@@ -72,10 +72,10 @@
 	}
 }
 
-// nodeOf returns the agent beside a host.
-func (w *world) nodeOf(h *host) *agentNode {
+// nodeOf returns the agent beside a target.
+func (w *world) nodeOf(h *target) *agentNode {
 	for _, a := range sortedAgents(w) {
-		if a.host == h {
+		if a.target == h {
 			return a
 		}
 	}
--- a/e2e/packets/membership_test.go
+++ b/e2e/packets/membership_test.go
@@ -14,7 +14,7 @@
 // requireKnown checks that every balancer that is up knows every agent.
 func requireKnown(t require.TestingT, w *world) {
 	for _, b := range w.Balancers {
-		require.ElementsMatch(t, agentIPs(w), b.Core.View().Hosts(), "balancer %v", b.IP)
+		require.ElementsMatch(t, agentIPs(w), b.Core.View().Targets(), "balancer %v", b.IP)
 	}
 }
 
@@ -51,7 +51,7 @@
 		return (from == apart && to == w.Seeds[0]) || (from == w.Seeds[0] && to == apart)
 	}
 	w.Run(3 * time.Second)
-	require.False(t, w.Balancers[w.Seeds[0]].Core.View().KnowsHost(apart))
+	require.False(t, w.Balancers[w.Seeds[0]].Core.View().KnowsTarget(apart))
 	w.Cut = func(_, _ flow.IPv4) bool { return false }
 	w.Run(3 * time.Second)
 	requireKnown(t, w)
@@ -76,11 +76,11 @@
 	requireKnown(t, w)
 }
 
-// TestAHostThatStartsLateIsNotOverlooked: a balancer that started after the agent,
-// while that had no host, knows the host as soon as others do, also when the first
-// message about it is lost. Otherwise it would take the host's first flows for
+// TestATargetThatStartsLateIsNotOverlooked: a balancer that started after the agent,
+// while that had no target, knows the target as soon as others do, also when the first
+// message about it is lost. Otherwise it would take the target's first flows for
 // over. (Found on a day of the platform's bench.)
-func TestAHostThatStartsLateIsNotOverlooked(t *testing.T) {
+func TestATargetThatStartsLateIsNotOverlooked(t *testing.T) {
 	for seed := range uint64(20) {
 		w := newWorld(seed)
 		deployment(w)
@@ -95,10 +95,10 @@
 			lost = lost && !cut
 			return cut
 		}
-		a.startHost()
+		a.startTarget()
 		w.Run(4 * sim.AgentTick)
 		require.Contains(t, w.Registry, a.IP)
-		known, ok := fresh.Core.View().Host(a.IP)
+		known, ok := fresh.Core.View().Target(a.IP)
 		require.True(t, ok, "seed %d", seed)
 		require.Equal(t, fleet.Ready, known.State, "seed %d", seed)
 	}
--- a/e2e/packets/packets_test.go
+++ b/e2e/packets/packets_test.go
@@ -12,7 +12,7 @@
 	"github.com/poppywall/poppywall/flow"
 )
 
-// deployment is three zones with a balancer each and hosts of two services.
+// deployment is three zones with a balancer each and targets of two services.
 func deployment(w *world) {
 	zones := []string{"z1", "z2", "z3"}
 	for _, z := range zones {
@@ -61,13 +61,13 @@
 		}
 		w.Run(time.Second)
 		dead := sortedAgents(w)[2]
-		ended := dead.host
+		ended := dead.target
 		dead.crash()
 		dead.Stop()
 		fresh := w.AddBalancer("z1")
 		for _, ip := range w.BalancerIPs() {
 			// The fresh balancer learns of the dead VM as the others know it.
-			if h, known := w.Balancers[ip].Core.View().Host(dead.IP); known {
+			if h, known := w.Balancers[ip].Core.View().Target(dead.IP); known {
 				fresh.Core.View().Announce(w.Now, dead.IP, h.Announcement)
 				break
 			}
@@ -78,7 +78,7 @@
 		}
 		w.Run(700 * time.Millisecond)
 		for _, c := range w.clients {
-			if c.host != ended {
+			if c.target != ended {
 				require.Equal(t, c.asked, c.answered, "seed %d, flow %v", seed, c.key)
 			}
 		}
@@ -90,14 +90,14 @@
 	deployment(w)
 	w.Run(3 * time.Second)
 	for _, a := range w.agents {
-		a.host.full = true
+		a.target.full = true
 	}
 	c := w.addClient("z1", frontA)
 	w.Run(100 * time.Millisecond)
 	require.Equal(t, refused, c.state)
 }
 
-func TestFlowsOfACrashedHostAreReset(t *testing.T) {
+func TestFlowsOfACrashedTargetAreReset(t *testing.T) {
 	w := newWorld(4)
 	deployment(w)
 	w.Run(3 * time.Second)
@@ -105,9 +105,9 @@
 	w.Run(500 * time.Millisecond)
 	require.Equal(t, 1, c.answered)
 	for _, a := range w.agents {
-		if a.host == c.host {
+		if a.target == c.target {
 			a.crash()
-			w.After(200*time.Millisecond, a.startHost)
+			w.After(200*time.Millisecond, a.startTarget)
 		}
 	}
 	c.request()
@@ -116,10 +116,10 @@
 	require.Empty(t, w.violations)
 }
 
-// TestFlowsKeepTheirHosts is the stateful test: whatever happens, packets of
-// open flows reach their hosts once the network is calm, and no rule is broken
+// TestFlowsKeepTheirTargets is the stateful test: whatever happens, packets of
+// open flows reach their targets once the network is calm, and no rule is broken
 // on the way.
-func TestFlowsKeepTheirHosts(t *testing.T) {
+func TestFlowsKeepTheirTargets(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(rapid.Uint64().Draw(t, "seed"))
 		deployment(w)
@@ -160,12 +160,12 @@
 	case 5:
 		a.crash()
 		w.After(down, func() {
-			if a.host == nil {
-				a.startHost()
+			if a.target == nil {
+				a.startTarget()
 			}
 		})
 	case 6:
-		replaceHost(w, a)
+		replaceTarget(w, a)
 	case 14:
 		w.StoreBack = w.Now.Add(time.Duration(rapid.IntRange(100, 5000).Draw(t, "store away")) * time.Millisecond)
 	case 12:
@@ -173,8 +173,8 @@
 	case 13:
 		blackout(w, down, 0)
 	case 7:
-		if a.host != nil {
-			a.host.full = !a.host.full
+		if a.target != nil {
+			a.target.full = !a.target.full
 		}
 	case 15:
 		retire(t, w, a, down)
@@ -184,9 +184,9 @@
 		w.clockStep = int64(rapid.IntRange(-5000, 5000).Draw(t, "clock step"))
 	case 18:
 		// A restart that the agent does not see.
-		if a.host != nil {
+		if a.target != nil {
 			a.crash()
-			a.startHost()
+			a.startTarget()
 		}
 	default:
 		for range 3 {
@@ -198,25 +198,25 @@
 	}
 }
 
-// retire lets a host drain and say farewell. Its VM goes with it, at once or when its
-// agent has done its part, or another host starts there.
+// retire lets a target drain and say farewell. Its VM goes with it, at once or when its
+// agent has done its part, or another target starts there.
 func retire(t *rapid.T, w *world, a *agentNode, down time.Duration) {
-	if a.host == nil || !a.Up {
+	if a.target == nil || !a.Up {
 		return
 	}
 	a.drain()
-	leaving := a.host
+	leaving := a.target
 	stays, planned := rapid.Bool().Draw(t, "VM stays"), rapid.Bool().Draw(t, "planned")
 	w.After(down, func() {
-		if a.host != leaving || !a.Up {
+		if a.target != leaving || !a.Up {
 			return
 		}
 		a.farewell()
 		w.After(down, func() {
 			switch {
-			case stays && a.host == nil:
-				a.startHost()
-			case !stays && a.host == nil && a.Up:
+			case stays && a.target == nil:
+				a.startTarget()
+			case !stays && a.target == nil && a.Up:
 				a.stop(planned)
 			}
 		})
@@ -235,9 +235,9 @@
 	a.Stop()
 }
 
-// replaceHost ends a host with its agent; its address serves the other service
+// replaceTarget ends a target with its agent; its address serves the other service
 // from then on.
-func replaceHost(w *world, a *agentNode) {
+func replaceTarget(w *world, a *agentNode) {
 	a.crash()
 	a.Stop()
 	service := serviceA
@@ -245,10 +245,10 @@
 		service = serviceB
 	}
 	w.After(2*time.Second, func() {
-		if a.host == nil && !a.Up {
+		if a.target == nil && !a.Up {
 			a.Service = service
 			a.Start()
-			a.startHost()
+			a.startTarget()
 		}
 	})
 }
@@ -261,32 +261,32 @@
 	return out
 }
 
-// checkServed lets every open flow whose host lives ask once more.
+// checkServed lets every open flow whose target lives ask once more.
 func checkServed(t require.TestingT, w *world) {
 	var asked []*client
 	for _, c := range w.clients {
-		if c.state == established && w.alive(c.host) && c.asked == c.answered {
+		if c.state == established && w.alive(c.target) && c.asked == c.answered {
 			c.request()
 			asked = append(asked, c)
 		}
 	}
 	w.Run(3 * time.Second)
 	for _, c := range asked {
-		if c.state == established && w.alive(c.host) {
-			require.Equal(t, c.asked, c.answered, "flow %v at host %s\n%s", c.key, c.host.id, w.describe(c))
+		if c.state == established && w.alive(c.target) {
+			require.Equal(t, c.asked, c.answered, "flow %v at target %s\n%s", c.key, c.target.id, w.describe(c))
 		}
 	}
 	require.Empty(t, w.violations)
 }
 
-// describe tells what the nodes know of a flow's host.
+// describe tells what the nodes know of a flow's target.
 func (w *world) describe(c *client) string {
 	text := ""
 	for _, a := range sortedAgents(w) {
-		if a.host == c.host {
-			text += fmt.Sprintf("agent %v up %v serves %s, flow at host %+v\n", a.IP, a.Up, a.Service, *c.host.flows[c.key])
+		if a.target == c.target {
+			text += fmt.Sprintf("agent %v up %v serves %s, flow at target %+v\n", a.IP, a.Up, a.Service, *c.target.flows[c.key])
 			for _, ip := range w.BalancerIPs() {
-				h, known := w.Balancers[ip].Core.View().Host(a.IP)
+				h, known := w.Balancers[ip].Core.View().Target(a.IP)
 				text += fmt.Sprintf("balancer %v up %v knows it %v %+v\n", ip, w.Balancers[ip].Up, known, h)
 			}
 		}
--- a/e2e/packets/host_test.go
+++ b/e2e/packets/target_test.go
@@ -11,8 +11,8 @@
 	"github.com/poppywall/poppywall/platform/platformtest"
 )
 
-// host is the oracle: what the program beside an agent does.
-type host struct {
+// target is the oracle: what the program beside an agent does.
+type target struct {
 	id string
 	// born is what it says of its start, Unix milliseconds; zero where it does not.
 	born     int64
@@ -24,40 +24,40 @@
 	// after the next heartbeat.
 	ackedBy  int
 	ackedAt  time.Time
-	flows    map[flow.Key]*hostFlow
+	flows    map[flow.Key]*targetFlow
 	sequence uint64
 	full     bool
 }
 
-func (h *host) life() fleet.Life { return fleet.Life{HostID: h.id, Born: h.born} }
+func (h *target) life() fleet.Life { return fleet.Life{TargetID: h.id, Born: h.born} }
 
-type hostFlow struct {
+type targetFlow struct {
 	seq, next uint32
 	open      bool
 }
 
-// startHost starts a fresh host beside the agent, under the ID of the one before where
-// hosts keep theirs.
-func (a *agentNode) startHost() {
+// startTarget starts a fresh target beside the agent, under the ID of the one before where
+// targets keep theirs.
+func (a *agentNode) startTarget() {
 	w := a.w
-	h := &host{id: fmt.Sprintf("i-%x", w.Rnd.Uint32()), service: a.Service, slots: 5, cap: 1000, flows: map[flow.Key]*hostFlow{}}
+	h := &target{id: fmt.Sprintf("i-%x", w.Rnd.Uint32()), service: a.Service, slots: 5, cap: 1000, flows: map[flow.Key]*targetFlow{}}
 	if w.keepIDs && len(a.former) > 0 && a.former[len(a.former)-1].service == a.Service {
 		h.id = a.former[len(a.former)-1].id
 	}
 	if w.sayBorn {
 		h.born = w.Now.UnixMilli() + w.clockStep
 	}
-	a.host, a.Host = h, a
+	a.target, a.Target = h, a
 	w.Every(sim.HeartbeatPeriod, func() bool {
-		if a.host == h {
+		if a.target == h {
 			a.heartbeat()
 		}
-		return a.host == h
+		return a.target == h
 	})
 }
 
 func (a *agentNode) heartbeat() {
-	h := a.host
+	h := a.target
 	h.sequence++
 	if !a.Up {
 		return
@@ -68,23 +68,23 @@
 	}
 }
 
-// drain makes the host report that it leaves.
+// drain makes the target report that it leaves.
 func (a *agentNode) drain() {
-	if a.host != nil {
-		a.host.draining = true
+	if a.target != nil {
+		a.target.draining = true
 		a.heartbeat()
 	}
 }
 
-// crash ends the host; its flows are lost.
+// crash ends the target; its flows are lost.
 func (a *agentNode) crash() {
-	if a.host != nil {
-		a.former = append(a.former, a.host)
+	if a.target != nil {
+		a.former = append(a.former, a.target)
 	}
-	a.host, a.Host = nil, nil
+	a.target, a.Target = nil, nil
 }
 
-// lateWord lets a report or the farewell of a host arrive that has ended.
+// lateWord lets a report or the farewell of a target arrive that has ended.
 func (a *agentNode) lateWord(farewell bool) {
 	if len(a.former) == 0 || !a.Up {
 		return
@@ -102,20 +102,20 @@
 	a.Core.Heartbeat(a.w.Now, fleet.Heartbeat{Life: h.life(), Service: h.service, Slots: h.slots, Draining: true, Sequence: h.sequence})
 }
 
-// Take is what a host does with a packet.
+// Take is what a target does with a packet.
 func (a *agentNode) Take(packet []byte) {
-	h := a.host
+	h := a.target
 	if h == nil {
 		return
 	}
 	head, err := platform.DecodePacket(packet)
 	if err != nil {
-		a.w.violate("a host got a malformed packet")
+		a.w.violate("a target got a malformed packet")
 		return
 	}
 	key := head.FromClient()
 	if head.IsOpening() {
-		a.hostOpens(h, key, &head, packet)
+		a.targetOpens(h, key, &head, packet)
 		return
 	}
 	f, ok := h.flows[key]
@@ -128,20 +128,20 @@
 		return
 	}
 	f.next = f.seq + 100*(head.Seq+1)
-	a.hostSends(key, flow.ACK, f.next, head.Seq, []byte("answer"))
+	a.targetSends(key, flow.ACK, f.next, head.Seq, []byte("answer"))
 }
 
-func (a *agentNode) hostOpens(h *host, key flow.Key, head *flow.Header, packet []byte) {
+func (a *agentNode) targetOpens(h *target, key flow.Key, head *flow.Header, packet []byte) {
 	want := serviceA
 	if key.Front() == frontB {
 		want = serviceB
 	}
 	if want != h.service {
-		a.w.violate("a SYN for %s reached a host of %s", want, h.service)
+		a.w.violate("a SYN for %s reached a target of %s", want, h.service)
 	}
 	// A packet may be on its way inside the VM at that moment.
 	if h.ackedBy == a.Life && a.w.Now.Sub(h.ackedAt) > time.Millisecond {
-		a.w.violate("a SYN reached a host whose draining was acknowledged")
+		a.w.violate("a SYN reached a target whose draining was acknowledged")
 	}
 	if h.full || len(h.flows) >= h.cap {
 		a.Bounce(packet)
@@ -149,12 +149,12 @@
 	}
 	f, ok := h.flows[key]
 	if !ok {
-		f = &hostFlow{seq: a.w.Rnd.Uint32() >> 1}
+		f = &targetFlow{seq: a.w.Rnd.Uint32() >> 1}
 		h.flows[key] = f
 	}
-	a.hostSends(key, flow.SYN|flow.ACK, f.seq, 0, nil)
+	a.targetSends(key, flow.SYN|flow.ACK, f.seq, 0, nil)
 }
 
-func (a *agentNode) hostSends(key flow.Key, flags flow.Flags, seq, ack uint32, data []byte) {
-	a.FromHost(platformtest.FromHost(key, flags, seq, ack, data))
+func (a *agentNode) targetSends(key flow.Key, flags flow.Flags, seq, ack uint32, data []byte) {
+	a.FromTarget(platformtest.FromTarget(key, flags, seq, ack, data))
 }
--- a/e2e/packets/world_test.go
+++ b/e2e/packets/world_test.go
@@ -19,14 +19,14 @@
 	frontB = flow.Front{IP: 0xc6120002, Port: 443}
 )
 
-// world is a simulated deployment with the oracle's hosts and clients.
+// world is a simulated deployment with the oracle's targets and clients.
 type world struct {
 	*sim.World
 
 	agents     map[flow.IPv4]*agentNode
 	clients    []*client
 	violations []string
-	// keepIDs tells that hosts start again under the IDs that they had, sayBorn that
+	// keepIDs tells that targets start again under the IDs that they had, sayBorn that
 	// they say when they started, by a clock that is clockStep milliseconds off.
 	keepIDs, sayBorn bool
 	clockStep        int64
@@ -57,16 +57,16 @@
 	}
 }
 
-// agentNode is an agent and the oracle's host beside it.
+// agentNode is an agent and the oracle's target beside it.
 type agentNode struct {
 	*sim.Agent
-	w    *world
-	host *host
-	// former are the hosts that have ended here.
-	former []*host
+	w      *world
+	target *target
+	// former are the targets that have ended here.
+	former []*target
 }
 
-// addVM adds an agent whose host has not started.
+// addVM adds an agent whose target has not started.
 func (w *world) addVM(zone, service string) *agentNode {
 	a := &agentNode{w: w, Agent: w.AddAgent(zone, service)}
 	w.agents[a.IP] = a
@@ -75,6 +75,6 @@
 
 func (w *world) addAgent(zone, service string) *agentNode {
 	a := w.addVM(zone, service)
-	a.startHost()
+	a.startTarget()
 	return a
 }
--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -51,7 +51,7 @@
 // Heard counts the nodes that were heard lately.
 func (v *View) Heard(now time.Time) int {
 	count := 0
-	for _, h := range v.hosts {
+	for _, h := range v.targets {
 		if !h.Quiet(now) {
 			count++
 		}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -105,11 +105,11 @@
 		v := NewView()
 		require.Equal(t, Joined, v.Announce(start, ip1, announcement(6, 5, alpha, Ready)))
 		require.Equal(t, Joined, v.Announce(start, ip1, announcement(7, 1, alpha, Ready)))
-		before, _ := v.Host(ip1)
+		before, _ := v.Target(ip1)
 		state := before.State
 		require.Equal(t, c.want, v.Announce(start, ip1, c.then), name)
 		if c.want == Stale {
-			after, _ := v.Host(ip1)
+			after, _ := v.Target(ip1)
 			require.Equal(t, state, after.State, name)
 		}
 	}
@@ -135,12 +135,12 @@
 		fresh.Announce(now, ip1, announcement(4, seq, alpha, Ready))
 		fresh.Beacon(now, ip2, Beacon{Identity: Identity{9, seq}})
 	}
-	host, _ := fresh.Host(ip1)
-	require.Equal(t, Ready, host.State)
-	require.Equal(t, now, host.HeardAt)
+	target, _ := fresh.Target(ip1)
+	require.Equal(t, Ready, target.State)
+	require.Equal(t, now, target.HeardAt)
 }
 
-func TestServicesFollowTheirHosts(t *testing.T) {
+func TestServicesFollowTheirTargets(t *testing.T) {
 	v := NewView()
 	v.Announce(start, ip1, announcement(1, 1, alpha, Ready))
 	v.Announce(start, ip2, announcement(2, 1, alpha, Ready))
@@ -148,20 +148,20 @@
 	v.Announce(start, ip1, announcement(1, 2, beta, Ready))
 	require.Len(t, v.Service(alpha), 1)
 	require.Equal(t, []flow.Tag{alpha, beta}, v.Services())
-	hosts, _ := v.Expire(start.Add(Forget + time.Second))
-	require.ElementsMatch(t, []Entry{{IP: ip1, Epoch: 1}, {IP: ip2, Epoch: 2}}, hosts)
+	targets, _ := v.Expire(start.Add(Forget + time.Second))
+	require.ElementsMatch(t, []Entry{{IP: ip1, Epoch: 1}, {IP: ip2, Epoch: 2}}, targets)
 	require.Empty(t, v.Services())
 }
 
-// TestFreshAgentDoesNotReviveADrainingHost: it finds the host listening before it
-// hears what the host says of itself.
-func TestFreshAgentDoesNotReviveADrainingHost(t *testing.T) {
+// TestFreshAgentDoesNotReviveADrainingTarget: it finds the target listening before it
+// hears what the target says of itself.
+func TestFreshAgentDoesNotReviveADrainingTarget(t *testing.T) {
 	v := NewView()
 	v.Announce(start, ip1, announcement(1, 1, alpha, Draining))
 	fresh := announcement(2, 1, alpha, Ready)
 	fresh.Incarnation = 0
 	v.Announce(start, ip1, fresh)
-	h, _ := v.Host(ip1)
+	h, _ := v.Target(ip1)
 	require.Equal(t, Draining, h.State)
 	v.Announce(start, ip1, announcement(2, 2, alpha, Ready))
 	require.Equal(t, Ready, h.State)
@@ -182,9 +182,9 @@
 	require.Equal(t, a.Digest(later, ip1), b.Digest(later, ip2), "it is not heard any more")
 }
 
-// TestGenerationRisesWithHostsThatMayHoldFlows: a search has asked all hosts but
+// TestGenerationRisesWithTargetsThatMayHoldFlows: a search has asked all targets but
 // those that came to be one since.
-func TestGenerationRisesWithHostsThatMayHoldFlows(t *testing.T) {
+func TestGenerationRisesWithTargetsThatMayHoldFlows(t *testing.T) {
 	for name, c := range map[string]struct {
 		before, then Announcement
 		since        bool
@@ -194,7 +194,7 @@
 		"ended":                    {announcement(1, 1, alpha, Ready), announcement(1, 2, alpha, Gone), false},
 		"started":                  {announcement(1, 1, alpha, Gone), announcement(1, 2, alpha, Ready), true},
 		"another agent":            {announcement(1, 1, alpha, Ready), announcement(2, 1, alpha, Ready), true},
-		"another without a host":   {announcement(1, 1, alpha, Ready), announcement(2, 1, alpha, Gone), false},
+		"another without a target": {announcement(1, 1, alpha, Ready), announcement(2, 1, alpha, Gone), false},
 		"of another service":       {announcement(1, 1, alpha, Ready), announcement(1, 2, alpha+1, Ready), true},
 		"a late message of before": {announcement(1, 2, alpha, Ready), announcement(1, 1, alpha, Gone), false},
 	} {
@@ -203,10 +203,10 @@
 		v.Announce(start, ip1, c.before)
 		g := v.Generation()
 		v.Announce(start, ip1, c.then)
-		h, _ := v.Host(ip1)
+		h, _ := v.Target(ip1)
 		require.Equal(t, c.since, v.Generation() != g, name)
 		require.Equal(t, c.since, h.MayHoldSince(start, g), name)
-		unchanged, _ := v.Host(ip2)
+		unchanged, _ := v.Target(ip2)
 		require.False(t, unchanged.MayHoldSince(start, g), name)
 	}
 }
@@ -283,7 +283,7 @@
 	a := announcement(1, 1, alpha, Ready)
 	a.Period = 2 * time.Second
 	v.Announce(start, ip1, a)
-	h, _ := v.Host(ip1)
+	h, _ := v.Target(ip1)
 	require.False(t, h.Quiet(start.Add(2*Quiet)))
 	require.True(t, h.Quiet(start.Add(2*Quiet+1)))
 	v.Beacon(start, ip1, Beacon{Identity: Identity{2, 1}, Period: 2 * time.Second})
--- a/fleet/listing.go
+++ b/fleet/listing.go
@@ -13,7 +13,7 @@
 	ListingThere
 	// ListingTakenAway: the store has none any more.
 	ListingTakenAway
-	// ListingLeft: the agent stops for good, for its host has ended, and has not got
+	// ListingLeft: the agent stops for good, for its target has ended, and has not got
 	// its entry taken away.
 	ListingLeft
 )
@@ -25,8 +25,8 @@
 	for _, e := range agents {
 		v.listed[e.IP] = e.Epoch
 	}
-	for _, ip := range v.Hosts() {
-		h := v.hosts[ip]
+	for _, ip := range v.Targets() {
+		h := v.targets[ip]
 		held := h.MayHold(now)
 		h.Listed = v.lists(h)
 		if h.MayHold(now) && !held {
@@ -35,22 +35,22 @@
 	}
 }
 
-// lists tells whether the registry names a host's agent. An entry that the agent has
+// lists tells whether the registry names a target's agent. An entry that the agent has
 // got taken away after the reading began is an old one.
-func (v *View) lists(h *Host) bool {
+func (v *View) lists(h *Target) bool {
 	_, listed := v.listed[h.IP]
 	return listed && !(h.Listing == ListingTakenAway && !h.ListingAt.Before(v.listedAt))
 }
 
-// MayLive tells whether a host that said last that it holds nothing, and cannot be
+// MayLive tells whether a target that said last that it holds nothing, and cannot be
 // asked, may have started since: the registry lists it, with an entry that is not
 // that of a process which has left it behind.
-func (v *View) MayLive(h *Host) bool {
+func (v *View) MayLive(h *Target) bool {
 	return h.Listed && !(h.Listing == ListingLeft && v.listed[h.IP] == h.Epoch)
 }
 
 // EntryOf returns the entry that an agent has left behind.
-func (v *View) EntryOf(h *Host) Entry {
+func (v *View) EntryOf(h *Target) Entry {
 	if epoch, listed := v.listed[h.IP]; listed {
 		return Entry{IP: h.IP, Epoch: epoch}
 	}
--- a/fleet/listing_test.go
+++ b/fleet/listing_test.go
@@ -7,10 +7,10 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestARegisteredHostWithoutFlowsMayHaveStarted: the message that says so may be
+// TestARegisteredTargetWithoutFlowsMayHaveStarted: the message that says so may be
 // lost, so it is asked while its agent is heard, again when its agent is another
 // one or was silent.
-func TestARegisteredHostWithoutFlowsMayHaveStarted(t *testing.T) {
+func TestARegisteredTargetWithoutFlowsMayHaveStarted(t *testing.T) {
 	listed := []Entry{{IP: ip1, Epoch: 1}}
 	gone := func(epoch uint64, seq uint32) Announcement { return announcement(epoch, seq, alpha, Gone) }
 	silent := start.Add(Quiet + time.Second)
@@ -59,7 +59,7 @@
 		v.Announce(start, ip1, gone(1, 1))
 		g := v.Generation()
 		now := c.do(v)
-		h, _ := v.Host(ip1)
+		h, _ := v.Target(ip1)
 		require.Equal(t, c.mayHold, h.MayHold(now), name)
 		require.Equal(t, c.begins, v.Generation() != g, name)
 	}
@@ -81,7 +81,7 @@
 		a := announcement(c.epoch, uint32(i+1), alpha, Ready)
 		a.Listing = c.listing
 		v.Announce(second(i), ip1, a)
-		h, _ := v.Host(ip1)
+		h, _ := v.Target(ip1)
 		require.Equal(t, c.since >= 0, h.RegisteredSince(second(c.since-1)), i)
 		require.False(t, h.RegisteredSince(second(max(c.since, i))), i)
 	}
@@ -110,15 +110,15 @@
 			}
 			v.Announce(start.Add(c.heard), ip1, a)
 			v.List(start.Add(2), start.Add(c.began), listed)
-			h, _ := v.Host(ip1)
+			h, _ := v.Target(ip1)
 			require.Equal(t, c.mayHold, h.MayHold(start.Add(2)), name)
 		}
 	}
 }
 
-// TestAHostWhoseAgentHasStoppedForGood: its entry is no sign of another process if it
+// TestATargetWhoseAgentHasStoppedForGood: its entry is no sign of another process if it
 // is that one's own.
-func TestAHostWhoseAgentHasStoppedForGood(t *testing.T) {
+func TestATargetWhoseAgentHasStoppedForGood(t *testing.T) {
 	for name, c := range map[string]struct {
 		listed  []Entry
 		mayLive bool
@@ -134,7 +134,7 @@
 		a.Listing = ListingLeft
 		v.Announce(start, ip1, a)
 		v.List(start, start, c.listed)
-		h, _ := v.Host(ip1)
+		h, _ := v.Target(ip1)
 		require.False(t, h.MayHold(start), name)
 		require.Equal(t, c.mayLive, v.MayLive(h), name)
 		require.Equal(t, c.entry, v.EntryOf(h), name)
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -14,42 +14,42 @@
 // ErrMalformed is returned for bytes that are no message of the expected kind.
 var ErrMalformed = errors.New("malformed fleet message")
 
-// Life is one run of a host: it starts with nothing and ends with all that it holds.
-// A host may start again under the ID that it had.
+// Life is one run of a target: it starts with nothing and ends with all that it holds.
+// A target may start again under the ID that it had.
 type Life struct {
-	HostID string
+	TargetID string
 	// Born is when it started, in Unix milliseconds of its VM's clock, which may be
-	// stepped between two lives; zero where the host does not say.
+	// stepped between two lives; zero where the target does not say.
 	Born int64
 }
 
 // Tag tells a life from others in messages.
 func (l Life) Tag() flow.Tag {
 	if l.Born == 0 {
-		return flow.TagOf(l.HostID)
+		return flow.TagOf(l.TargetID)
 	}
-	return flow.TagOf(l.HostID + " " + strconv.FormatInt(l.Born, 10))
+	return flow.TagOf(l.TargetID + " " + strconv.FormatInt(l.Born, 10))
 }
 
-// Heartbeat is what a host says of itself to the agent beside it.
+// Heartbeat is what a target says of itself to the agent beside it.
 type Heartbeat struct {
 	Life
 	Service string
 	// Slots is how many requests it works on at the same time, 1 to 65,535.
 	Slots int
-	// Draining hosts take no new flow.
+	// Draining targets take no new flow.
 	Draining   bool
 	WarmupLeft time.Duration
 	// Sequence rises with each heartbeat of one life.
 	Sequence uint64
 }
 
-// State is what a host can do.
+// State is what a target can do.
 type State uint8
 
-// The states of a host.
+// The states of a target.
 const (
-	// Absent: no host is known to listen.
+	// Absent: no target is known to listen.
 	Absent State = iota
 	// Ready: takes new flows.
 	Ready
@@ -72,24 +72,24 @@
 	Seq uint32
 }
 
-// Announcement is an agent's message about its host.
+// Announcement is an agent's message about its target.
 type Announcement struct {
 	Identity
 	Zone, Service flow.Tag
-	// Incarnation is the tag of the host's life; zero while it is not known.
+	// Incarnation is the tag of the target's life; zero while it is not known.
 	Incarnation flow.Tag
 	State       State
 	// WantPeers asks for the balancers that the receiver knows, WantReply for a
 	// beacon.
 	WantPeers, WantReply bool
 	Slots                uint16
-	// Busy is the number of requests that the host works on or has queued.
+	// Busy is the number of requests that the target works on or has queued.
 	Busy uint16
 	// Open is the number of open flows.
 	Open uint16
-	// WarmupMillis is how long the host stays slow after its start.
+	// WarmupMillis is how long the target stays slow after its start.
 	WarmupMillis uint16
-	// Ejected hosts fail their requests.
+	// Ejected targets fail their requests.
 	Ejected bool
 	// Listing is what the agent knows of its entry in the registry.
 	Listing Listing
@@ -234,7 +234,7 @@
 // Names are the nodes that a balancer knows.
 type Names struct {
 	Balancers []flow.IPv4
-	// Holders are agents whose hosts may hold flows, Idle those whose hosts cannot
+	// Holders are agents whose targets may hold flows, Idle those whose targets cannot
 	// at present: to be greeted, not to be waited for.
 	Holders, Idle []flow.IPv4
 }
--- a/fleet/registry/registry.go
+++ b/fleet/registry/registry.go
@@ -5,7 +5,7 @@
 // Entries are not leased. A lease would lapse while the store is away or its
 // holder is stopped, just when the list is needed, and renewals grow with the
 // fleet. An entry is written once for each start, by an agent once it has seen
-// its host; it is taken away by an agent whose host has ended, and otherwise by a
+// its target; it is taken away by an agent whose target has ended, and otherwise by a
 // balancer that has not heard the node for long (fleet.View.Keeper). Its writer
 // looks for it now and then: a node that was only cut off may have been taken for
 // dead.
--- a/fleet/host.go
+++ b/fleet/target.go
@@ -39,27 +39,27 @@
 	return true
 }
 
-// Host is a host as its agent announced it.
-type Host struct {
+// Target is a target as its agent announced it.
+type Target struct {
 	IP flow.IPv4
 	Announcement
 	// HeardAt is when the agent was heard last.
 	HeardAt time.Time
 	// Sent counts new flows sent here since the last announcement.
 	Sent int
-	// Listed tells that the registry named the host's agent when it was read last, and
+	// Listed tells that the registry named the target's agent when it was read last, and
 	// that the agent has not said since that its entry is taken away.
 	Listed bool
 	// ListingAt is when the agent was heard first to say of its entry what it says
 	// now.
 	ListingAt time.Time
-	// Since is the generation of the view from which on the host may hold flows.
+	// Since is the generation of the view from which on the target may hold flows.
 	Since uint32
 	order order
 }
 
-// Quiet tells whether the host was not heard lately.
-func (h *Host) Quiet(now time.Time) bool {
+// Quiet tells whether the target was not heard lately.
+func (h *Target) Quiet(now time.Time) bool {
 	return unheard(now, h.HeardAt, h.Period, quietPeriods)
 }
 
@@ -71,22 +71,22 @@
 	order   order
 }
 
-// MayHold tells whether the host may hold flows and can be asked. One that is in
+// MayHold tells whether the target may hold flows and can be asked. One that is in
 // the registry and said last that it holds nothing may have started since, and the
 // message that says so may be lost; its agent knows.
-func (h *Host) MayHold(now time.Time) bool {
+func (h *Target) MayHold(now time.Time) bool {
 	return h.State != Gone || (h.Listed && h.Listing != ListingLeft && !h.Quiet(now))
 }
 
 // RegisteredSince tells whether the agent was heard to be in the registry only after
 // a moment.
-func (h *Host) RegisteredSince(t time.Time) bool {
+func (h *Target) RegisteredSince(t time.Time) bool {
 	return h.Listing == ListingThere && h.ListingAt.After(t)
 }
 
-// MayHoldSince tells whether the host has come to be one that may hold flows after
+// MayHoldSince tells whether the target has come to be one that may hold flows after
 // a generation of the view.
-func (h *Host) MayHoldSince(now time.Time, generation uint32) bool {
+func (h *Target) MayHoldSince(now time.Time, generation uint32) bool {
 	return h.MayHold(now) && int32(h.Since-generation) > 0
 }
 
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -10,10 +10,10 @@
 
 // Limits of the fleet's memory.
 const (
-	// Quiet is how long a host of the own zone may stay unheard before it gets no
+	// Quiet is how long a target of the own zone may stay unheard before it gets no
 	// new flow while another one can.
 	Quiet = time.Duration(quietPeriods * float64(NearPeriod))
-	// Forget is how long an unheard host stays in the search for open flows,
+	// Forget is how long an unheard target stays in the search for open flows,
 	// and an unheard balancer in the list of balancers.
 	Forget = 20 * time.Second
 )
@@ -21,8 +21,8 @@
 // View is what a balancer knows of the fleet. It is not safe for concurrent
 // use; its owner holds a lock.
 type View struct {
-	hosts    map[flow.IPv4]*Host
-	services map[flow.Tag][]*Host
+	targets  map[flow.IPv4]*Target
+	services map[flow.Tag][]*Target
 	// tags are the keys of services, sorted.
 	tags  []flow.Tag
 	peers map[flow.IPv4]*Peer
@@ -30,30 +30,30 @@
 	// entries; listedAt is when that reading began.
 	listed   map[flow.IPv4]uint64
 	listedAt time.Time
-	// generation rises with each host that comes to be one that may hold a flow.
+	// generation rises with each target that comes to be one that may hold a flow.
 	generation uint32
 }
 
 // NewView returns an empty view.
 func NewView() *View {
 	return &View{
-		hosts: map[flow.IPv4]*Host{}, services: map[flow.Tag][]*Host{}, peers: map[flow.IPv4]*Peer{},
+		targets: map[flow.IPv4]*Target{}, services: map[flow.Tag][]*Target{}, peers: map[flow.IPv4]*Peer{},
 		listed: map[flow.IPv4]uint64{},
 	}
 }
 
-// Host returns a host by its address.
-func (v *View) Host(ip flow.IPv4) (*Host, bool) {
-	h, ok := v.hosts[ip]
+// Target returns a target by its address.
+func (v *View) Target(ip flow.IPv4) (*Target, bool) {
+	h, ok := v.targets[ip]
 	return h, ok
 }
 
-// Service returns the hosts of a service, in no order. The slice is the view's
+// Service returns the targets of a service, in no order. The slice is the view's
 // own.
-func (v *View) Service(tag flow.Tag) []*Host { return v.services[tag] }
+func (v *View) Service(tag flow.Tag) []*Target { return v.services[tag] }
 
-// Hosts and Balancers return the addresses known.
-func (v *View) Hosts() []flow.IPv4 { return keys(v.hosts) }
+// Targets and Balancers return the addresses known.
+func (v *View) Targets() []flow.IPv4 { return keys(v.targets) }
 
 // Balancers returns the addresses of the other balancers.
 func (v *View) Balancers() []flow.IPv4 { return keys(v.peers) }
@@ -73,9 +73,9 @@
 	return split(v.Balancers(), func(ip flow.IPv4) bool { return v.peers[ip].Zone == zone })
 }
 
-// HostsByZone returns the addresses of the hosts of a zone, and of all others.
-func (v *View) HostsByZone(zone flow.Tag) (near, far []flow.IPv4) {
-	return split(v.Hosts(), func(ip flow.IPv4) bool { return v.hosts[ip].Zone == zone })
+// TargetsByZone returns the addresses of the targets of a zone, and of all others.
+func (v *View) TargetsByZone(zone flow.Tag) (near, far []flow.IPv4) {
+	return split(v.Targets(), func(ip flow.IPv4) bool { return v.targets[ip].Zone == zone })
 }
 
 // split divides a list by a predicate.
@@ -93,17 +93,17 @@
 // keys returns the addresses in order, so that a run repeats.
 func keys[V any](m map[flow.IPv4]V) []flow.IPv4 { return slices.Sorted(maps.Keys(m)) }
 
-// Generation rises with each host that comes to be one that may hold a flow: a
-// search that began in a generation has asked those of it, and only hosts since
+// Generation rises with each target that comes to be one that may hold a flow: a
+// search that began in a generation has asked those of it, and only targets since
 // then can hold the flow if all have denied it.
 func (v *View) Generation() uint32 { return v.generation }
 
-// Names returns the nodes known, but for agents without a host that are not heard
+// Names returns the nodes known, but for agents without a target that are not heard
 // any more: nobody needs them.
 func (v *View) Names(now time.Time) Names {
 	n := Names{Balancers: v.Balancers()}
-	for _, ip := range v.Hosts() {
-		switch h := v.hosts[ip]; {
+	for _, ip := range v.Targets() {
+		switch h := v.targets[ip]; {
 		case h.State != Gone:
 			n.Holders = append(n.Holders, ip)
 		case !h.Quiet(now):
@@ -120,7 +120,7 @@
 	for ip := range v.peers {
 		sum ^= member(ip, true)
 	}
-	for ip, h := range v.hosts {
+	for ip, h := range v.targets {
 		if h.State != Gone || !h.Quiet(now) {
 			sum ^= member(ip, false)
 		}
@@ -148,24 +148,24 @@
 	Same
 	// Joined: not known before, or another process at the address.
 	Joined
-	// Altered: another service, host or state.
+	// Altered: another service, target or state.
 	Altered
 )
 
 // Announce takes an agent's announcement.
 func (v *View) Announce(now time.Time, ip flow.IPv4, a Announcement) Change {
-	h, known := v.hosts[ip]
+	h, known := v.targets[ip]
 	if !known {
-		h = &Host{IP: ip}
+		h = &Target{IP: ip}
 	}
 	former, held := h.Announcement, h.MayHold(now)
 	if !h.order.accept(a.Identity, h.Quiet(now)) {
 		return Stale
 	}
-	v.hosts[ip] = h
+	v.targets[ip] = h
 	if former.State == Draining && a.State == Ready && a.Incarnation == 0 {
-		// A fresh agent finds its host listening before it hears what the host
-		// says of itself; until then the host is as it was.
+		// A fresh agent finds its target listening before it hears what the target
+		// says of itself; until then the target is as it was.
 		a.State = Draining
 	}
 	h.Announcement, h.HeardAt, h.Sent = a, now, 0
@@ -190,20 +190,20 @@
 	}
 }
 
-// begin notes that a host may hold flows from now on.
-func (v *View) begin(h *Host) {
+// begin notes that a target may hold flows from now on.
+func (v *View) begin(h *Target) {
 	v.generation++
 	h.Since = v.generation
 }
 
-// reindex moves a host to the list of its service.
-func (v *View) reindex(h *Host, former flow.Tag) {
+// reindex moves a target to the list of its service.
+func (v *View) reindex(h *Target, former flow.Tag) {
 	v.unlist(h, former)
 	v.services[h.Service] = append(v.services[h.Service], h)
 	v.tags = slices.Sorted(maps.Keys(v.services))
 }
 
-func (v *View) unlist(h *Host, tag flow.Tag) {
+func (v *View) unlist(h *Target, tag flow.Tag) {
 	list := v.services[tag]
 	for i, other := range list {
 		if other == h {
@@ -248,12 +248,12 @@
 }
 
 // Expire forgets who was not heard for long and returns them.
-func (v *View) Expire(now time.Time) (hosts, balancers []Entry) {
-	for ip, h := range v.hosts {
+func (v *View) Expire(now time.Time) (targets, balancers []Entry) {
+	for ip, h := range v.targets {
 		if now.Sub(h.HeardAt) > Forget {
 			v.unlist(h, h.Service)
-			delete(v.hosts, ip)
-			hosts = append(hosts, Entry{IP: ip, Epoch: h.Epoch})
+			delete(v.targets, ip)
+			targets = append(targets, Entry{IP: ip, Epoch: h.Epoch})
 		}
 	}
 	for ip, p := range v.peers {
@@ -262,7 +262,7 @@
 			balancers = append(balancers, Entry{IP: ip, Epoch: p.Epoch})
 		}
 	}
-	return hosts, balancers
+	return targets, balancers
 }
 
 // KnowsBalancer tells whether a balancer was heard lately.
@@ -271,11 +271,11 @@
 	return ok
 }
 
-// KnowsHost tells whether a host's agent was heard lately.
-func (v *View) KnowsHost(ip flow.IPv4) bool {
-	_, ok := v.hosts[ip]
+// KnowsTarget tells whether a target's agent was heard lately.
+func (v *View) KnowsTarget(ip flow.IPv4) bool {
+	_, ok := v.targets[ip]
 	return ok
 }
 
-// Services returns the tags of the services that have hosts, in a fixed order.
+// Services returns the tags of the services that have targets, in a fixed order.
 func (v *View) Services() []flow.Tag { return v.tags }
--- a/flow/envelope/envelope.go
+++ b/flow/envelope/envelope.go
@@ -4,7 +4,7 @@
 //
 // Layout, big-endian: magic (2), version (1), kind (1), balancer (4), hops (1),
 // flags (1), candidate count (1), priority (1), service (4), search (4),
-// objective (2), deadline (2), least loaded host (4), its wait (2), then 8 bytes
+// objective (2), deadline (2), least loaded target (4), its wait (2), then 8 bytes
 // for each candidate still to try (address 4, service 4), then the packet. Times
 // are whole milliseconds, at most 65,535.
 //
@@ -26,11 +26,11 @@
 
 // The kinds. Those from Announce on belong to package fleet.
 const (
-	// Deliver carries a client's packet to the host that should have it.
+	// Deliver carries a client's packet to the target that should have it.
 	Deliver Kind = 1 + iota
 	// Returned carries a packet back to its balancer: nobody took it.
 	Returned
-	// Owner tells a balancer which host holds a flow; the packet part is the
+	// Owner tells a balancer which target holds a flow; the packet part is the
 	// flow's key.
 	Owner
 	// Announce, Beacon and Peers are messages of package fleet.
@@ -48,7 +48,7 @@
 	Search Flags = 1 << iota
 	// Searched marks a Returned packet for which every candidate was asked.
 	Searched
-	// Unsure marks a search in which a host could not say a certain no.
+	// Unsure marks a search in which a target could not say a certain no.
 	Unsure
 	// Settle marks a new flow that every candidate was offered: the receiver has
 	// the shortest wait of them.
@@ -86,7 +86,7 @@
 	// Hops counts the agents that passed the packet on.
 	Hops  uint8
 	Flags Flags
-	// Service is what the receiver's host must serve.
+	// Service is what the receiver's target must serve.
 	Service flow.Tag
 	// SearchID numbers the searches of a balancer, over its restarts.
 	SearchID uint32
@@ -95,7 +95,7 @@
 	// Objective and Deadline are those of the route's requests, zero when
 	// unstated; for new flows only.
 	Objective, Deadline time.Duration
-	// Best is the host with the shortest wait of those that a new flow was offered
+	// Best is the target with the shortest wait of those that a new flow was offered
 	// in vain, BestWait that wait; zero before the first.
 	Best     flow.IPv4
 	BestWait time.Duration
@@ -146,7 +146,7 @@
 	b = binary.BigEndian.AppendUint32(b, uint32(e.Best))
 	b = appendMillis(b, e.BestWait)
 	for _, c := range e.Candidates[:e.Count] {
-		b = binary.BigEndian.AppendUint32(b, uint32(c.Host))
+		b = binary.BigEndian.AppendUint32(b, uint32(c.Target))
 		b = binary.BigEndian.AppendUint32(b, uint32(c.Service))
 	}
 	return b
@@ -177,7 +177,7 @@
 	for i := range count {
 		at := b[headLen+i*itemLen:]
 		e.Candidates[i] = flow.Candidate{
-			Host:    flow.IPv4(binary.BigEndian.Uint32(at)),
+			Target:  flow.IPv4(binary.BigEndian.Uint32(at)),
 			Service: flow.Tag(binary.BigEndian.Uint32(at[4:])),
 		}
 	}
--- a/flow/envelope/envelope_test.go
+++ b/flow/envelope/envelope_test.go
@@ -23,7 +23,7 @@
 		Priority: rapid.Uint8().Draw(t, "priority"),
 	}
 	for range rapid.IntRange(0, MaxCandidates).Draw(t, "count") {
-		e.Candidates[e.Count] = flow.Candidate{Host: flow.IPv4(rapid.Uint32().Draw(t, "host")), Service: 1}
+		e.Candidates[e.Count] = flow.Candidate{Target: flow.IPv4(rapid.Uint32().Draw(t, "target")), Service: 1}
 		e.Count++
 	}
 	return e
@@ -48,12 +48,12 @@
 
 func TestPopTakesCandidatesInOrder(t *testing.T) {
 	var e Envelope
-	e.SetCandidates([]flow.Candidate{{Host: 1}, {Host: 2}})
+	e.SetCandidates([]flow.Candidate{{Target: 1}, {Target: 2}})
 	first, ok := e.Pop()
 	require.True(t, ok)
-	require.EqualValues(t, 1, first.Host)
+	require.EqualValues(t, 1, first.Target)
 	second, _ := e.Pop()
-	require.EqualValues(t, 2, second.Host)
+	require.EqualValues(t, 2, second.Target)
 	_, ok = e.Pop()
 	require.False(t, ok)
 }
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// IPv4 is an address in host byte order; the platform's fabric is IPv4 only.
+// IPv4 is an address in target byte order; the platform's fabric is IPv4 only.
 type IPv4 uint32
 
 // FromAddr converts an address; anything but IPv4 becomes zero.
@@ -49,7 +49,7 @@
 // String returns the dotted form.
 func (ip IPv4) String() string { return ip.Addr().String() }
 
-// Tag is a name (of a service, zone or host incarnation) in 32 bits. Tags are
+// Tag is a name (of a service, zone or target incarnation) in 32 bits. Tags are
 // compared for equality only; zero stands for "no name".
 type Tag uint32
 
@@ -111,7 +111,7 @@
 	ACK
 	FIN
 	RST
-	// Bounced marks a client's packet that its host did not take.
+	// Bounced marks a client's packet that its target did not take.
 	Bounced
 )
 
@@ -128,7 +128,7 @@
 	Seq, Ack uint32
 	// Len is the length of the data behind the header, in bytes.
 	Len int
-	// Echo comes back unchanged in a packet that the host bounces.
+	// Echo comes back unchanged in a packet that the target bounces.
 	Echo uint32
 }
 
@@ -137,8 +137,8 @@
 	return Key{ClientIP: h.Src, ClientPort: h.SrcPort, FrontIP: h.Dst, FrontPort: h.DstPort}
 }
 
-// FromHost returns the key of a packet that a host wrote.
-func (h *Header) FromHost() Key {
+// FromTarget returns the key of a packet that a target wrote.
+func (h *Header) FromTarget() Key {
 	return Key{ClientIP: h.Dst, ClientPort: h.DstPort, FrontIP: h.Src, FrontPort: h.SrcPort}
 }
 
@@ -150,10 +150,10 @@
 // wire accepts a reset within the same distance.
 const sequenceWindow = 64 * 1200
 
-// SameFlow tells whether an acknowledgement fits a host's sequence number, so
+// SameFlow tells whether an acknowledgement fits a target's sequence number, so
 // that a packet of a later flow between the same ports is told apart.
-func SameFlow(ack, hostSeq uint32) bool {
-	diff := int32(ack - hostSeq)
+func SameFlow(ack, targetSeq uint32) bool {
+	diff := int32(ack - targetSeq)
 	return diff >= -sequenceWindow && diff <= sequenceWindow
 }
 
@@ -171,12 +171,12 @@
 	Answer(packet []byte) Answer
 }
 
-// Answer is what a host says of its work on a request.
+// Answer is what a target says of its work on a request.
 type Answer uint8
 
 // The answers.
 const (
-	// AnswerGiven: the host has done its work, also where it refuses a request as not
+	// AnswerGiven: the target has done its work, also where it refuses a request as not
 	// its own.
 	AnswerGiven Answer = iota
 	// AnswerFailed: it says that it has failed.
--- a/flow/flow_test.go
+++ b/flow/flow_test.go
@@ -47,26 +47,26 @@
 	require.InDelta(t, 3000, count["b"], 150)
 }
 
-func ranked(hash uint64, hosts []IPv4, limit int) []IPv4 {
+func ranked(hash uint64, targets []IPv4, limit int) []IPv4 {
 	r := NewRanking(limit)
-	for _, h := range hosts {
-		r.Offer(Score(hash, h), Candidate{Host: h})
+	for _, h := range targets {
+		r.Offer(Score(hash, h), Candidate{Target: h})
 	}
 	var out []IPv4
 	for _, c := range r.Items() {
-		out = append(out, c.Host)
+		out = append(out, c.Target)
 	}
 	return out
 }
 
-// TestRankingMovesOnlyWhatAHostGainsOrLoses: the order of the others never
-// depends on a host that joins, whatever the order of the offers.
-func TestRankingMovesOnlyWhatAHostGainsOrLoses(t *testing.T) {
+// TestRankingMovesOnlyWhatATargetGainsOrLoses: the order of the others never
+// depends on a target that joins, whatever the order of the offers.
+func TestRankingMovesOnlyWhatATargetGainsOrLoses(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		hosts := rapid.SliceOfNDistinct(rapid.Uint32(), 2, 40, rapid.ID).Draw(t, "hosts")
+		targets := rapid.SliceOfNDistinct(rapid.Uint32(), 2, 40, rapid.ID).Draw(t, "targets")
 		hash := rapid.Uint64().Draw(t, "hash")
 		var ips []IPv4
-		for _, h := range hosts {
+		for _, h := range targets {
 			ips = append(ips, IPv4(h))
 		}
 		all := ranked(hash, ips, len(ips))
@@ -80,12 +80,12 @@
 }
 
 func TestRankingSpreadsFlowsEvenly(t *testing.T) {
-	hosts := []IPv4{0x0a010001, 0x0a010002, 0x0a020001, 0x0a020002, 0x0a030001}
+	targets := []IPv4{0x0a010001, 0x0a010002, 0x0a020001, 0x0a020002, 0x0a030001}
 	count := map[IPv4]int{}
 	for i := range uint32(10_000) {
-		count[ranked(Key{ClientIP: 0x64400000 + IPv4(i), ClientPort: 1024}.Hash(), hosts, 1)[0]]++
+		count[ranked(Key{ClientIP: 0x64400000 + IPv4(i), ClientPort: 1024}.Hash(), targets, 1)[0]]++
 	}
-	for _, h := range hosts {
+	for _, h := range targets {
 		require.InDelta(t, 2000, count[h], 200, h)
 	}
 }
@@ -96,7 +96,7 @@
 	for b.Loop() {
 		r.Reset()
 		for h := range IPv4(17) {
-			r.Offer(Score(12345, 0x0a000000+h), Candidate{Host: h})
+			r.Offer(Score(12345, 0x0a000000+h), Candidate{Target: h})
 		}
 	}
 }
--- a/flow/rank.go
+++ b/flow/rank.go
@@ -1,8 +1,8 @@
 package flow
 
-// Score is the rendezvous weight of a host for a flow hash.
-func Score(hash uint64, host IPv4) uint64 {
-	x := hash ^ (uint64(host) * 0x9e3779b97f4a7c15)
+// Score is the rendezvous weight of a target for a flow hash.
+func Score(hash uint64, target IPv4) uint64 {
+	x := hash ^ (uint64(target) * 0x9e3779b97f4a7c15)
 	// The finaliser of splitmix64 (Steele et al., 2014).
 	x ^= x >> 30
 	x *= 0xbf58476d1ce4e5b9
@@ -13,9 +13,9 @@
 
 // Candidate is a place where a flow may be served.
 type Candidate struct {
-	Host IPv4
-	// Service is the service that the sender believes the host to serve; an
-	// agent refuses what is not its host's.
+	Target IPv4
+	// Service is the service that the sender believes the target to serve; an
+	// agent refuses what is not its target's.
 	Service Tag
 }
 
--- a/measure/packetbench.go
+++ b/measure/packetbench.go
@@ -103,7 +103,7 @@
 	return worker.Start(func(ctx context.Context) error { return socket.Serve(ctx, handle) })
 }
 
-// startPacketFront runs a balancer that knows the sink as its one host and has
+// startPacketFront runs a balancer that knows the sink as its one target and has
 // opened the measured flow there.
 func startPacketFront(agent *packetSink) (stop func(), err error) {
 	store := standin.NewStore(time.Now)
@@ -128,7 +128,7 @@
 		stopFront()
 		server.Close()
 	}
-	if err := waitUntil(func() bool { return f.Ready() && f.Hosts() > 0 }); err != nil {
+	if err := waitUntil(func() bool { return f.Ready() && f.Targets() > 0 }); err != nil {
 		stop()
 		return nil, err
 	}
--- a/measure/startup.go
+++ b/measure/startup.go
@@ -32,7 +32,7 @@
 type start struct{ wall, cpu time.Duration }
 
 // PrintStartup measures a packet front's balancer from exec until it answers
-// ready, which it does once a configuration is in force. Without hosts it waits
+// ready, which it does once a configuration is in force. Without targets it waits
 // for them, so that "in force" is read from its log.
 func PrintStartup(w io.Writer, binary string) error {
 	store := standin.NewStore(time.Now)
--- a/model/caller.go
+++ b/model/caller.go
@@ -55,10 +55,10 @@
 // attempt is one try: a flow of its own.
 type attempt struct {
 	*request
-	key     flow.Key
-	open    bool
-	ended   bool
-	hostSeq uint32
+	key       flow.Key
+	open      bool
+	ended     bool
+	targetSeq uint32
 }
 
 // begin sends a request of a class from a zone.
@@ -86,7 +86,7 @@
 		return
 	}
 	if a := q.last; a != nil && a.open && !a.ended {
-		a.send(flow.ACK|flow.FIN, 2, a.hostSeq, nil)
+		a.send(flow.ACK|flow.FIN, 2, a.targetSeq, nil)
 	}
 	q.finish(Lost)
 }
@@ -167,7 +167,7 @@
 	if !a.waits() {
 		return
 	}
-	a.send(flow.ACK, 1, a.hostSeq, requestData(a.number))
+	a.send(flow.ACK, 1, a.targetSeq, requestData(a.number))
 	a.run.world.After(pause, func() { a.ask(min(2*pause, lastRepeat)) })
 }
 
@@ -177,18 +177,18 @@
 	if err != nil {
 		return
 	}
-	a, known := r.attempts[head.FromHost()]
+	a, known := r.attempts[head.FromTarget()]
 	if !known || !a.waits() {
 		return
 	}
 	switch {
 	case head.Flags.Has(flow.RST):
-		if !a.open || flow.SameFlow(head.Seq, a.hostSeq) {
+		if !a.open || flow.SameFlow(head.Seq, a.targetSeq) {
 			a.fail(!a.open, !a.open)
 		}
 	case head.Flags.Has(flow.SYN | flow.ACK):
 		if !a.open {
-			a.open, a.hostSeq = true, head.Seq
+			a.open, a.targetSeq = true, head.Seq
 			a.ask(firstRepeat)
 		}
 	case a.open && head.Len > 0:
@@ -198,7 +198,7 @@
 
 // answered takes an answer and closes the flow.
 func (a *attempt) answered(text []byte) {
-	a.send(flow.ACK|flow.FIN, 2, a.hostSeq+1, nil)
+	a.send(flow.ACK|flow.FIN, 2, a.targetSeq+1, nil)
 	switch {
 	case bytes.HasPrefix(text, []byte(answerShed)):
 		a.fail(true, true)
--- a/model/deployment.go
+++ b/model/deployment.go
@@ -14,7 +14,7 @@
 	Service string `json:"service" validate:"required"`
 	// Rate is requests a second.
 	Rate float64 `json:"rate" validate:"gt=0"`
-	// Work is the mean time of a host's slot for one, log-normal with Spread.
+	// Work is the mean time of a target's slot for one, log-normal with Spread.
 	Work   settings.Duration `json:"work" validate:"gt=0"`
 	Spread float64           `json:"spread" validate:"gte=0"`
 	// Objective is the latency objective, Deadline when callers give up.
@@ -27,14 +27,14 @@
 	Retries int `json:"retries" validate:"gte=0"`
 }
 
-// Service is a group of hosts.
+// Service is a group of targets.
 type Service struct {
-	Name  string `json:"name" validate:"required"`
-	Hosts int    `json:"hosts" validate:"gt=0"`
-	Slots int    `json:"slots" validate:"gt=0"`
-	// Queue is how many requests a host keeps beyond its slots; it sheds the rest.
+	Name    string `json:"name" validate:"required"`
+	Targets int    `json:"targets" validate:"gt=0"`
+	Slots   int    `json:"slots" validate:"gt=0"`
+	// Queue is how many requests a target keeps beyond its slots; it sheds the rest.
 	Queue int `json:"queue" validate:"gte=0"`
-	// ColdTime is how long a host is slower by ColdFactor after its start.
+	// ColdTime is how long a target is slower by ColdFactor after its start.
 	ColdTime   settings.Duration `json:"coldTime"`
 	ColdFactor float64           `json:"coldFactor" validate:"gte=1"`
 }
@@ -51,13 +51,13 @@
 	ClientDelay settings.Duration `json:"clientDelay"`
 }
 
-// Defaults is a deployment of seven hosts with 0.7 of their capacity in use.
+// Defaults is a deployment of seven targets with 0.7 of their capacity in use.
 func Defaults() Deployment {
 	return Deployment{
-		Name: "seven hosts", Zones: 3, Balancers: 5,
+		Name: "seven targets", Zones: 3, Balancers: 5,
 		Services: []Service{
-			{Name: "main", Hosts: 7, Slots: 4, Queue: 16, ColdTime: ms(2000), ColdFactor: 1.6},
-			{Name: "side", Hosts: 3, Slots: 4, Queue: 16, ColdTime: ms(2000), ColdFactor: 1.6},
+			{Name: "main", Targets: 7, Slots: 4, Queue: 16, ColdTime: ms(2000), ColdFactor: 1.6},
+			{Name: "side", Targets: 3, Slots: 4, Queue: 16, ColdTime: ms(2000), ColdFactor: 1.6},
 		},
 		Classes: []Class{
 			{Name: "read", Service: "main", Rate: 300, Work: ms(30), Spread: 0.5, Objective: ms(150), Deadline: ms(2500), Priority: 2, Retries: 2},
@@ -72,15 +72,15 @@
 
 // Bounds of deployments that are drawn at random.
 const (
-	fewestHosts, mostHosts       = 3, 200
-	fewestSlots, mostSlots       = 1, 16
-	leastWork, mostWork          = 5 * time.Millisecond, 200 * time.Millisecond
-	leastDeadline, mostDeadline  = 500 * time.Millisecond, 10 * time.Second
-	leastLoad, mostLoad          = 0.3, 1.3
-	leastObjectives              = 4
-	mostObjectives               = 8
-	unsafeShare                  = 0.22
-	hostsPerBalancer, leastFront = 4, 3
+	fewestTargets, mostTargets     = 3, 200
+	fewestSlots, mostSlots         = 1, 16
+	leastWork, mostWork            = 5 * time.Millisecond, 200 * time.Millisecond
+	leastDeadline, mostDeadline    = 500 * time.Millisecond, 10 * time.Second
+	leastLoad, mostLoad            = 0.3, 1.3
+	leastObjectives                = 4
+	mostObjectives                 = 8
+	unsafeShare                    = 0.22
+	targetsPerBalancer, leastFront = 4, 3
 	// mostRate bounds what one seed costs, in requests a second.
 	mostRate = 3000
 )
@@ -88,17 +88,17 @@
 // Draw returns a deployment at random, so that no policy is fitted to one site:
 // sizes, work and deadlines are log-uniform, the load uniform.
 func Draw(rnd *rand.Rand) Deployment {
-	hosts := int(logUniform(rnd, fewestHosts, mostHosts))
+	targets := int(logUniform(rnd, fewestTargets, mostTargets))
 	slots := int(logUniform(rnd, fewestSlots, mostSlots))
 	work := time.Duration(logUniform(rnd, float64(leastWork), float64(mostWork)))
 	deadline := time.Duration(logUniform(rnd, float64(leastDeadline), float64(mostDeadline)))
 	objective := time.Duration((leastObjectives + rnd.Float64()*(mostObjectives-leastObjectives)) * float64(work))
 	objective = min(objective, deadline/2)
 	load := leastLoad + rnd.Float64()*(mostLoad-leastLoad)
-	rate := load * float64(hosts*slots) / work.Seconds()
+	rate := load * float64(targets*slots) / work.Seconds()
 	if rate > mostRate {
-		hosts = max(int(float64(hosts)*mostRate/rate), 1)
-		rate = load * float64(hosts*slots) / work.Seconds()
+		targets = max(int(float64(targets)*mostRate/rate), 1)
+		rate = load * float64(targets*slots) / work.Seconds()
 	}
 	class := Class{
 		Name: "read", Service: "main", Rate: rate * (1 - unsafeShare), Work: settings.Duration(work), Spread: 0.5,
@@ -107,8 +107,8 @@
 	write := class
 	write.Name, write.Rate, write.Priority, write.Unsafe = "write", rate*unsafeShare, 1, true
 	return Deployment{
-		Name: "drawn", Zones: 1 + rnd.IntN(4), Balancers: max(leastFront, hosts/hostsPerBalancer),
-		Services:  []Service{{Name: "main", Hosts: hosts, Slots: slots, Queue: 4 * slots, ColdTime: ms(2000), ColdFactor: 1.6}},
+		Name: "drawn", Zones: 1 + rnd.IntN(4), Balancers: max(leastFront, targets/targetsPerBalancer),
+		Services:  []Service{{Name: "main", Targets: targets, Slots: slots, Queue: 4 * slots, ColdTime: ms(2000), ColdFactor: 1.6}},
 		Classes:   []Class{class, write},
 		ZoneDelay: ms(1 + rnd.IntN(2)), ClientDelay: ms(1 + rnd.IntN(3)),
 	}
--- a/model/doc.go
+++ b/model/doc.go
@@ -1,6 +1,6 @@
 // Package model plays load and faults on a deployment and says what callers got:
 // a discrete-event simulation that runs the real cores of balancers and agents
-// (package sim) before hosts with slots, queues, cold starts, crashes and partial
+// (package sim) before targets with slots, queues, cold starts, crashes and partial
 // failures, and callers that open flows, repeat packets, retry and give up as the
 // platform's protocol says. It needs no network and no clock, and one seed
 // decides a run.
--- a/model/experiment.go
+++ b/model/experiment.go
@@ -95,8 +95,8 @@
 	for i := range d.Classes {
 		rate += d.Classes[i].Rate
 	}
-	capacity := float64(s.Hosts*s.Slots) / c.Work.D().Seconds()
-	return fmt.Sprintf("%d hosts x %d, work %v, deadline %v, load %.2f", s.Hosts, s.Slots,
+	capacity := float64(s.Targets*s.Slots) / c.Work.D().Seconds()
+	return fmt.Sprintf("%d targets x %d, work %v, deadline %v, load %.2f", s.Targets, s.Slots,
 		c.Work.D().Round(time.Millisecond), c.Deadline.D().Round(time.Millisecond), rate/capacity)
 }
 
--- a/model/experiment_test.go
+++ b/model/experiment_test.go
@@ -16,7 +16,7 @@
 		`{"patterns":["return","flood"]}`: `"patterns"`,
 		`{"seeds":0}`:                     `"seeds"`,
 		`{"drawn":-1}`:                    `"drawn"`,
-		`{"deployment":{"name":"d","zones":1,"balancers":1,"services":[{"name":"a","hosts":1,"slots":1,"coldFactor":1}],
+		`{"deployment":{"name":"d","zones":1,"balancers":1,"services":[{"name":"a","targets":1,"slots":1,"coldFactor":1}],
 			"classes":[{"name":"c","service":"b","rate":1,"work":"1ms","objective":"1s","deadline":"2s"}]}}`: "deployment.classes[0].service",
 	} {
 		s, err := settings.Parse([]byte(text), DefaultSettings())
@@ -35,7 +35,7 @@
 		d := Draw(rnd)
 		require.NoError(t, settings.Validate(d))
 		s, c := d.Services[0], d.Classes[0]
-		require.LessOrEqual(t, s.Hosts, mostHosts)
+		require.LessOrEqual(t, s.Targets, mostTargets)
 		require.LessOrEqual(t, s.Slots, mostSlots)
 		require.LessOrEqual(t, c.Objective.D(), c.Deadline.D()/2)
 		require.LessOrEqual(t, c.Rate, float64(mostRate)*1.5)
--- a/model/model_test.go
+++ b/model/model_test.go
@@ -48,12 +48,12 @@
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(asked), "ns/request")
 }
 
-// manyHosts is a deployment with 0.42 of its capacity in use, a fifth of it by requests
-// that must not be repeated: what a bad host loses of these is lost.
-func manyHosts() Deployment {
+// manyTargets is a deployment with 0.42 of its capacity in use, a fifth of it by requests
+// that must not be repeated: what a bad target loses of these is lost.
+func manyTargets() Deployment {
 	d := Defaults()
-	d.Name, d.Balancers = "many hosts", 8
-	d.Services = []Service{{Name: "main", Hosts: 25, Slots: 2, Queue: 8, ColdTime: ms(2000), ColdFactor: 1.6}}
+	d.Name, d.Balancers = "many targets", 8
+	d.Services = []Service{{Name: "main", Targets: 25, Slots: 2, Queue: 8, ColdTime: ms(2000), ColdFactor: 1.6}}
 	d.Classes = []Class{
 		{Name: "read", Service: "main", Rate: 440, Work: ms(30), Spread: 0.5, Objective: ms(250), Deadline: ms(3000), Priority: 2, Retries: 2},
 		{Name: "write", Service: "main", Rate: 125, Work: ms(39), Spread: 0.5, Objective: ms(300), Deadline: ms(3000), Priority: 1, Unsafe: true, Retries: 2},
@@ -61,16 +61,16 @@
 	return d
 }
 
-// TestBadHostsLoseFewWrites: patterns "flap" and "partial", in which three of 25 hosts
+// TestBadTargetsLoseFewWrites: patterns "flap" and "partial", in which three of 25 targets
 // go down and up each 0.8 s, or fail 31% of their requests, for 6 of 13 s. Grounds of
-// the figures: a host of 23 requests a second shows a third of failures within some 30
-// requests, of which 2 writes are lost; what a host has in hand when it goes down the
+// the figures: a target of 23 requests a second shows a third of failures within some 30
+// requests, of which 2 writes are lost; what a target has in hand when it goes down the
 // first time is lost (2 slots, a fifth of it writes), later ends find nothing in hand.
-func TestBadHostsLoseFewWrites(t *testing.T) {
+func TestBadTargetsLoseFewWrites(t *testing.T) {
 	for pattern, most := range map[string]float64{"flap": 0.0012, "partial": 0.006} {
 		var sum Result
 		for seed := range uint64(8) {
-			sum.Add(Play(Options{Deployment: manyHosts(), Pattern: pattern, At: 4 * time.Second, Length: 13 * time.Second, Seed: seed}))
+			sum.Add(Play(Options{Deployment: manyTargets(), Pattern: pattern, At: 4 * time.Second, Length: 13 * time.Second, Seed: seed}))
 		}
 		write := sum.Classes[1].Count
 		require.Greater(t, write.Asked, 5000, pattern)
--- a/model/pattern.go
+++ b/model/pattern.go
@@ -19,16 +19,16 @@
 // Times and shares of the patterns.
 const (
 	// darkTime is how long VMs have no power, processTime and processSpread how
-	// long a process takes from then on until it is up, hostSpread how long a host
+	// long a process takes from then on until it is up, targetSpread how long a target
 	// takes.
 	darkTime      = 1400 * time.Millisecond
 	processTime   = 240 * time.Millisecond
 	processSpread = 350 * time.Millisecond
-	hostSpread    = 300 * time.Millisecond
+	targetSpread  = 300 * time.Millisecond
 	// burstFactor is on the load, for burstTime.
 	burstFactor = 1.8
 	burstTime   = 3 * time.Second
-	// badShare of the hosts misbehave for badTime: down and up by turns of
+	// badShare of the targets misbehave for badTime: down and up by turns of
 	// flapTime, failing a failShare of their requests, or slower by slowFactor.
 	badShare   = 0.15
 	badTime    = 6 * time.Second
@@ -36,7 +36,7 @@
 	failShare  = 0.31
 	slowFactor = 4.0
 	// rollGap is between two replacements, leaveTime how long a balancer forwards
-	// on once it is unready, drainTime how long a host serves on.
+	// on once it is unready, drainTime how long a target serves on.
 	rollGap   = 1200 * time.Millisecond
 	leaveTime = 1700 * time.Millisecond
 	drainTime = 3 * time.Second
@@ -45,13 +45,13 @@
 // Patterns are all that can be played.
 var Patterns = []Pattern{
 	{"quiet", "the load alone", func(*run) {}},
-	{"return", "everything loses power and comes back, hosts cold, callers all at once", (*run).returnOfAll},
-	{"kill", "all processes end and start again; hosts live", (*run).killAll},
+	{"return", "everything loses power and comes back, targets cold, callers all at once", (*run).returnOfAll},
+	{"kill", "all processes end and start again; targets live", (*run).killAll},
 	{"burst", "many more callers for some seconds", (*run).burst},
-	{"release", "the hosts are replaced one after the other", (*run).release},
-	{"flap", "some hosts go down and up by turns", (*run).flap},
-	{"partial", "some hosts fail part of their requests", (*run).partial},
-	{"slow", "some hosts turn slow", (*run).slow},
+	{"release", "the targets are replaced one after the other", (*run).release},
+	{"flap", "some targets go down and up by turns", (*run).flap},
+	{"partial", "some targets fail part of their requests", (*run).partial},
+	{"slow", "some targets turn slow", (*run).slow},
 	{"roll", "the balancers are restarted one after the other", (*run).roll},
 }
 
@@ -85,11 +85,11 @@
 	}
 	for _, ip := range r.world.AgentIPs() {
 		a := r.world.Agents[ip]
-		h := r.hosts[a]
+		h := r.targets[a]
 		a.Restart(r.startUp())
 		if h != nil {
 			h.end()
-			r.world.After(darkTime+r.world.Jitter(hostSpread), func() { r.startHost(a, h.service) })
+			r.world.After(darkTime+r.world.Jitter(targetSpread), func() { r.startTarget(a, h.service) })
 		}
 	}
 }
@@ -108,14 +108,14 @@
 	r.world.After(burstTime, func() { r.factor = 1 })
 }
 
-// bad returns the hosts that misbehave: a share of each service, one at least.
-func (r *run) bad() []*host {
-	var out []*host
+// bad returns the targets that misbehave: a share of each service, one at least.
+func (r *run) bad() []*target {
+	var out []*target
 	for i := range r.deployment.Services {
 		s := &r.deployment.Services[i]
-		left := max(int(badShare*float64(s.Hosts)), 1)
+		left := max(int(badShare*float64(s.Targets)), 1)
 		for _, ip := range r.world.AgentIPs() {
-			if h := r.hosts[r.world.Agents[ip]]; h != nil && h.service == s && left > 0 {
+			if h := r.targets[r.world.Agents[ip]]; h != nil && h.service == s && left > 0 {
 				out = append(out, h)
 				left--
 			}
@@ -127,16 +127,16 @@
 func (r *run) flap() {
 	end := r.world.Now.Add(badTime)
 	for _, h := range r.bad() {
-		r.flapHost(h, end)
+		r.flapTarget(h, end)
 	}
 }
 
-func (r *run) flapHost(h *host, end time.Time) {
+func (r *run) flapTarget(h *target, end time.Time) {
 	h.end()
 	r.world.After(flapTime, func() {
-		next := r.startHost(h.agent, h.service)
+		next := r.startTarget(h.agent, h.service)
 		if r.world.Now.Before(end) {
-			r.world.After(flapTime, func() { r.flapHost(next, end) })
+			r.world.After(flapTime, func() { r.flapTarget(next, end) })
 		}
 	})
 }
@@ -155,16 +155,16 @@
 	}
 }
 
-// release replaces a third of the hosts of each service: each drains, leaves, and
+// release replaces a third of the targets of each service: each drains, leaves, and
 // another one starts on a VM of its own a moment before.
 func (r *run) release() {
 	wait := time.Duration(0)
 	for i := range r.deployment.Services {
 		s := &r.deployment.Services[i]
-		left := max(s.Hosts/3, 1)
+		left := max(s.Targets/3, 1)
 		for _, ip := range r.world.AgentIPs() {
 			a := r.world.Agents[ip]
-			if h := r.hosts[a]; h != nil && h.service == s && left > 0 {
+			if h := r.targets[a]; h != nil && h.service == s && left > 0 {
 				left--
 				r.world.After(wait, func() { r.replace(h) })
 				wait += rollGap
@@ -173,14 +173,14 @@
 	}
 }
 
-func (r *run) replace(old *host) {
-	r.startHost(r.world.AddAgent(old.agent.Zone, old.service.Name), old.service)
+func (r *run) replace(old *target) {
+	r.startTarget(r.world.AddAgent(old.agent.Zone, old.service.Name), old.service)
 	r.world.After(rollGap, func() {
 		old.draining = true
 		old.report()
 	})
 	r.world.After(rollGap+drainTime, func() {
-		old.agent.Core.Leave(r.world.Now, fleet.Life{HostID: old.id})
+		old.agent.Core.Leave(r.world.Now, fleet.Life{TargetID: old.id})
 		old.end()
 		old.agent.Core.Stop(r.world.Now)
 		old.agent.Stop()
--- a/model/run.go
+++ b/model/run.go
@@ -33,7 +33,7 @@
 	deployment Deployment
 	world      *sim.World
 	routers    *routers
-	hosts      map[*sim.Agent]*host
+	targets    map[*sim.Agent]*target
 	requests   []*request
 	attempts   map[flow.Key]*attempt
 	ports      map[flow.IPv4]uint16
@@ -59,7 +59,7 @@
 
 func newRun(o Options) *run {
 	r := &run{
-		deployment: o.Deployment, world: sim.NewWorld(o.Seed), hosts: map[*sim.Agent]*host{},
+		deployment: o.Deployment, world: sim.NewWorld(o.Seed), targets: map[*sim.Agent]*target{},
 		attempts: map[flow.Key]*attempt{}, ports: map[flow.IPv4]uint16{}, fronts: map[*Class]flow.Front{}, factor: 1,
 	}
 	r.world.Client = r.take
@@ -72,8 +72,8 @@
 	}
 	for i := range r.deployment.Services {
 		s := &r.deployment.Services[i]
-		for j := range s.Hosts {
-			r.startHost(r.world.AddAgent(zoneName(j%r.deployment.Zones), s.Name), s)
+		for j := range s.Targets {
+			r.startTarget(r.world.AddAgent(zoneName(j%r.deployment.Zones), s.Name), s)
 		}
 	}
 	return r
--- a/model/sim/nodes.go
+++ b/model/sim/nodes.go
@@ -121,20 +121,20 @@
 	b.w.After(down, b.Start)
 }
 
-// Host is the program beside an agent.
-type Host interface {
+// Target is the program beside an agent.
+type Target interface {
 	// Take is given each packet that the agent hands over.
 	Take(packet []byte)
 }
 
-// Agent is an agent process and the host beside it.
+// Agent is an agent process and the target beside it.
 type Agent struct {
 	IP            flow.IPv4
 	Zone, Service string
 	Core          *agentfront.Core
 	Up            bool
-	// Host is the program beside it, nil when none runs.
-	Host Host
+	// Target is the program beside it, nil when none runs.
+	Target Target
 	// Life counts the processes so far.
 	Life int
 	// Resets counts the flows that it reset.
@@ -143,18 +143,18 @@
 	w *World
 }
 
-// hostDelay is how long a packet travels inside a VM.
-const hostDelay = 50 * time.Microsecond
+// targetDelay is how long a packet travels inside a VM.
+const targetDelay = 50 * time.Microsecond
 
 // ToNode implements agentfront.Port.
 func (a *Agent) ToNode(to flow.IPv4, head, packet []byte) { a.w.toNode(a.IP, to, head, packet) }
 
-// ToHost implements agentfront.Port.
-func (a *Agent) ToHost(packet []byte) {
+// ToTarget implements agentfront.Port.
+func (a *Agent) ToTarget(packet []byte) {
 	data := append([]byte(nil), packet...)
-	a.w.After(hostDelay, func() {
-		if a.Host != nil {
-			a.Host.Take(data)
+	a.w.After(targetDelay, func() {
+		if a.Target != nil {
+			a.Target.Take(data)
 		}
 	})
 }
@@ -168,7 +168,7 @@
 	a.w.toClient(key.ClientIP, platform.AppendReset(nil, key, seq))
 }
 
-// AddAgent starts an agent on a VM of its own; no host runs there yet.
+// AddAgent starts an agent on a VM of its own; no target runs there yet.
 func (w *World) AddAgent(zone, service string) *Agent {
 	a := &Agent{w: w, IP: w.nextIP(), Zone: zone, Service: service}
 	w.Agents[a.IP] = a
@@ -197,19 +197,19 @@
 	})
 }
 
-// probe connects to the host when the core wants to know whether it lives.
+// probe connects to the target when the core wants to know whether it lives.
 func (a *Agent) probe() {
 	if !a.Core.WantsProbe(a.w.Now) {
 		return
 	}
 	outcome := agentfront.ProbeAccepted
-	if a.Host == nil {
+	if a.Target == nil {
 		outcome = agentfront.ProbeRefused
 	}
 	a.Core.Probed(a.w.Now, outcome)
 }
 
-// register keeps the agent's entry as its host is, and looks for it now and then.
+// register keeps the agent's entry as its target is, and looks for it now and then.
 func (a *Agent) register(epoch uint64) {
 	w, life := a.w, a.Life
 	done := fleet.PresenceUnknown
@@ -247,19 +247,19 @@
 	a.w.After(down, a.Start)
 }
 
-// FromHost gives the agent a packet that its host sends.
-func (a *Agent) FromHost(packet []byte) {
-	a.w.After(hostDelay, func() {
+// FromTarget gives the agent a packet that its target sends.
+func (a *Agent) FromTarget(packet []byte) {
+	a.w.After(targetDelay, func() {
 		head, err := platform.DecodePacket(packet)
 		if err != nil || !a.Up {
 			return
 		}
-		a.Core.HandleHost(a.w.Now, &head, packet)
+		a.Core.HandleTarget(a.w.Now, &head, packet)
 	})
 }
 
-// Bounce gives the agent a packet back that the host did not take.
+// Bounce gives the agent a packet back that the target did not take.
 func (a *Agent) Bounce(packet []byte) {
 	platformtest.Bounce(packet)
-	a.FromHost(packet)
+	a.FromTarget(packet)
 }
--- a/model/sim/quiet.go
+++ b/model/sim/quiet.go
@@ -23,8 +23,8 @@
 func (QuietBalancer) Lost(flow.Key, int, balancerfront.Doubt, flow.IPv4) {}
 func (QuietBalancer) Kept(flow.Key, balancerfront.Keep)                  {}
 func (QuietBalancer) Dropped(balancerfront.Drop)                         {}
-func (QuietBalancer) HostChanged(*fleet.Host, fleet.Change)              {}
-func (QuietBalancer) HostForgotten(flow.IPv4)                            {}
+func (QuietBalancer) TargetChanged(*fleet.Target, fleet.Change)          {}
+func (QuietBalancer) TargetForgotten(flow.IPv4)                          {}
 func (QuietBalancer) PeerChanged(flow.IPv4, string)                      {}
 
 // QuietAgent hears nothing of what an agent decides.
@@ -42,7 +42,7 @@
 func (QuietAgent) Bounced(flow.Key, bool)                       {}
 func (QuietAgent) Reset(flow.Key, string)                       {}
 func (QuietAgent) Dropped(agentfront.Drop)                      {}
-func (QuietAgent) HostReport(string, fleet.Heartbeat)           {}
+func (QuietAgent) TargetReport(string, fleet.Heartbeat)         {}
 func (QuietAgent) Failed()                                      {}
 func (QuietAgent) Ejected(bool, int, int)                       {}
 func (QuietAgent) Unproven(int, time.Duration)                  {}
--- a/model/sim/world.go
+++ b/model/sim/world.go
@@ -7,7 +7,7 @@
 	"github.com/poppywall/poppywall/flow"
 )
 
-// HeartbeatPeriod is how often hosts report to their agents.
+// HeartbeatPeriod is how often targets report to their agents.
 const HeartbeatPeriod = 1200 * time.Millisecond
 
 // firstIP is the first node's address.
--- a/model/host.go
+++ b/model/target.go
@@ -13,7 +13,7 @@
 	"github.com/poppywall/poppywall/platform/platformtest"
 )
 
-// What hosts answer; the first bytes are all that agents look at.
+// What targets answer; the first bytes are all that agents look at.
 const (
 	answerDone   = "HTTP/1.1 200 OK\r\n\r\n"
 	answerFailed = "HTTP/1.1 500 Internal Server Error\r\n\r\n"
@@ -21,14 +21,14 @@
 )
 
 const (
-	// handshake is the time of a host for a new flow.
+	// handshake is the time of a target for a new flow.
 	handshake = 300 * time.Microsecond
 	// longestWork bounds the work on one request, in means.
 	longestWork = 6
 )
 
-// host is the program beside an agent.
-type host struct {
+// target is the program beside an agent.
+type target struct {
 	run       *run
 	agent     *sim.Agent
 	service   *Service
@@ -36,14 +36,14 @@
 	sequence  uint64
 	draining  bool
 	startedAt time.Time
-	flows     map[flow.Key]*hostFlow
+	flows     map[flow.Key]*targetFlow
 	running   int
 	queue     []job
 	// slow is a factor on its work, failing the share of requests it fails.
 	slow, failing float64
 }
 
-type hostFlow struct {
+type targetFlow struct {
 	seq uint32
 	// taken is set once the request came, answer once it was answered.
 	taken  bool
@@ -55,14 +55,14 @@
 	request *request
 }
 
-// startHost starts a fresh host beside an agent.
-func (r *run) startHost(a *sim.Agent, service *Service) *host {
-	h := &host{
+// startTarget starts a fresh target beside an agent.
+func (r *run) startTarget(a *sim.Agent, service *Service) *target {
+	h := &target{
 		run: r, agent: a, service: service, id: fmt.Sprintf("h-%x", r.world.Rnd.Uint32()),
-		startedAt: r.world.Now, flows: map[flow.Key]*hostFlow{}, slow: 1,
+		startedAt: r.world.Now, flows: map[flow.Key]*targetFlow{}, slow: 1,
 	}
-	a.Host = h
-	r.hosts[a] = h
+	a.Target = h
+	r.targets[a] = h
 	h.report()
 	r.world.Every(sim.HeartbeatPeriod, func() bool {
 		if h.alive() {
@@ -73,29 +73,29 @@
 	return h
 }
 
-// alive tells whether this is still the host beside its agent.
-func (h *host) alive() bool { return h.run.hosts[h.agent] == h }
+// alive tells whether this is still the target beside its agent.
+func (h *target) alive() bool { return h.run.targets[h.agent] == h }
 
-// end ends the host; its flows are lost.
-func (h *host) end() {
-	h.agent.Host = nil
-	delete(h.run.hosts, h.agent)
+// end ends the target; its flows are lost.
+func (h *target) end() {
+	h.agent.Target = nil
+	delete(h.run.targets, h.agent)
 }
 
-func (h *host) report() {
+func (h *target) report() {
 	h.sequence++
 	if !h.agent.Up {
 		return
 	}
 	now := h.run.world.Now
 	h.agent.Core.Heartbeat(now, fleet.Heartbeat{
-		Life: fleet.Life{HostID: h.id}, Service: h.service.Name, Slots: h.service.Slots, Draining: h.draining, Sequence: h.sequence,
+		Life: fleet.Life{TargetID: h.id}, Service: h.service.Name, Slots: h.service.Slots, Draining: h.draining, Sequence: h.sequence,
 		WarmupLeft: max(h.startedAt.Add(h.service.ColdTime.D()).Sub(now), 0),
 	})
 }
 
-// Take implements sim.Host.
-func (h *host) Take(packet []byte) {
+// Take implements sim.Target.
+func (h *target) Take(packet []byte) {
 	head, err := platform.DecodePacket(packet)
 	if err != nil {
 		return
@@ -114,24 +114,24 @@
 	}
 }
 
-func (h *host) open(key flow.Key) {
+func (h *target) open(key flow.Key) {
 	f, known := h.flows[key]
 	if !known {
-		f = &hostFlow{seq: h.run.world.Rnd.Uint32() >> 1}
+		f = &targetFlow{seq: h.run.world.Rnd.Uint32() >> 1}
 		h.flows[key] = f
 	}
 	h.run.world.After(handshake, func() {
 		if h.alive() {
-			h.agent.FromHost(platformtest.FromHost(key, flow.SYN|flow.ACK, f.seq, 0, nil))
+			h.agent.FromTarget(platformtest.FromTarget(key, flow.SYN|flow.ACK, f.seq, 0, nil))
 		}
 	})
 }
 
 // request takes the request of a flow; a repeated packet is answered as before.
-func (h *host) request(key flow.Key, f *hostFlow, head *flow.Header, packet []byte) {
+func (h *target) request(key flow.Key, f *targetFlow, head *flow.Header, packet []byte) {
 	if f.taken {
 		if f.answer != nil {
-			h.agent.FromHost(append([]byte(nil), f.answer...))
+			h.agent.FromTarget(append([]byte(nil), f.answer...))
 		}
 		return
 	}
@@ -148,7 +148,7 @@
 }
 
 // work runs a request in a slot.
-func (h *host) work(j job) {
+func (h *target) work(j job) {
 	h.running++
 	j.request.runs++
 	h.run.world.After(h.workTime(j.request.class), func() {
@@ -170,7 +170,7 @@
 }
 
 // workTime draws the time that a request takes now.
-func (h *host) workTime(c *Class) time.Duration {
+func (h *target) workTime(c *Class) time.Duration {
 	mean := float64(c.Work)
 	drawn := mean * math.Exp(h.run.world.Rnd.NormFloat64()*c.Spread-c.Spread*c.Spread/2)
 	drawn = min(drawn, longestWork*mean) * h.slow
@@ -180,13 +180,13 @@
 	return time.Duration(drawn)
 }
 
-func (h *host) answer(j job, text string) {
+func (h *target) answer(j job, text string) {
 	f, ok := h.flows[j.key]
 	if !ok {
 		return
 	}
-	f.answer = platformtest.FromHost(j.key, flow.ACK|flow.FIN, f.seq+1, 1, []byte(text))
-	h.agent.FromHost(append([]byte(nil), f.answer...))
+	f.answer = platformtest.FromTarget(j.key, flow.ACK|flow.FIN, f.seq+1, 1, []byte(text))
+	h.agent.FromTarget(append([]byte(nil), f.answer...))
 }
 
 // numberLen is the length of a request's number, which its data begins with.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -73,9 +73,9 @@
 
 // packetFaults are all kinds for the packet front, each as likely as the others.
 var packetFaults = append(systemFaults[*site](),
-	fault[*site]{"host crashes", crashHost},
-	fault[*site]{"host drains and is replaced", drainHost},
-	fault[*site]{"host is replaced by one of another service", replaceHost},
+	fault[*site]{"target crashes", crashPacketTarget},
+	fault[*site]{"target drains and is replaced", drainPacketTarget},
+	fault[*site]{"target is replaced by one of another service", replacePacketTarget},
 	fault[*site]{"store lapses and drops its history", lapse},
 	fault[*site]{"configuration changes", reconfigure},
 	fault[*site]{"configuration grows", func(s *site, rnd *rand.Rand, rec *recorder) func() {
@@ -224,27 +224,27 @@
 // instruction nothing can keep the signal from ending it.
 const signalAge = 200 * time.Millisecond
 
-// startAgain starts a host where none is.
-func startAgain(s *site, n *hostNode, rec *recorder) {
+// startAgain starts a target where none is.
+func startAgain(s *site, n *packetNode, rec *recorder) {
 	if n.current() != nil {
 		return
 	}
-	rec.note("host beside %s starts", n.name)
-	if err := s.startHost(n); err != nil {
-		rec.violate("host: %v", err)
+	rec.note("target beside %s starts", n.name)
+	if err := s.startTarget(n); err != nil {
+		rec.violate("target: %v", err)
 	}
 }
 
-// crashHost ends a host without a word; a heartbeat and a farewell of it arrive after
+// crashPacketTarget ends a target without a word; a heartbeat and a farewell of it arrive after
 // its successor's first heartbeat.
-func crashHost(s *site, rnd *rand.Rand, rec *recorder) func() {
+func crashPacketTarget(s *site, rnd *rand.Rand, rec *recorder) func() {
 	n := pick(s.agents, rnd)
 	former := n.current()
 	if former == nil || lastOfService(s, n) {
 		return nil
 	}
-	rec.note("host beside %s crashes", n.name)
-	n.crashHost()
+	rec.note("target beside %s crashes", n.name)
+	n.crashTarget()
 	return func() {
 		startAgain(s, n, rec)
 		rec.note("a heartbeat of %s arrives late", former.ID)
@@ -253,35 +253,35 @@
 	}
 }
 
-// drainHost lets a host drain, crash late and come back.
-func drainHost(s *site, rnd *rand.Rand, rec *recorder) func() {
+// drainPacketTarget lets a target drain, crash late and come back.
+func drainPacketTarget(s *site, rnd *rand.Rand, rec *recorder) func() {
 	n := pick(s.agents, rnd)
 	h := n.current()
 	if h == nil || lastOfService(s, n) {
 		return nil
 	}
-	rec.note("host %s drains", h.ID)
+	rec.note("target %s drains", h.ID)
 	h.Drain()
 	return func() {
 		if h.Late() > 0 {
-			rec.violate("%d new flows at host %s after its drain was acknowledged", h.Late(), h.ID)
+			rec.violate("%d new flows at target %s after its drain was acknowledged", h.Late(), h.ID)
 		}
 		if n.current() == h {
-			n.crashHost()
+			n.crashTarget()
 		}
 		startAgain(s, n, rec)
 	}
 }
 
-// replaceHost ends a host with its agent; its address serves another service
+// replacePacketTarget ends a target with its agent; its address serves another service
 // from then on.
-func replaceHost(s *site, rnd *rand.Rand, rec *recorder) func() {
+func replacePacketTarget(s *site, rnd *rand.Rand, rec *recorder) func() {
 	n := pick(s.agents, rnd)
 	if !n.free() || n.current() == nil || lastOfService(s, n) {
 		return nil
 	}
-	rec.note("host beside %s is replaced", n.name)
-	n.crashHost()
+	rec.note("target beside %s is replaced", n.name)
+	n.crashTarget()
 	n.kill()
 	n.service = (n.service + 1) % len(services)
 	return func() {
@@ -292,8 +292,8 @@
 	}
 }
 
-// lastOfService tells whether a service would be left without a host.
-func lastOfService(s *site, n *hostNode) bool {
+// lastOfService tells whether a service would be left without a target.
+func lastOfService(s *site, n *packetNode) bool {
 	for _, other := range s.agents {
 		if other != n && other.service == n.service && other.current() != nil {
 			return false
@@ -308,7 +308,7 @@
 	return nil
 }
 
-// blackout ends all processes of the system at once; the hosts live on.
+// blackout ends all processes of the system at once; the targets live on.
 func blackout(s *site, rnd *rand.Rand, rec *recorder) func() {
 	var ends []func()
 	for _, n := range nodes(s) {
--- a/soak/site.go
+++ b/soak/site.go
@@ -32,29 +32,29 @@
 // zones are the availability zones that nodes are spread over.
 var zones = []string{"z1", "z2", "z3"}
 
-// services are what hosts serve; service i is called at front i.
+// services are what targets serve; service i is called at front i.
 var services = []string{"alpha", "beta"}
 
 // front returns the address of a service's entrance.
 func front(service int) flow.Front { return flow.Front{IP: 0xc6120001 + flow.IPv4(service), Port: 443} }
 
-// hostNode is an agent with the host beside it.
-type hostNode struct {
+// packetNode is an agent with the target beside it.
+type packetNode struct {
 	node
-	// service is the index of the host's service.
+	// service is the index of the target's service.
 	service int
 
-	// mu guards host.
-	mu   sync.Mutex
-	host *platformtest.Host
-	// hosts counts the hosts started here.
-	hosts int
+	// mu guards target.
+	mu     sync.Mutex
+	target *platformtest.Target
+	// targets counts the targets started here.
+	targets int
 }
 
-func (n *hostNode) current() *platformtest.Host {
+func (n *packetNode) current() *platformtest.Target {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.host
+	return n.target
 }
 
 // site is a running deployment.
@@ -63,7 +63,7 @@
 	store     *standin.Store
 	storeHTTP *httptest.Server
 	balancers []*node
-	agents    []*hostNode
+	agents    []*packetNode
 	routers   *platformtest.Routers
 	version   int64
 	// grown is how many routes a configuration has that see no traffic.
@@ -99,7 +99,7 @@
 		}
 	}
 	for i := range cfg.Agents {
-		n := &hostNode{node: node{addr: s.cfg.address(kindAgent, i), zone: zones[i%len(zones)]}, service: i % len(services)}
+		n := &packetNode{node: node{addr: s.cfg.address(kindAgent, i), zone: zones[i%len(zones)]}, service: i % len(services)}
 		s.agents = append(s.agents, n)
 		if err := n.connect(s.storeHTTP.Listener.Addr().String()); err != nil {
 			return nil, err
@@ -107,7 +107,7 @@
 		if err := n.prepare(cfg, "poppywall-agent", fmt.Sprintf("agent-%d", i), s.agentSettings(n), frontPackets); err != nil {
 			return nil, err
 		}
-		if err := s.startHost(n); err != nil {
+		if err := s.startTarget(n); err != nil {
 			return nil, err
 		}
 	}
@@ -152,50 +152,50 @@
 	}
 }
 
-func (s *site) agentSettings(n *hostNode) map[string]any {
+func (s *site) agentSettings(n *packetNode) map[string]any {
 	return map[string]any{
 		"name": "agent", "zone": n.zone, "service": services[n.service], "data": at(n.addr, portData),
-		"internal": at(n.addr, portInternal), "outbound": at(n.addr, portOutbound), "host": at(n.addr, portApp),
+		"internal": at(n.addr, portInternal), "outbound": at(n.addr, portOutbound), "target": at(n.addr, portApp),
 		"control": at(n.addr, portControl), "seeds": s.seeds(), "store": n.way.Addr(),
 		"heartbeatEvery": heartbeatEvery.String(), "log": map[string]any{"level": "info"},
 	}
 }
 
-// heartbeatEvery is how often hosts report.
+// heartbeatEvery is how often targets report.
 const heartbeatEvery = 600 * time.Millisecond
 
 // drainGrace is how long after the acknowledgement a new flow may still reach a
-// draining host: an agent that was restarted knows after the next heartbeat.
+// draining target: an agent that was restarted knows after the next heartbeat.
 const drainGrace = 3 * time.Second
 
-// livesOfAnID is how many hosts in a row that serve the same start under one ID.
+// livesOfAnID is how many targets in a row that serve the same start under one ID.
 const livesOfAnID = 3
 
-// startHost starts a fresh host beside an agent.
-func (s *site) startHost(n *hostNode) error {
+// startTarget starts a fresh target beside an agent.
+func (s *site) startTarget(n *packetNode) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	id := fmt.Sprintf("%s-%s-%d", n.name, services[n.service], n.hosts/livesOfAnID)
-	n.hosts++
-	h, err := platformtest.StartHost(id, platformtest.HostConfig{
+	id := fmt.Sprintf("%s-%s-%d", n.name, services[n.service], n.targets/livesOfAnID)
+	n.targets++
+	h, err := platformtest.StartTarget(id, platformtest.TargetConfig{
 		Service: services[n.service], App: netip.AddrPortFrom(n.addr, portApp),
 		Outbound: netip.AddrPortFrom(n.addr, portOutbound), Control: at(n.addr, portControl),
 		Slots: 5, HeartbeatEvery: heartbeatEvery, Grace: drainGrace,
 	})
 	if err != nil {
-		return errors.Wrapf(err, "host beside %s", n.name)
+		return errors.Wrapf(err, "target beside %s", n.name)
 	}
-	n.host = h
+	n.target = h
 	return nil
 }
 
-// crashHost ends the host beside an agent.
-func (n *hostNode) crashHost() {
+// crashTarget ends the target beside an agent.
+func (n *packetNode) crashTarget() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.host != nil {
-		n.host.Crash()
-		n.host = nil
+	if n.target != nil {
+		n.target.Crash()
+		n.target = nil
 	}
 }
 
@@ -231,7 +231,7 @@
 		n.way.Close()
 	}
 	for _, n := range s.agents {
-		n.crashHost()
+		n.crashTarget()
 	}
 	s.routers.Close()
 	s.storeHTTP.CloseClientConnections()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -115,7 +115,7 @@
 	checkConfig(s, clients[0], rec)
 	for _, n := range s.agents {
 		if h := n.current(); h != nil && h.Late() > 0 {
-			rec.violate("%d new flows at host %s after its drain was acknowledged", h.Late(), h.ID)
+			rec.violate("%d new flows at target %s after its drain was acknowledged", h.Late(), h.ID)
 		}
 	}
 	return rec.report, nil
@@ -200,7 +200,7 @@
 	case errors.Is(err, platformtest.ErrReset):
 		c.rec.count(&c.rec.report.Resets)
 		if h := c.site.holder(f.Key); h != nil {
-			c.rec.violate("flow %v was reset while its host %s lives", f.Key, h.ID)
+			c.rec.violate("flow %v was reset while its target %s lives", f.Key, h.ID)
 		}
 		return false
 	case err != nil:
@@ -214,8 +214,8 @@
 	return true
 }
 
-// holder returns the host that lives and holds a flow.
-func (s *site) holder(key flow.Key) *platformtest.Host {
+// holder returns the target that lives and holds a flow.
+func (s *site) holder(key flow.Key) *platformtest.Target {
 	for _, n := range s.agents {
 		if h := n.current(); h != nil && h.Holds(key) {
 			return h
@@ -225,12 +225,12 @@
 }
 
 // finish asks once more on every open flow: after the faults each flow whose
-// host lives has to be served.
+// target lives has to be served.
 func (c *client) finish() {
 	for _, f := range c.flows {
 		h := c.site.holder(f.Key)
 		if !c.ask(f, calm) && h != nil && c.site.holder(f.Key) == h {
-			c.rec.violate("flow %v at host %s is not served after the faults", f.Key, h.ID)
+			c.rec.violate("flow %v at target %s is not served after the faults", f.Key, h.ID)
 		}
 	}
 	c.machine.Close()
