--- a/admission/admission.go
+++ b/admission/admission.go
@@ -20,13 +20,13 @@
 
 // running is a request at a target.
 type running struct {
-	target  *target
-	service route.ServiceID
-	member  *member
-	weight  int
-	class   Class
-	since   time.Time
-	charged float64
+	target    *target
+	service   route.ServiceID
+	workspace *workspace
+	weight    int
+	class     Class
+	since     time.Time
+	charged   float64
 }
 
 // Controller is the admission state of one host. It is not safe for
@@ -197,15 +197,15 @@
 	return out
 }
 
-func (c *Controller) start(now time.Time, id route.ServiceID, s *service, t *target, w waiter, m *member) {
+func (c *Controller) start(now time.Time, id route.ServiceID, s *service, t *target, w waiter, m *workspace) {
 	t.requests++
 	c.running[w.ticket] = &running{
-		target:  t,
-		service: id,
-		member:  m,
-		weight:  w.offer.Weight,
-		since:   now,
-		charged: s.charge(m, w.offer.Weight),
+		target:    t,
+		service:   id,
+		workspace: m,
+		weight:    w.offer.Weight,
+		since:     now,
+		charged:   s.charge(m, w.offer.Weight),
 	}
 }
 
@@ -224,7 +224,7 @@
 	r.target.requests--
 	held := now.Sub(r.since)
 	r.target.limit.done(now, res, held)
-	r.member.settle(held, r.charged, r.weight)
+	r.workspace.settle(held, r.charged, r.weight)
 	c.forgetIdle(r.target)
 	return c.dispatchAll(now)
 }
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -78,7 +78,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"target": func(t *rapid.T) { setTarget(t, rapid.SampledFrom([]string{"a", "b"}).Draw(t, "name")) },
 			"offer": func(t *rapid.T) {
-				o := Offer{Service: 1, Member: fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "member")), Weight: rapid.IntRange(1, 3).Draw(t, "weight")}
+				o := Offer{Service: 1, Workspace: fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "workspace")), Weight: rapid.IntRange(1, 3).Draw(t, "weight")}
 				if rapid.Bool().Draw(t, "impatient") {
 					o.Deadline = now.Add(time.Duration(rapid.IntRange(-1, 300).Draw(t, "ms")) * time.Millisecond)
 				}
@@ -163,16 +163,16 @@
 	require.Equal(t, second.Ticket, granted[0].Ticket)
 }
 
-func TestMembersAreBounded(t *testing.T) {
+func TestWorkspacesAreBounded(t *testing.T) {
 	opts := Defaults()
-	opts.MaxMembers = 8
+	opts.MaxWorkspaces = 8
 	c := New(opts, rand.New(rand.NewPCG(1, 1)))
 	c.SetService(t0, 1, []string{"a"})
 	c.SetTarget(t0, "a", TargetSpec{Slots: 1, Requests: 1, Ready: true})
 	for i := range 200 {
-		c.Offer(t0, Offer{Service: 1, Member: fmt.Sprint(i)})
+		c.Offer(t0, Offer{Service: 1, Workspace: fmt.Sprint(i)})
 	}
-	require.LessOrEqual(t, len(c.services[1].members), opts.MaxMembers+1)
+	require.LessOrEqual(t, len(c.services[1].workspaces), opts.MaxWorkspaces+1)
 }
 
 func TestShedLowersTheLimitAndSuccessRaisesIt(t *testing.T) {
--- a/admission/doc.go
+++ b/admission/doc.go
@@ -2,12 +2,12 @@
 //
 // Each target has a concurrency limit that adapts to what it bears (additive
 // increase, multiplicative decrease; Chiu and Jain, 1989). When no target of a
-// service has room, requests wait in short queues, one for each member, served
-// by start-time fair queueing (Goyal, Vin and Cheng, 1996) with the members'
-// weights; what one member leaves unused the others get. A request is charged
+// service has room, requests wait in short queues, one for each workspace, served
+// by start-time fair queueing (Goyal, Vin and Cheng, 1996) with the workspaces'
+// weights; what one workspace leaves unused the others get. A request is charged
 // the time it held a slot, so that slow requests do not win share.
 //
-// A full queue drops from the member with the most waiting per weight, and
+// A full queue drops from the workspace with the most waiting per weight, and
 // what is given up on is refused at once with a time to come back.
 //
 // Everything is pure: time and randomness are arguments, waiting is the
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// overflowMember stands for all members past MaxMembers.
-const overflowMember = ""
+// overflowWorkspace stands for all workspaces past MaxWorkspaces.
+const overflowWorkspace = ""
 
 // waiter is a request in a queue.
 type waiter struct {
@@ -16,10 +16,10 @@
 	since  time.Time
 }
 
-// member is one member's queue and its account of virtual time.
-type member struct {
+// workspace is one workspace's queue and its account of virtual time.
+type workspace struct {
 	queue []waiter
-	// finish is the virtual time up to which the member has been served.
+	// finish is the virtual time up to which the workspace has been served.
 	finish float64
 	// cost is the mean time in seconds that its requests hold a slot.
 	cost float64
@@ -28,14 +28,14 @@
 }
 
 const (
-	// initialCost is assumed of a member's first request, in seconds.
+	// initialCost is assumed of a workspace's first request, in seconds.
 	initialCost = 0.01
 	// costGain is the weight of a new observation in the mean cost.
 	costGain = 0.2
 )
 
 // settle corrects the charge of a finished request to the time it took.
-func (m *member) settle(held time.Duration, charged float64, weight int) {
+func (m *workspace) settle(held time.Duration, charged float64, weight int) {
 	m.inProgress--
 	took := held.Seconds()
 	m.finish += (took - charged) / float64(max(weight, 1))
@@ -44,21 +44,21 @@
 
 // service is the queues of one service.
 type service struct {
-	opts    Options
-	targets []string
-	members map[string]*member
-	waiting int
+	opts       Options
+	targets    []string
+	workspaces map[string]*workspace
+	waiting    int
 	// virtual is the start tag of the request last served.
 	virtual float64
 }
 
 func newService(opts Options) *service {
-	return &service{opts: opts, members: map[string]*member{}}
+	return &service{opts: opts, workspaces: map[string]*workspace{}}
 }
 
 // enqueue adds a request and returns those that must give way.
 func (s *service) enqueue(w waiter) []waiter {
-	m := s.member(w.offer.Member)
+	m := s.workspace(w.offer.Workspace)
 	if len(m.queue) == 0 {
 		m.finish = max(m.finish, s.virtual)
 	}
@@ -71,40 +71,40 @@
 	return dropped
 }
 
-func (s *service) member(name string) *member {
-	if m, ok := s.members[name]; ok {
+func (s *service) workspace(name string) *workspace {
+	if m, ok := s.workspaces[name]; ok {
 		return m
 	}
-	if len(s.members) >= s.opts.MaxMembers {
+	if len(s.workspaces) >= s.opts.MaxWorkspaces {
 		s.forgetIdle()
 	}
-	if len(s.members) >= s.opts.MaxMembers {
-		name = overflowMember
+	if len(s.workspaces) >= s.opts.MaxWorkspaces {
+		name = overflowWorkspace
 	}
-	if m, ok := s.members[name]; ok {
+	if m, ok := s.workspaces[name]; ok {
 		return m
 	}
-	m := &member{cost: initialCost, finish: s.virtual}
-	s.members[name] = m
+	m := &workspace{cost: initialCost, finish: s.virtual}
+	s.workspaces[name] = m
 	return m
 }
 
-// forgetIdle drops members without work whose account is behind: they would
+// forgetIdle drops workspaces without work whose account is behind: they would
 // start at the present anyhow.
 func (s *service) forgetIdle() {
-	for name, m := range s.members {
+	for name, m := range s.workspaces {
 		if len(m.queue) == 0 && m.inProgress == 0 && m.finish <= s.virtual {
-			delete(s.members, name)
+			delete(s.workspaces, name)
 		}
 	}
 }
 
-// dropLongest removes the latest request of the member with the most waiting
+// dropLongest removes the latest request of the workspace with the most waiting
 // per weight.
 func (s *service) dropLongest() waiter {
-	var longest *member
+	var longest *workspace
 	most := -1.0
-	for _, m := range s.members {
+	for _, m := range s.workspaces {
 		if len(m.queue) == 0 {
 			continue
 		}
@@ -121,9 +121,9 @@
 }
 
 // dequeue takes the next request in fair order; something must wait.
-func (s *service) dequeue() (waiter, *member) {
-	var next *member
-	for _, m := range s.members {
+func (s *service) dequeue() (waiter, *workspace) {
+	var next *workspace
+	for _, m := range s.workspaces {
 		if len(m.queue) == 0 {
 			continue
 		}
@@ -138,8 +138,8 @@
 	return w, next
 }
 
-// earlier orders members by start tag, ties by the older request.
-func earlier(a, b *member) bool {
+// earlier orders workspaces by start tag, ties by the older request.
+func earlier(a, b *workspace) bool {
 	if a.finish != b.finish {
 		return a.finish < b.finish
 	}
@@ -147,7 +147,7 @@
 }
 
 // charge books the expected cost of a request that starts and returns it.
-func (s *service) charge(m *member, weight int) float64 {
+func (s *service) charge(m *workspace, weight int) float64 {
 	m.inProgress++
 	m.finish += m.cost / float64(max(weight, 1))
 	return m.cost
@@ -160,7 +160,7 @@
 // takeLate removes and returns the waiting requests that match, oldest first.
 func (s *service) takeLate(match func(*waiter) bool) []waiter {
 	var out []waiter
-	for _, m := range s.members {
+	for _, m := range s.workspaces {
 		m.queue = slices.DeleteFunc(m.queue, func(w waiter) bool {
 			if !match(&w) {
 				return false
@@ -177,7 +177,7 @@
 // oldest returns when the longest waiting request came.
 func (s *service) oldest() time.Time {
 	first := time.Unix(math.MaxInt32, 0)
-	for _, m := range s.members {
+	for _, m := range s.workspaces {
 		if len(m.queue) > 0 && m.queue[0].since.Before(first) {
 			first = m.queue[0].since
 		}
--- a/admission/types.go
+++ b/admission/types.go
@@ -56,8 +56,8 @@
 	MaxQueue int
 	// MaxWait is the longest time in the queue.
 	MaxWait time.Duration
-	// MaxMembers bounds the members told apart in one service.
-	MaxMembers int
+	// MaxWorkspaces bounds the workspaces told apart in one service.
+	MaxWorkspaces int
 	// RetryAfter is the least time that a refused caller is told to wait.
 	RetryAfter time.Duration
 }
@@ -65,19 +65,19 @@
 // Defaults returns the options in use.
 func Defaults() Options {
 	return Options{
-		Limit:      DefaultLimit(),
-		MaxQueue:   256,
-		MaxWait:    500 * time.Millisecond,
-		MaxMembers: 1024,
-		RetryAfter: time.Second,
+		Limit:         DefaultLimit(),
+		MaxQueue:      256,
+		MaxWait:       500 * time.Millisecond,
+		MaxWorkspaces: 1024,
+		RetryAfter:    time.Second,
 	}
 }
 
 // Offer is a request that asks to run.
 type Offer struct {
-	Service route.ServiceID
-	Member  string
-	// Weight is the member's share; at least 1.
+	Service   route.ServiceID
+	Workspace string
+	// Weight is the workspace's share; at least 1.
 	Weight int
 	Class  Class
 	// Deadline is when the caller gives up; zero is never.
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -50,13 +50,13 @@
 		refutations:     counter("refutations_total", "Claims against this host that it refuted."),
 		requests: f.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "poppywall", Subsystem: "agent", Name: "requests_total",
-			Help: "Requests by service, member, verdict and status.",
-		}, []string{"service", "member", "verdict", "status"}),
+			Help: "Requests by service, workspace, verdict and status.",
+		}, []string{"service", "workspace", "verdict", "status"}),
 		duration: f.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: "poppywall", Subsystem: "agent", Name: "request_seconds",
-			Help:    "Time from a request's arrival to the end of its answer, by service and member.",
+			Help:    "Time from a request's arrival to the end of its answer, by service and workspace.",
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 16),
-		}, []string{"service", "member"}),
+		}, []string{"service", "workspace"}),
 	}
 	drops := f.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "poppywall", Subsystem: "agent", Name: "dropped_datagrams_total",
@@ -82,7 +82,7 @@
 
 func (m *metrics) drop(r dropReason) { m.drops[r].Inc() }
 
-func (m *metrics) observe(service, member string, v verdict.Verdict, status int, took time.Duration) {
-	m.requests.WithLabelValues(service, member, v.String(), strconv.Itoa(status)).Inc()
-	m.duration.WithLabelValues(service, member).Observe(took.Seconds())
+func (m *metrics) observe(service, workspace string, v verdict.Verdict, status int, took time.Duration) {
+	m.requests.WithLabelValues(service, workspace, v.String(), strconv.Itoa(status)).Inc()
+	m.duration.WithLabelValues(service, workspace).Observe(took.Seconds())
 }
--- a/agent/proxy.go
+++ b/agent/proxy.go
@@ -44,12 +44,12 @@
 func (p *proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
 	svc := p.service()
-	member := memberOf(svc, r.Host)
-	status, v := p.serve(w, r, svc, member, started)
-	p.metrics.observe(svc.Name, member, v, status, time.Since(started))
+	workspace := workspaceOf(svc, r.Host)
+	status, v := p.serve(w, r, svc, workspace, started)
+	p.metrics.observe(svc.Name, workspace, v, status, time.Since(started))
 }
 
-func (p *proxy) serve(w http.ResponseWriter, r *http.Request, svc *catalog.Service, member string, now time.Time) (int, verdict.Verdict) {
+func (p *proxy) serve(w http.ResponseWriter, r *http.Request, svc *catalog.Service, workspace string, now time.Time) (int, verdict.Verdict) {
 	ctx, cancel, failed := p.prepare(r, svc, now)
 	if failed != nil {
 		failed.WriteTo(w)
@@ -58,11 +58,11 @@
 	defer cancel()
 	deadline, _ := ctx.Deadline()
 	grant, err := p.gate.enter(ctx, admission.Offer{
-		Service:  p.id,
-		Member:   member,
-		Weight:   weightOf(svc, member),
-		Class:    classOf(r),
-		Deadline: deadline,
+		Service:   p.id,
+		Workspace: workspace,
+		Weight:    weightOf(svc, workspace),
+		Class:     classOf(r),
+		Deadline:  deadline,
 	})
 	if err != nil {
 		return p.refuse(w, err)
@@ -271,19 +271,19 @@
 	return strings.ToLower(host)
 }
 
-// otherMembers stands for all authorities that the service does not name, so
-// that callers cannot make up members.
-const otherMembers = "other"
+// otherWorkspaces stands for all authorities that the service does not name, so
+// that callers cannot make up workspaces.
+const otherWorkspaces = "other"
 
-func memberOf(s *catalog.Service, authority string) string {
+func workspaceOf(s *catalog.Service, authority string) string {
 	name := hostName(authority)
-	if _, ok := s.Members[name]; ok {
+	if _, ok := s.Workspaces[name]; ok {
 		return name
 	}
 	if len(s.Authorities) > 0 && s.Allows(name) {
 		return name
 	}
-	return otherMembers
+	return otherWorkspaces
 }
 
-func weightOf(s *catalog.Service, member string) int { return max(s.Members[member], 1) }
+func weightOf(s *catalog.Service, workspace string) int { return max(s.Workspaces[workspace], 1) }
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -68,9 +68,9 @@
 	Selector Labels `json:"selector" validate:"required,min=1,max=32,dive,keys,required,max=63,endkeys,max=63"`
 	// Authorities are the names callers may ask for; empty allows all.
 	Authorities []string `json:"authorities,omitempty" validate:"max=4096,dive,required"`
-	// Members maps an authority to its member's weight; authorities not named
+	// Workspaces maps an authority to its workspace's weight (in stored records still "members"); authorities not named
 	// weigh 1.
-	Members map[string]int `json:"members,omitempty" validate:"max=4096,dive,keys,required,endkeys,gte=1,lte=1000"`
+	Workspaces map[string]int `json:"members,omitempty" validate:"max=4096,dive,keys,required,endkeys,gte=1,lte=1000"`
 	// SlotRequests bounds the requests in progress at one slot of a target.
 	SlotRequests int `json:"slotRequests,omitempty" validate:"gte=0,lte=10000"`
 	// SlotStreams bounds the open streams at one slot of a target.
@@ -126,7 +126,7 @@
 		for _, a := range r.Service.Authorities {
 			n += textOverhead + len(a)
 		}
-		for m := range r.Service.Members {
+		for m := range r.Service.Workspaces {
 			n += 2*textOverhead + len(m)
 		}
 	}
--- a/load/experiment.go
+++ b/load/experiment.go
@@ -33,8 +33,8 @@
 	Bytes int `json:"bytes,omitempty" validate:"gte=0,lte=16777216"`
 	// TimeoutMillis is the caller's deadline; zero is none.
 	TimeoutMillis int `json:"timeoutMillis,omitempty" validate:"gte=0"`
-	// Member is the authority asked for; empty is the service's own.
-	Member string `json:"member,omitempty"`
+	// Workspace is the authority asked for; empty is the service's own.
+	Workspace string `json:"member,omitempty"`
 	// Connections is how many connections short requests share.
 	Connections int `json:"connections,omitempty" validate:"gte=0,lte=1000"`
 }
@@ -80,9 +80,9 @@
 
 // Site is where a plan runs.
 type Site interface {
-	// NewCaller returns a caller with a connection of its own; an empty member
+	// NewCaller returns a caller with a connection of its own; an empty workspace
 	// is the service's own authority.
-	NewCaller(service, member string) (*Caller, error)
+	NewCaller(service, workspace string) (*Caller, error)
 	// Inject carries out a fault.
 	Inject(Fault) error
 	// OpenStreams returns the open streams of each target of a service, per
--- a/load/recorder.go
+++ b/load/recorder.go
@@ -57,8 +57,8 @@
 	Unknown   int64   `json:"unknown"`
 	// RefusedStreams were told at once to come back later.
 	RefusedStreams int64 `json:"refused_streams"`
-	// Served counts answers with status 200 by member, Jain is the fairness
-	// index over the members that offered load.
+	// Served counts answers with status 200 by workspace, Jain is the fairness
+	// index over the workspaces that offered load.
 	Served    map[string]int64   `json:"served"`
 	Jain      float64            `json:"jain"`
 	Latencies map[string]Latency `json:"latencies"`
@@ -90,11 +90,11 @@
 
 // answer is one finished request.
 type answer struct {
-	class, service, member, target string
-	status                         int
-	verdict                        verdict.Verdict
-	took                           time.Duration
-	err                            error
+	class, service, workspace, target string
+	status                            int
+	verdict                           verdict.Verdict
+	took                              time.Duration
+	err                               error
 }
 
 func (r *recorder) request(a answer) {
@@ -115,7 +115,7 @@
 		r.sum.Unknown++
 	}
 	if a.status == 200 {
-		r.sum.Served[a.member]++
+		r.sum.Served[a.workspace]++
 		if r.byTarget[a.service] == nil {
 			r.byTarget[a.service] = map[string]float64{}
 		}
@@ -164,7 +164,7 @@
 	r.sum.Samples = append(r.sum.Samples, s)
 }
 
-// finish computes the summary; offered is the load offered by member.
+// finish computes the summary; offered is the load offered by workspace.
 func (r *recorder) finish(warmup float64, offered map[string]float64) Summary {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -213,7 +213,7 @@
 	return Spread{MaxOverMean: largest / mean, CV: math.Sqrt(variance/float64(len(load))) / mean}
 }
 
-// jain is Jain's fairness index of the served share of what each member
+// jain is Jain's fairness index of the served share of what each workspace
 // offered.
 func jain(served map[string]int64, offered map[string]float64) float64 {
 	if len(offered) == 0 {
--- a/load/runner.go
+++ b/load/runner.go
@@ -57,7 +57,7 @@
 	offered := map[string]float64{}
 	for i, f := range plan.Flows {
 		if f.Kind != Board {
-			offered[memberOf(f)] += f.PerSecond
+			offered[workspaceOf(f)] += f.PerSecond
 		}
 		rnd := rand.New(rand.NewPCG(plan.Seed, uint64(i)))
 		r.wg.Go(func() { r.offer(offering, working, f, rnd) })
@@ -68,9 +68,9 @@
 	return r.rec.finish(plan.WarmupSeconds, offered), ctx.Err()
 }
 
-func memberOf(f Flow) string {
-	if f.Member != "" {
-		return f.Member
+func workspaceOf(f Flow) string {
+	if f.Workspace != "" {
+		return f.Workspace
 	}
 	return f.Service
 }
@@ -116,7 +116,7 @@
 	}
 	var out []*Caller
 	for range n {
-		c, err := r.site.NewCaller(f.Service, f.Member)
+		c, err := r.site.NewCaller(f.Service, f.Workspace)
 		if err != nil {
 			closeAll(out)
 			return nil, err
@@ -145,7 +145,7 @@
 
 // request sends one short request and checks its answer.
 func (r *runner) request(ctx context.Context, f Flow, c *Caller, intended time.Time) {
-	a := answer{class: string(f.Kind), service: f.Service, member: memberOf(f)}
+	a := answer{class: string(f.Kind), service: f.Service, workspace: workspaceOf(f)}
 	method, path, body := shape(f)
 	header := http.Header{headerRequestID: {uuid.NewString()}}
 	if f.TimeoutMillis > 0 {
@@ -201,7 +201,7 @@
 // board keeps one stream open for its length, or until the plan ends, and
 // checks that every event comes in order.
 func (r *runner) board(offering, working context.Context, f Flow, length time.Duration) {
-	c, err := r.site.NewCaller(f.Service, f.Member)
+	c, err := r.site.NewCaller(f.Service, f.Workspace)
 	if err != nil {
 		r.rec.stream(false, 0, err)
 		return
--- a/measure/costs.go
+++ b/measure/costs.go
@@ -75,7 +75,7 @@
 		name := fmt.Sprintf("service-%04d", i)
 		add(catalog.Record{Key: catalog.ServiceKey(name), Change: "0b0e7a3c-0000-4000-8000-000000000000", Service: &catalog.Service{
 			Name: name, ID: route.ServiceID(i + 1), Address: dataAddr(3, i).String(), Selector: catalog.Labels{"service": name},
-			Members: map[string]int{name + ".example": 1},
+			Workspaces: map[string]int{name + ".example": 1},
 		}})
 	}
 	for i := range targets {
--- a/measure/measure_test.go
+++ b/measure/measure_test.go
@@ -25,7 +25,7 @@
 func TestGoodputHoldsUnderOverload(t *testing.T) {
 	at := func(x float64, retries int, length time.Duration) OverloadResult {
 		o := DefaultOverload()
-		o.Members, o.Retries, o.Length = EqualMembers(4, 950*x), retries, length
+		o.Workspaces, o.Retries, o.Length = EqualWorkspaces(4, 950*x), retries, length
 		return Overload(o)
 	}
 	base := at(1, 0, 20*time.Second).Total
@@ -40,31 +40,31 @@
 	require.GreaterOrEqual(t, at(4, 0, 100*time.Second).Total, 0.9*base, "also past a new look at the base latency")
 }
 
-// TestMembersGetTheirShare compares the served rates with weighted max-min.
-func TestMembersGetTheirShare(t *testing.T) {
+// TestWorkspacesGetTheirShare compares the served rates with weighted max-min.
+func TestWorkspacesGetTheirShare(t *testing.T) {
 	const work = 10 * time.Millisecond
-	for name, members := range map[string][]MemberLoad{
+	for name, workspaces := range map[string][]WorkspaceLoad{
 		"equal weights, one floods": {{"a", 1, 3000, work}, {"b", 1, 200, work}, {"c", 1, 400, work}},
 		"weights 3 to 1":            {{"a", 3, 2000, work}, {"b", 1, 2000, work}},
 		"slow requests win nothing": {{"a", 1, 2000, work}, {"b", 1, 500, 4 * work}},
 		"unused share is lent":      {{"a", 1, 3000, work}, {"b", 5, 50, work}},
 	} {
 		o := DefaultOverload()
-		o.Members = members
+		o.Workspaces = workspaces
 		r := Overload(o)
 		// Shares are of slot time: a rate counts by the work of its requests.
 		var offered []float64
 		var weights []int
 		got := 0.0
-		for _, m := range members {
+		for _, m := range workspaces {
 			offered = append(offered, m.PerSecond*m.Work.Seconds())
 			weights = append(weights, m.Weight)
 			got += r.Goodput[m.Name] * m.Work.Seconds()
 		}
 		require.Greater(t, got, 9.0, "%s: work-conserving, of 10 slots", name)
 		for i, want := range MaxMin(got, offered, weights) {
-			share := r.Goodput[members[i].Name] * members[i].Work.Seconds()
-			require.InDelta(t, want, share, 0.1*want+0.1, "%s: %s", name, members[i].Name)
+			share := r.Goodput[workspaces[i].Name] * workspaces[i].Work.Seconds()
+			require.InDelta(t, want, share, 0.1*want+0.1, "%s: %s", name, workspaces[i].Name)
 		}
 	}
 }
--- a/measure/overload.go
+++ b/measure/overload.go
@@ -12,8 +12,8 @@
 	"github.com/poppywall/poppywall/admission"
 )
 
-// MemberLoad is what one member offers.
-type MemberLoad struct {
+// WorkspaceLoad is what one workspace offers.
+type WorkspaceLoad struct {
 	Name   string
 	Weight int
 	// PerSecond is the rate of first attempts.
@@ -24,8 +24,8 @@
 
 // OverloadOptions describe one run of admission under load.
 type OverloadOptions struct {
-	Members []MemberLoad
-	Targets int
+	Workspaces []WorkspaceLoad
+	Targets    int
 	// Slots is how many requests a target really serves at once; more slow
 	// each other down, with Overhead extra per surplus request and slot.
 	Slots    int
@@ -63,7 +63,7 @@
 // OverloadResult is what became of the requests.
 type OverloadResult struct {
 	// Goodput is the requests a second that ended within the callers'
-	// patience, by member and in all.
+	// patience, by workspace and in all.
 	Goodput map[string]float64
 	Total   float64
 	Refused float64
@@ -92,11 +92,11 @@
 )
 
 type event struct {
-	at      time.Time
-	kind    eventKind
-	member  int
-	attempt int
-	seq     int
+	at        time.Time
+	kind      eventKind
+	workspace int
+	attempt   int
+	seq       int
 }
 
 type eventQueue []event
@@ -154,8 +154,8 @@
 		s.servers = append(s.servers, server{})
 	}
 	s.ctrl.SetService(s.now, overloadService, names)
-	for i := range o.Members {
-		s.push(event{at: s.nextArrival(i), kind: eventArrive, member: i})
+	for i := range o.Workspaces {
+		s.push(event{at: s.nextArrival(i), kind: eventArrive, workspace: i})
 	}
 	s.push(event{at: s.now.Add(expireEvery), kind: eventExpire})
 	return s
@@ -169,8 +169,8 @@
 	heap.Push(&s.events, e)
 }
 
-func (s *overloadSim) nextArrival(member int) time.Time {
-	gap := s.rnd.ExpFloat64() / s.o.Members[member].PerSecond
+func (s *overloadSim) nextArrival(workspace int) time.Time {
+	gap := s.rnd.ExpFloat64() / s.o.Workspaces[workspace].PerSecond
 	return s.now.Add(time.Duration(gap * float64(time.Second)))
 }
 
@@ -239,7 +239,7 @@
 		s.late++
 		return
 	}
-	s.good[s.o.Members[j.member].Name]++
+	s.good[s.o.Workspaces[j.workspace].Name]++
 }
 
 func (s *overloadSim) handle(e event) {
@@ -249,15 +249,15 @@
 		s.push(event{at: s.now.Add(expireEvery), kind: eventExpire})
 	case eventArrive:
 		if e.attempt == 0 {
-			s.push(event{at: s.nextArrival(e.member), kind: eventArrive, member: e.member})
+			s.push(event{at: s.nextArrival(e.workspace), kind: eventArrive, workspace: e.workspace})
 		}
 		s.arrive(e)
 	}
 }
 
 func (s *overloadSim) arrive(e event) {
-	m := s.o.Members[e.member]
-	j := &job{member: e.member, attempt: e.attempt, since: s.now, work: m.Work}
+	m := s.o.Workspaces[e.workspace]
+	j := &job{workspace: e.workspace, attempt: e.attempt, since: s.now, work: m.Work}
 	if !s.o.Gate {
 		s.seq++
 		j.ticket = admission.Ticket(s.seq)
@@ -265,10 +265,10 @@
 		return
 	}
 	decisions := s.ctrl.Offer(s.now, admission.Offer{
-		Service:  overloadService,
-		Member:   m.Name,
-		Weight:   m.Weight,
-		Deadline: s.now.Add(s.o.Patience),
+		Service:   overloadService,
+		Workspace: m.Name,
+		Weight:    m.Weight,
+		Deadline:  s.now.Add(s.o.Patience),
 	})
 	j.ticket = decisions[0].Ticket
 	s.waiting[j.ticket] = j
@@ -314,7 +314,7 @@
 	if s.o.Obedient {
 		at = s.now.Add(d.RetryAfter)
 	}
-	s.push(event{at: at, kind: eventArrive, member: j.member, attempt: j.attempt + 1})
+	s.push(event{at: at, kind: eventArrive, workspace: j.workspace, attempt: j.attempt + 1})
 }
 
 func (s *overloadSim) result() OverloadResult {
@@ -364,12 +364,12 @@
 	return share
 }
 
-// EqualMembers returns members of equal weight that offer a total rate.
-func EqualMembers(n int, total float64) []MemberLoad {
-	var out []MemberLoad
+// EqualWorkspaces returns workspaces of equal weight that offer a total rate.
+func EqualWorkspaces(n int, total float64) []WorkspaceLoad {
+	var out []WorkspaceLoad
 	for i := range n {
-		out = append(out, MemberLoad{
-			Name: fmt.Sprintf("member-%d", i), Weight: 1,
+		out = append(out, WorkspaceLoad{
+			Name: fmt.Sprintf("workspace-%d", i), Weight: 1,
 			PerSecond: total / float64(n), Work: 10 * time.Millisecond,
 		})
 	}
@@ -385,7 +385,7 @@
 		for _, retries := range []int{0, 3} {
 			for _, gate := range []bool{true, false} {
 				o := DefaultOverload()
-				o.Members, o.Retries, o.Gate = EqualMembers(4, 950*x), retries, gate
+				o.Workspaces, o.Retries, o.Gate = EqualWorkspaces(4, 950*x), retries, gate
 				r := Overload(o)
 				fmt.Fprintf(tw, "%gx\t%d\t%v\t%.0f\t%.0f\t%.0f\t%v\n", x, retries, gate, r.Total, r.Refused, r.Late, r.SlowestRefusal.Round(time.Millisecond))
 			}
--- a/measure/server.go
+++ b/measure/server.go
@@ -9,11 +9,11 @@
 
 // job is a request inside the site.
 type job struct {
-	member  int
-	attempt int
-	since   time.Time
-	ticket  admission.Ticket
-	work    time.Duration
+	workspace int
+	attempt   int
+	since     time.Time
+	ticket    admission.Ticket
+	work      time.Duration
 	// finish is the server's virtual time at which the job is done.
 	finish float64
 }
--- a/trial/cluster.go
+++ b/trial/cluster.go
@@ -42,8 +42,8 @@
 	SlotRequests int `json:"slotRequests,omitempty" validate:"gte=0"`
 	// SlotStreams bounds streams at one slot; zero is the default.
 	SlotStreams int `json:"slotStreams,omitempty" validate:"gte=0"`
-	// Members are the weights of members by authority.
-	Members map[string]int `json:"members,omitempty"`
+	// Workspaces are the weights of workspaces by authority.
+	Workspaces map[string]int `json:"members,omitempty"`
 	// WorkMillis is how long a target takes for a short request.
 	WorkMillis int `json:"workMillis,omitempty" validate:"gte=0"`
 }
@@ -181,7 +181,7 @@
 	names := []string{"poppywall.example"}
 	for _, s := range c.Site.Services {
 		names = append(names, s.Name+".example")
-		for m := range s.Members {
+		for m := range s.Workspaces {
 			names = append(names, m)
 		}
 	}
@@ -238,7 +238,7 @@
 		Name:         s.Name,
 		Address:      c.Addresses[s.Name],
 		Selector:     catalog.Labels{LabelService: s.Name},
-		Members:      s.Members,
+		Workspaces:   s.Workspaces,
 		SlotRequests: s.SlotRequests,
 		SlotStreams:  s.SlotStreams,
 	}
--- a/trial/workload.go
+++ b/trial/workload.go
@@ -46,15 +46,15 @@
 }
 
 // NewCaller implements load.Site.
-func (c *Cluster) NewCaller(service, member string) (*load.Caller, error) {
+func (c *Cluster) NewCaller(service, workspace string) (*load.Caller, error) {
 	address, ok := c.Addresses[service]
 	if !ok {
 		return nil, errors.Errorf("no service %q", service)
 	}
-	if member == "" {
-		member = service + ".example"
+	if workspace == "" {
+		workspace = service + ".example"
 	}
-	return load.NewCaller(address, member, c.Roots)
+	return load.NewCaller(address, workspace, c.Roots)
 }
 
 // OpenStreams implements load.Site. Hosts that drain are left out: they are
