A zone is emptied: no new flow reaches its targets until it is taken back

Which zones are emptied is a state of the store at a revision, always the whole of it, so the higher revision holds whoever tells it. Balancers that follow the configuration hear it by the same watch, now over op/; beacons carry it to all others and to agents; an agent tells a balancer that lacks it. Balancers leave the targets out, the agent beside a target passes new flows on; open flows go on. Where all zones of a service are emptied new flows are refused at once.

--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -66,10 +66,12 @@
 	codec  flow.Codec
 	events Events
 
-	view   *fleet.View
-	flows  *flows
-	notes  *notes
-	target target
+	view *fleet.View
+	// evacuations are the emptied zones, as of the highest revision heard of.
+	evacuations flow.Evacuations
+	flows       *flows
+	notes       *notes
+	target      target
 
 	acks    acks
 	health  health
@@ -121,6 +123,9 @@
 // Balancers returns the number of balancers known.
 func (c *Core) Balancers() int { return len(c.view.Balancers()) }
 
+// Evacuations returns the emptied zones that the agent acts on.
+func (c *Core) Evacuations() flow.Evacuations { return c.evacuations }
+
 // HandleNode takes a datagram of another node.
 func (c *Core) HandleNode(now time.Time, from flow.IPv4, datagram []byte) {
 	kind, err := envelope.KindOf(datagram)
@@ -197,6 +202,8 @@
 	switch {
 	case c.env.Service != c.opts.Service:
 		return "another service", false
+	case c.evacuations.Has(c.opts.Zone):
+		return "zone emptied", false
 	case !c.target.takesNew() || c.leaving:
 		return "target " + c.target.state().String(), false
 	}
--- a/agent/packetfront/core_test.go
+++ b/agent/packetfront/core_test.go
@@ -34,20 +34,21 @@
 // quiet hears nothing.
 type quiet struct{}
 
-func (quiet) Delivered()                                   {}
-func (quiet) Request(flow.Key, []byte, int, int)           {}
-func (quiet) Waiting(flow.Key, []byte, int, time.Duration) {}
-func (quiet) Postponed(flow.Key, time.Duration)            {}
-func (quiet) GaveUp(flow.Key, time.Duration)               {}
-func (quiet) PassedOn(flow.Key, string, int)               {}
-func (quiet) Bounced(flow.Key, bool)                       {}
-func (quiet) Reset(flow.Key, string)                       {}
-func (quiet) Dropped(Drop)                                 {}
-func (quiet) TargetReport(string, fleet.Heartbeat)         {}
-func (quiet) Failed()                                      {}
-func (quiet) Ejected(bool, int, int)                       {}
-func (quiet) Unproven(int, time.Duration)                  {}
-func (quiet) PeerChanged(flow.IPv4, string)                {}
+func (quiet) Delivered()                                         {}
+func (quiet) Request(flow.Key, []byte, int, int)                 {}
+func (quiet) Waiting(flow.Key, []byte, int, time.Duration)       {}
+func (quiet) Postponed(flow.Key, time.Duration)                  {}
+func (quiet) GaveUp(flow.Key, time.Duration)                     {}
+func (quiet) PassedOn(flow.Key, string, int)                     {}
+func (quiet) Bounced(flow.Key, bool)                             {}
+func (quiet) Reset(flow.Key, string)                             {}
+func (quiet) Dropped(Drop)                                       {}
+func (quiet) TargetReport(string, fleet.Heartbeat)               {}
+func (quiet) Failed()                                            {}
+func (quiet) Ejected(bool, int, int)                             {}
+func (quiet) Unproven(int, time.Duration)                        {}
+func (quiet) PeerChanged(flow.IPv4, string)                      {}
+func (quiet) EvacuationsChanged(_, _ flow.Evacuations, _ string) {}
 
 // fixture is a core with a target of four slots that the agent saw start.
 type fixture struct {
--- a/agent/packetfront/events.go
+++ b/agent/packetfront/events.go
@@ -48,4 +48,7 @@
 	// and gets no new flows for a while.
 	Unproven(ends int, proof time.Duration)
 	PeerChanged(ip flow.IPv4, what string)
+	// EvacuationsChanged tells that other zones than formerly are emptied; from is who
+	// told it.
+	EvacuationsChanged(now, former flow.Evacuations, from string)
 }
--- a/agent/packetfront/nodes.go
+++ b/agent/packetfront/nodes.go
@@ -14,6 +14,9 @@
 		return err
 	}
 	change := c.view.Beacon(now, from, m)
+	if change != fleet.Stale {
+		c.compareEvacuations(from, m.Evacuations)
+	}
 	c.acks.heard(from, c.opts.Epoch, &m)
 	if change == fleet.Joined {
 		c.events.PeerChanged(from, "joined")
@@ -24,6 +27,22 @@
 	return nil
 }
 
+// compareEvacuations takes over later evacuations than the agent knows, or tells a
+// balancer those that it lacks: agents live on when all balancers have restarted while
+// the store is away.
+func (c *Core) compareEvacuations(from flow.IPv4, heard flow.Evacuations) {
+	former := c.evacuations
+	switch {
+	case heard.Newer(former):
+		c.evacuations = heard
+		if !heard.Same(former) {
+			c.events.EvacuationsChanged(heard, former, from.String())
+		}
+	case former.Newer(heard):
+		c.port.ToNode(from, fleet.AppendEvacuations(c.buf[:0], former), nil)
+	}
+}
+
 // handlePeers announces the target to balancers that are not known yet.
 func (c *Core) handlePeers(now time.Time, datagram []byte) error {
 	names, err := fleet.DecodeNames(datagram)
--- a/agent/packetfront/observer.go
+++ b/agent/packetfront/observer.go
@@ -43,6 +43,7 @@
 	refusedReports                                                             *prometheus.CounterVec
 	drops                                                                      map[Drop]prometheus.Counter
 	load                                                                       prometheus.Histogram
+	emptied                                                                    *telemetry.ZoneGauges
 }
 
 func newObserver(log *zap.Logger, reg *prometheus.Registry) *observer {
@@ -65,6 +66,7 @@
 		ejections: c.Counter("ejections_total", "Times that the target was taken out because it fails."),
 		unproven:  c.Counter("unproven_starts_total", "Starts of a target that had ended unplanned a moment ago."),
 		drops:     telemetry.ByReason(c, "dropped_packets_total", "Packets dropped, by reason.", Drops),
+		emptied:   telemetry.NewZoneGauges(c),
 		load: c.Histogram("load_at_request",
 			"Requests that the target works on or has queued when another one comes.", []float64{0, 1, 2, 4, 8, 16, 32, 64}),
 	}
@@ -161,3 +163,10 @@
 func (o *observer) PeerChanged(ip flow.IPv4, what string) {
 	o.Log.Info("balancer "+what, zap.Stringer(telemetry.FieldPeer, ip))
 }
+
+// EvacuationsChanged implements Events.
+func (o *observer) EvacuationsChanged(now, former flow.Evacuations, from string) {
+	o.emptied.Set(now.Zones(), now.Revision)
+	o.Log.Info("zones emptied", zap.Strings("zones", now.Zones()), zap.Strings("former", former.Zones()),
+		zap.Int64("evacuations", now.Revision), zap.String("from", from))
+}
--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -71,6 +71,8 @@
 	events Events
 
 	config *flow.Config
+	// evacuations are the emptied zones, as of the highest revision heard of.
+	evacuations flow.Evacuations
 	// refusedConfig is the highest version of others that does not decode here.
 	refusedConfig int64
 	gap           gap
@@ -259,7 +261,7 @@
 	backend := route.Pick(hash)
 	candidates := c.openCandidates(now, hash, backend.Tag)
 	if len(candidates) == 0 {
-		c.noTarget(now, key, h, route, packet)
+		c.noTarget(now, key, h, route, backend, packet)
 		return
 	}
 	c.limbo.drop(key)
@@ -276,7 +278,7 @@
 	}
 	target, _ := c.view.Target(chosen.Target)
 	target.Sent++
-	c.events.Opened(Decision{Key: key, Route: route.Name, Service: backend.Name, Target: target, Config: c.config.Version,
+	c.events.Opened(Decision{Key: key, Route: route.Name, Service: backend.Name, Target: target, Config: c.config.Version, Evacuations: c.evacuations.Revision,
 		Age: now.Sub(target.HeardAt), Candidates: len(candidates), Copy: h.Ack})
 	c.env = envelope.Envelope{
 		Kind: envelope.Deliver, Balancer: c.opts.Self, Service: chosen.Service, Priority: route.Priority,
@@ -289,14 +291,19 @@
 	c.send(chosen.Target, packet)
 }
 
-// noTarget answers a SYN for which no target is known.
-func (c *Core) noTarget(now time.Time, key flow.Key, h *flow.Header, route *flow.Route, packet []byte) {
-	if !c.settled(now) {
+// noTarget answers a SYN for which no target is known, or none that may get it.
+func (c *Core) noTarget(now time.Time, key flow.Key, h *flow.Header, route *flow.Route, backend flow.Backend, packet []byte) {
+	emptied := c.emptied(backend.Tag)
+	if c.fresh(now) || (!c.settled(now) && !emptied) {
 		c.park(now, key, h, packet, KeepUnsettled)
 		return
 	}
 	c.limbo.drop(key)
-	c.refuse(key, h, "no target of the service", route.Name)
+	reason := "no target of the service"
+	if emptied {
+		reason = "zones of the service emptied"
+	}
+	c.refuse(key, h, reason, route.Name)
 }
 
 // refuse resets a flow that cannot be opened; nothing of it has run. Only the
--- a/balancer/packetfront/events.go
+++ b/balancer/packetfront/events.go
@@ -45,10 +45,12 @@
 	Key            flow.Key
 	Route, Service string
 	Target         *fleet.Target
-	// Config is the version of the configuration, Age that of the reading.
-	Config     int64
-	Age        time.Duration
-	Candidates int
+	// Config is the version of the configuration, Evacuations the revision of the
+	// emptied zones, Age that of the reading.
+	Config      int64
+	Evacuations int64
+	Age         time.Duration
+	Candidates  int
 	// Copy counts the copies of the SYN sent before.
 	Copy uint32
 }
@@ -70,4 +72,7 @@
 	TargetChanged(h *fleet.Target, change fleet.Change)
 	TargetForgotten(ip flow.IPv4)
 	PeerChanged(ip flow.IPv4, what string)
+	// EvacuationsChanged tells that other zones than formerly are emptied; from is who
+	// told it.
+	EvacuationsChanged(now, former flow.Evacuations, from string)
 }
--- a/balancer/packetfront/fixture_test.go
+++ b/balancer/packetfront/fixture_test.go
@@ -29,18 +29,19 @@
 // quiet hears nothing but the last doubt.
 type quiet struct{ doubt *Doubt }
 
-func (quiet) Forwarded()                                     {}
-func (quiet) Opened(Decision)                                {}
-func (quiet) Refused(flow.Key, string, string)               {}
-func (quiet) Searching(flow.Key, int, int)                   {}
-func (quiet) Inquired(int, int)                              {}
-func (quiet) OwnerFound(flow.Key, flow.IPv4, int)            {}
-func (q quiet) Lost(_ flow.Key, _ int, d Doubt, _ flow.IPv4) { *q.doubt = d }
-func (quiet) Kept(flow.Key, Keep)                            {}
-func (quiet) Dropped(Drop)                                   {}
-func (quiet) TargetChanged(*fleet.Target, fleet.Change)      {}
-func (quiet) TargetForgotten(flow.IPv4)                      {}
-func (quiet) PeerChanged(flow.IPv4, string)                  {}
+func (quiet) Forwarded()                                         {}
+func (quiet) Opened(Decision)                                    {}
+func (quiet) Refused(flow.Key, string, string)                   {}
+func (quiet) Searching(flow.Key, int, int)                       {}
+func (quiet) Inquired(int, int)                                  {}
+func (quiet) OwnerFound(flow.Key, flow.IPv4, int)                {}
+func (q quiet) Lost(_ flow.Key, _ int, d Doubt, _ flow.IPv4)     { *q.doubt = d }
+func (quiet) Kept(flow.Key, Keep)                                {}
+func (quiet) Dropped(Drop)                                       {}
+func (quiet) TargetChanged(*fleet.Target, fleet.Change)          {}
+func (quiet) TargetForgotten(flow.IPv4)                          {}
+func (quiet) PeerChanged(flow.IPv4, string)                      {}
+func (quiet) EvacuationsChanged(_, _ flow.Evacuations, _ string) {}
 
 // fixture is a settled balancer with two targets of a service.
 type fixture struct {
--- a/balancer/packetfront/front.go
+++ b/balancer/packetfront/front.go
@@ -119,7 +119,7 @@
 	group.Go(work, "tick", f.tick)
 	f.entry.Want(fleet.PresenceHere)
 	group.Go(ctx, "registry", f.entry.Run)
-	group.Go(work, "config", f.source().run)
+	group.Go(work, "operator", f.source().run)
 	group.Go(work, "peers", f.followPeers)
 	group.Go(work, "survey", f.followRegistry)
 	group.Go(work, "ready", func(ctx context.Context) error { return telemetry.ServeHTTP(ctx, f.cfg.Ready, f.readyHandler()) })
@@ -185,9 +185,12 @@
 	return nil
 }
 
-func (f *Front) source() *configSource {
-	return &configSource{
-		store: f.store, key: platform.ConfigKey, decode: decode, apply: f.apply, log: f.log,
+func (f *Front) source() *operatorSource {
+	return &operatorSource{
+		store: f.store, decode: decode, apply: f.apply, log: f.log, emptied: map[string]bool{},
+		evacuate: func(e flow.Evacuations) {
+			f.locked(func(now time.Time) { f.core.SetEvacuations(now, e) })
+		},
 		catchUp: f.cfg.CatchUpWithin.D(),
 		duty: func() (d StoreDuty) {
 			f.locked(func(now time.Time) { d = f.core.StoreDuty(now) })
--- a/balancer/packetfront/nodes.go
+++ b/balancer/packetfront/nodes.go
@@ -23,6 +23,8 @@
 		err = c.handleBeacon(now, from, datagram)
 	case envelope.Peers:
 		err = c.handlePeers(now, datagram)
+	case envelope.Evacuated:
+		err = c.handleEvacuated(now, from, datagram)
 	case envelope.Owner:
 		err = c.handleOwner(now, from, datagram)
 	case envelope.Returned:
@@ -67,6 +69,7 @@
 	if change == fleet.Stale {
 		return nil
 	}
+	c.hearEvacuations(now, m.Evacuations, from)
 	if change == fleet.Joined {
 		c.digestAt = time.Time{}
 		if slices.Contains(c.opts.Seeds, from) {
@@ -257,6 +260,7 @@
 		m.Heard = h.Identity
 	}
 	m.ConfigVersion = c.ConfigVersion()
+	m.Evacuations = c.evacuations
 	m.Digest = c.digest(now)
 	m.Period = c.periodTo(to)
 	m.Leaving = c.leaving
--- a/balancer/packetfront/observer.go
+++ b/balancer/packetfront/observer.go
@@ -31,6 +31,8 @@
 	fieldBytes      = "bytes"
 	fieldHeard      = "heard"
 	fieldTookMS     = "took_ms"
+	// fieldEvacuations is the store's revision of the emptied zones.
+	fieldEvacuations = "evacuations"
 )
 
 // Lines a second of each kind; what is above is counted and said with the next
@@ -53,6 +55,7 @@
 	drops                                        map[Drop]prometheus.Counter
 	keeps                                        map[Keep]prometheus.Counter
 	readingAge                                   prometheus.Histogram
+	emptied                                      *telemetry.ZoneGauges
 }
 
 func newObserver(log *zap.Logger, reg *prometheus.Registry) *observer {
@@ -71,7 +74,8 @@
 		keeps:     telemetry.ByReason(c, "kept_packets_total", "Packets kept because their way was not known yet, by reason.", Keeps),
 		readingAge: c.Histogram("reading_age_seconds",
 			"Age of the target's load reading when a new flow was sent to it.", []float64{0.05, 0.1, 0.2, 0.5, 1, 2, 5}),
-		lost: c.Vector("lost_packets_total", "Packets whose flow no target holds.", "sure"),
+		emptied: telemetry.NewZoneGauges(c),
+		lost:    c.Vector("lost_packets_total", "Packets whose flow no target holds.", "sure"),
 	}
 	return o
 }
@@ -87,7 +91,7 @@
 		zap.Stringer(fieldFlow, d.Key), zap.String(fieldRoute, d.Route),
 		zap.String(telemetry.FieldService, d.Service), zap.Stringer(fieldTarget, d.Target.IP),
 		zap.Uint16(fieldLoad, d.Target.Busy), zap.Uint16(fieldSlots, d.Target.Slots),
-		zap.Int64(fieldReadingAge, d.Age.Milliseconds()), zap.Int64(fieldConfig, d.Config),
+		zap.Int64(fieldReadingAge, d.Age.Milliseconds()), zap.Int64(fieldConfig, d.Config), zap.Int64(fieldEvacuations, d.Evacuations),
 		zap.Int(fieldCandidates, d.Candidates), zap.Uint32(fieldCopy, d.Copy))
 }
 
@@ -151,3 +155,10 @@
 func (o *observer) PeerChanged(ip flow.IPv4, what string) {
 	o.Log.Info("balancer "+what, zap.Stringer(telemetry.FieldPeer, ip))
 }
+
+// EvacuationsChanged implements Events.
+func (o *observer) EvacuationsChanged(now, former flow.Evacuations, from string) {
+	o.emptied.Set(now.Zones(), now.Revision)
+	o.Log.Info("zones emptied", zap.Strings("zones", now.Zones()), zap.Strings("former", former.Zones()),
+		zap.Int64(fieldEvacuations, now.Revision), zap.String("from", from))
+}
--- a/balancer/packetfront/configsource.go
+++ b/balancer/packetfront/operatorsource.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/poppywall/poppywall/flow"
+	"github.com/poppywall/poppywall/platform"
 	"github.com/poppywall/poppywall/store"
 	"github.com/poppywall/poppywall/telemetry"
 	"github.com/poppywall/poppywall/verdict"
@@ -46,18 +49,21 @@
 // decodeConfig turns the stored bytes into a configuration.
 type decodeConfig func([]byte) (*flow.Config, error)
 
-// configSource follows the operator's configuration in the store.
-type configSource struct {
+// operatorSource follows what the operator has written in the store: the
+// configuration and the emptied zones, by one watch.
+type operatorSource struct {
 	store  store.Watcher
-	key    string
 	decode decodeConfig
 	// catchUp is how long the source may take after connections went silent.
 	catchUp time.Duration
 	// transfer is how long the last configuration took to come.
 	transfer time.Duration
-	// apply takes a configuration and its stored bytes.
-	apply func(c *flow.Config, raw []byte, from string)
-	log   *zap.Logger
+	// apply takes a configuration and its stored bytes, evacuate the emptied zones.
+	apply    func(c *flow.Config, raw []byte, from string)
+	evacuate func(flow.Evacuations)
+	// emptied are the zones that the store empties, as of the last answer.
+	emptied map[string]bool
+	log     *zap.Logger
 	// duty tells what this balancer has to do at the store. answered hears of each
 	// answer.
 	duty     func() StoreDuty
@@ -66,8 +72,8 @@
 	lost bool
 }
 
-// run reads the configuration and watches it until ctx ends.
-func (s *configSource) run(ctx context.Context) error {
+// run reads what the operator has written and watches it until ctx ends.
+func (s *operatorSource) run(ctx context.Context) error {
 	revision, pause := int64(0), retryPause
 	for ctx.Err() == nil {
 		duty := s.duty()
@@ -105,18 +111,18 @@
 	return nil
 }
 
-// step reads the configuration, or waits for its next change when a revision is
-// known, and returns the revision to continue from.
-func (s *configSource) step(ctx context.Context, revision int64) (int64, error) {
+// step reads all, or waits for the next change when a revision is known, and returns the revision to continue from.
+func (s *operatorSource) step(ctx context.Context, revision int64) (int64, error) {
 	if revision == 0 {
 		return s.read(ctx)
 	}
-	changes, err := s.store.Watch(ctx, s.key, revision, watchWait(s.catchUp, s.transfer))
+	changes, err := s.store.Watch(ctx, platform.OperatorPrefix, revision, watchWait(s.catchUp, s.transfer))
 	if err != nil {
 		return 0, err
 	}
+	s.takeEvacuations(changes)
 	for _, e := range changes.Events {
-		if e.Key == s.key && !e.Removed {
+		if e.Key == platform.ConfigKey && !e.Removed {
 			s.transfer = changes.Took
 			s.take(e.Value)
 		}
@@ -127,22 +133,68 @@
 // errNoRevision is returned for an answer that no watch can continue from.
 var errNoRevision = errors.New("answer without a revision")
 
-func (s *configSource) read(ctx context.Context) (int64, error) {
-	resp, err := s.store.Range(ctx, store.RangeRequest{Key: s.key})
-	if err != nil {
+// read reads all pages and returns the revision of the first one: what has changed
+// since, seen on a later page or not, the watch from there tells.
+func (s *operatorSource) read(ctx context.Context) (int64, error) {
+	began := time.Now()
+	var config []byte
+	emptied := map[string]bool{}
+	all := store.RangeRequest{Key: platform.OperatorPrefix, End: store.PrefixEnd(platform.OperatorPrefix)}
+	revision, err := store.ReadAll(ctx, s.store, all, func(kv store.KV) error {
+		if kv.Key == platform.ConfigKey {
+			config = kv.Value
+		}
+		if zone, ok := platform.EvacuatedZone(kv.Key); ok {
+			emptied[zone] = true
+		}
+		return nil
+	})
+	switch {
+	case err != nil:
 		return 0, err
+	case revision == 0:
+		return 0, errNoRevision
 	}
-	for _, kv := range resp.KVs {
-		s.transfer = resp.Took
-		s.take(kv.Value)
+	s.transfer = time.Since(began)
+	s.emptied = emptied
+	s.tellEvacuations(revision)
+	if config != nil {
+		s.take(config)
 	}
-	if resp.Revision == 0 {
-		return 0, errNoRevision
+	return revision, nil
+}
+
+// takeEvacuations follows the zones that changes empty or take back. They come before
+// a configuration of the same answer, whose decoding takes its time.
+func (s *operatorSource) takeEvacuations(changes store.Changes) {
+	revision := int64(0)
+	for _, e := range changes.Events {
+		zone, ok := platform.EvacuatedZone(e.Key)
+		if !ok {
+			continue
+		}
+		revision = max(revision, e.ModRevision)
+		if e.Removed {
+			delete(s.emptied, zone)
+		} else {
+			s.emptied[zone] = true
+		}
+	}
+	if revision > 0 {
+		s.tellEvacuations(revision)
+	}
+}
+
+// tellEvacuations passes on which zones the store empties since a revision.
+func (s *operatorSource) tellEvacuations(revision int64) {
+	zones, out := flow.NewEvacuations(revision, slices.Collect(maps.Keys(s.emptied)))
+	if len(out) > 0 {
+		s.log.Error("zones cannot be emptied", zap.Strings("zones", out), zap.Int64(telemetry.FieldRevision, revision))
 	}
-	return resp.Revision, nil
+	s.evacuate(zones)
 }
 
-func (s *configSource) take(raw []byte) {
+func (s *operatorSource) take(raw []byte) {
 	c, err := s.decode(raw)
 	if err != nil {
 		s.log.Error("configuration refused", zap.Error(err))
@@ -152,7 +204,7 @@
 }
 
 // noteStore logs when the store is lost and regained.
-func (s *configSource) noteStore(err error) {
+func (s *operatorSource) noteStore(err error) {
 	if lost := err != nil; lost != s.lost {
 		s.lost = lost
 		if lost {
--- a/balancer/packetfront/plan.go
+++ b/balancer/packetfront/plan.go
@@ -73,9 +73,9 @@
 	p := &c.plan
 	p.reset()
 	targets := c.view.Service(service)
-	ejectable := ejectable(targets)
+	ejectable := c.ejectable(targets)
 	for _, h := range targets {
-		if h.State != fleet.Ready || (ejectable && h.Ejected) {
+		if !c.takesNew(h) || (ejectable && h.Ejected) {
 			continue
 		}
 		ranking := p.openFar
@@ -105,10 +105,10 @@
 const mostEjected = 1.0 / 3
 
 // ejectable tells whether ejections among the targets of a service are heeded.
-func ejectable(targets []*fleet.Target) bool {
+func (c *Core) ejectable(targets []*fleet.Target) bool {
 	ready, ejected := 0, 0
 	for _, h := range targets {
-		if h.State != fleet.Ready {
+		if !c.takesNew(h) {
 			continue
 		}
 		ready++
--- a/e2e/packets/blackout_test.go
+++ b/e2e/packets/blackout_test.go
@@ -7,16 +7,19 @@
 	"github.com/stretchr/testify/require"
 )
 
+// blackoutSpread is within which time of each other processes come back.
+const blackoutSpread = 300 * time.Millisecond
+
 // blackout ends all processes, and all targets too if targetsDown is not zero.
 func blackout(w *world, down, targetsDown time.Duration) {
 	for _, ip := range w.BalancerIPs() {
-		w.Balancers[ip].Restart(down + time.Duration(w.Rnd.Int64N(int64(300*time.Millisecond))))
+		w.Balancers[ip].Restart(down + time.Duration(w.Rnd.Int64N(int64(blackoutSpread))))
 	}
 	for _, a := range sortedAgents(w) {
 		if !a.Up {
 			continue
 		}
-		a.Restart(down + time.Duration(w.Rnd.Int64N(int64(300*time.Millisecond))))
+		a.Restart(down + time.Duration(w.Rnd.Int64N(int64(blackoutSpread))))
 		if targetsDown > 0 && a.target != nil {
 			a.crash()
 			w.After(targetsDown, func() {
--- a/e2e/packets/packets_test.go
+++ b/e2e/packets/packets_test.go
@@ -133,7 +133,8 @@
 			w.Run(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
 		}
 		w.Loss, w.Double, w.Late = 0, 0, time.Millisecond
-		w.Run(5 * time.Second)
+		w.Run(max(5*time.Second, w.calmSince.Add(emptyWithin).Sub(w.Now)))
+		w.requireEvacuated(t)
 		checkServed(t, w)
 	})
 }
@@ -146,7 +147,7 @@
 	b := w.Balancers[ips[rapid.IntRange(0, len(ips)-1).Draw(t, "balancer")]]
 	down := time.Duration(rapid.IntRange(1, 800).Draw(t, "down")) * time.Millisecond
 	front := rapid.SampledFrom([]flow.Front{frontA, frontB}).Draw(t, "front")
-	switch rapid.IntRange(0, 18).Draw(t, "what") {
+	switch rapid.IntRange(0, 20).Draw(t, "what") {
 	case 0:
 		b.Restart(down)
 	case 1:
@@ -168,10 +169,15 @@
 		replaceTarget(w, a)
 	case 14:
 		w.StoreBack = w.Now.Add(time.Duration(rapid.IntRange(100, 5000).Draw(t, "store away")) * time.Millisecond)
+		w.troubled(w.StoreBack)
 	case 12:
+		w.troubled(w.Now.Add(down + blackoutSpread))
 		blackout(w, down, down)
 	case 13:
+		w.troubled(w.Now.Add(down + blackoutSpread))
 		blackout(w, down, 0)
+	case 19, 20:
+		w.empty(rapid.SampledFrom([]string{"z1", "z2", "z3"}).Draw(t, "zone"), rapid.Bool().Draw(t, "empty"))
 	case 7:
 		if a.target != nil {
 			a.target.full = !a.target.full
--- a/e2e/packets/target_test.go
+++ b/e2e/packets/target_test.go
@@ -143,6 +143,9 @@
 	if h.ackedBy == a.Life && a.w.Now.Sub(h.ackedAt) > time.Millisecond {
 		a.w.violate("a SYN reached a target whose draining was acknowledged")
 	}
+	if !a.w.mayOpen(a.Zone) {
+		a.w.violate("a SYN reached a target of %s, emptied since %v", a.Zone, a.w.Now.Sub(a.w.emptiedAt[a.Zone]))
+	}
 	if h.full || len(h.flows) >= h.cap {
 		a.Bounce(packet)
 		return
--- a/e2e/packets/world_test.go
+++ b/e2e/packets/world_test.go
@@ -30,10 +30,14 @@
 	// they say when they started, by a clock that is clockStep milliseconds off.
 	keepIDs, sayBorn bool
 	clockStep        int64
+	// emptiedAt is when each emptied zone was emptied, calmSince when a trouble ended
+	// last that may keep nodes from hearing of it.
+	emptiedAt map[string]time.Time
+	calmSince time.Time
 }
 
 func newWorld(seed uint64) *world {
-	w := &world{World: sim.NewWorld(seed), agents: map[flow.IPv4]*agentNode{}}
+	w := &world{World: sim.NewWorld(seed), agents: map[flow.IPv4]*agentNode{}, emptiedAt: map[string]time.Time{}}
 	w.Client = w.toClient
 	w.Config = &flow.Config{Version: 1, IdleTimeout: 15 * time.Second, Routes: map[flow.Front]*flow.Route{
 		frontA: routeTo("a", serviceA),
--- /dev/null
+++ b/fleet/evacuations.go
@@ -0,0 +1,61 @@
+package fleet
+
+import (
+	"encoding/binary"
+	"math"
+
+	"github.com/poppywall/poppywall/flow"
+	"github.com/poppywall/poppywall/flow/envelope"
+)
+
+// AppendEvacuations appends the message by which an agent tells a balancer of
+// evacuations that the balancer has not heard of.
+func AppendEvacuations(b []byte, e flow.Evacuations) []byte {
+	return appendEvacuations(envelope.AppendPrefix(b, envelope.Evacuated), e)
+}
+
+// DecodeEvacuations reads that message.
+func DecodeEvacuations(b []byte) (flow.Evacuations, error) {
+	if k, err := envelope.KindOf(b); err != nil || k != envelope.Evacuated {
+		return flow.Evacuations{}, ErrMalformed
+	}
+	return readEvacuations(b[envelope.PrefixLen:])
+}
+
+// evacuationsHead is the length of a revision and a count.
+const evacuationsHead = 8 + 1
+
+// appendEvacuations appends the revision, the number of zones, and each name with its
+// length before it.
+func appendEvacuations(b []byte, e flow.Evacuations) []byte {
+	b = binary.BigEndian.AppendUint64(b, uint64(e.Revision))
+	b = append(b, byte(len(e.Zones())))
+	for _, zone := range e.Zones() {
+		b = append(b, byte(len(zone)))
+		b = append(b, zone...)
+	}
+	return b
+}
+
+// readEvacuations reads evacuations that fill the bytes exactly. What a node would
+// not have sent, names out of order or too many, is no message.
+func readEvacuations(b []byte) (flow.Evacuations, error) {
+	if len(b) < evacuationsHead {
+		return flow.Evacuations{}, ErrMalformed
+	}
+	revision, count := binary.BigEndian.Uint64(b), int(b[evacuationsHead-1])
+	b = b[evacuationsHead:]
+	zones := make([]string, 0, min(count, flow.MaxEvacuated))
+	for range count {
+		if len(b) == 0 || len(b) < 1+int(b[0]) {
+			return flow.Evacuations{}, ErrMalformed
+		}
+		zones = append(zones, string(b[1:1+int(b[0])]))
+		b = b[1+int(b[0]):]
+	}
+	e, out := flow.NewEvacuations(int64(revision), zones)
+	if len(b) > 0 || len(out) > 0 || len(e.Zones()) != count || revision > math.MaxInt64 {
+		return flow.Evacuations{}, ErrMalformed
+	}
+	return e, nil
+}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -35,6 +35,7 @@
 	require.NoError(t, err)
 	require.Equal(t, a, gotA)
 	b := Beacon{Identity: Identity{1, 2}, Zone: 3, ConfigVersion: 1 << 40, Digest: 5, Leaving: true, Feeding: true, Reply: true, Period: 2 * time.Second, Heard: Identity{8, 9}}
+	b.Evacuations, _ = flow.NewEvacuations(1<<40, []string{"a", "zone-b"})
 	gotB, err := DecodeBeacon(b.Append(nil))
 	require.NoError(t, err)
 	require.Equal(t, b, gotB)
@@ -258,12 +259,16 @@
 	a := announcement(1, 1, alpha, Ready)
 	f.Add(a.Append(nil))
 	f.Add((&Beacon{}).Append(nil))
+	f.Add(AppendEvacuations(nil, flow.Evacuations{}))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		if got, err := DecodeAnnouncement(b); err == nil {
 			require.LessOrEqual(t, got.State, Gone)
 		}
 		_, _ = DecodeBeacon(b)
 		_, _ = DecodeNames(b)
+		if e, err := DecodeEvacuations(b); err == nil {
+			require.Equal(t, b, AppendEvacuations(nil, e))
+		}
 	})
 }
 
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -121,6 +121,8 @@
 	// Heard is the last announcement that the sender has of the receiver; zero to
 	// another balancer.
 	Heard Identity
+	// Evacuations are the emptied zones that the sender acts on.
+	Evacuations flow.Evacuations
 }
 
 // announceWire and beaconWire are the fixed layouts, encoded big-endian.
@@ -169,12 +171,13 @@
 // Append appends the encoded message.
 func (m *Beacon) Append(b []byte) []byte {
 	b = envelope.AppendPrefix(b, envelope.Beacon)
-	return appendFixed(b, beaconWire{
+	b = appendFixed(b, beaconWire{
 		Epoch: m.Epoch, Seq: m.Seq, Zone: uint32(m.Zone), ConfigVersion: m.ConfigVersion, Digest: m.Digest,
 		Leaving: bit(m.Leaving), Feeding: bit(m.Feeding), WantPeers: bit(m.WantPeers), Reply: bit(m.Reply),
 		PeriodMillis: uint16(m.Period.Milliseconds()),
 		HeardEpoch:   m.Heard.Epoch, HeardSeq: m.Heard.Seq,
 	})
+	return appendEvacuations(b, m.Evacuations)
 }
 
 // appendFixed encodes a struct of fixed-size fields, for which the library
@@ -189,14 +192,24 @@
 
 // decodeFixed reads the body behind the prefix; the length has to fit exactly.
 func decodeFixed(b []byte, kind envelope.Kind, v any) error {
-	if k, err := envelope.KindOf(b); err != nil || k != kind {
+	rest, err := decodeHead(b, kind, v)
+	if err == nil && len(rest) > 0 {
 		return ErrMalformed
 	}
+	return err
+}
+
+// decodeHead reads the fixed part behind the prefix and returns what follows it.
+func decodeHead(b []byte, kind envelope.Kind, v any) ([]byte, error) {
+	if k, err := envelope.KindOf(b); err != nil || k != kind {
+		return nil, ErrMalformed
+	}
 	body := b[envelope.PrefixLen:]
-	if n, err := binary.Decode(body, binary.BigEndian, v); err != nil || n != len(body) {
-		return ErrMalformed
+	n, err := binary.Decode(body, binary.BigEndian, v)
+	if err != nil {
+		return nil, ErrMalformed
 	}
-	return nil
+	return body[n:], nil
 }
 
 // DecodeAnnouncement reads an announcement.
@@ -220,14 +233,19 @@
 // DecodeBeacon reads a beacon.
 func DecodeBeacon(b []byte) (Beacon, error) {
 	var w beaconWire
-	if err := decodeFixed(b, envelope.Beacon, &w); err != nil {
+	rest, err := decodeHead(b, envelope.Beacon, &w)
+	if err != nil {
+		return Beacon{}, err
+	}
+	evacuations, err := readEvacuations(rest)
+	if err != nil {
 		return Beacon{}, err
 	}
 	return Beacon{
 		Identity: Identity{w.Epoch, w.Seq}, Zone: flow.Tag(w.Zone), ConfigVersion: w.ConfigVersion, Digest: w.Digest,
 		Leaving: w.Leaving == 1, Feeding: w.Feeding == 1, WantPeers: w.WantPeers == 1, Reply: w.Reply == 1,
 		Period: time.Duration(w.PeriodMillis) * time.Millisecond,
-		Heard:  Identity{w.HeardEpoch, w.HeardSeq},
+		Heard:  Identity{w.HeardEpoch, w.HeardSeq}, Evacuations: evacuations,
 	}, nil
 }
 
--- a/flow/envelope/envelope.go
+++ b/flow/envelope/envelope.go
@@ -33,10 +33,11 @@
 	// Owner tells a balancer which target holds a flow; the packet part is the
 	// flow's key.
 	Owner
-	// Announce, Beacon and Peers are messages of package fleet.
+	// Announce, Beacon, Peers and Evacuated are messages of package fleet.
 	Announce
 	Beacon
 	Peers
+	Evacuated
 )
 
 // Flags of an envelope.
@@ -72,7 +73,7 @@
 	MaxLen = headLen + MaxCandidates*itemLen
 
 	magic   = 0x7077
-	version = 4
+	version = 5
 )
 
 // ErrMalformed is returned for bytes that are no datagram of this system.
--- a/model/model_test.go
+++ b/model/model_test.go
@@ -27,7 +27,7 @@
 }
 
 func TestOtherPatternsLoseHardlyAnything(t *testing.T) {
-	for pattern, most := range map[string]float64{"quiet": 0, "burst": 0, "release": 0.0005, "slow": 0, "roll": 0, "flap": 0.002, "partial": 0.008, "kill": 0.01} {
+	for pattern, most := range map[string]float64{"quiet": 0, "burst": 0, "release": 0.0005, "slow": 0, "roll": 0, "flap": 0.002, "partial": 0.008, "kill": 0.01, "evacuate": 0} {
 		r := play(pattern, 2)
 		require.LessOrEqual(t, r.Unserved(), most, "%s %+v", pattern, r.All)
 		require.Zero(t, r.Doubled, pattern)
--- a/model/pattern.go
+++ b/model/pattern.go
@@ -40,6 +40,8 @@
 	rollGap   = 1200 * time.Millisecond
 	leaveTime = 1700 * time.Millisecond
 	drainTime = 3 * time.Second
+	// emptyTime is how long a zone is emptied.
+	emptyTime = 8 * time.Second
 )
 
 // Patterns are all that can be played.
@@ -53,6 +55,7 @@
 	{"partial", "some targets fail part of their requests", (*run).partial},
 	{"slow", "some targets turn slow", (*run).slow},
 	{"roll", "the balancers are restarted one after the other", (*run).roll},
+	{"evacuate", "a zone is emptied and taken back", (*run).evacuate},
 }
 
 // PatternNames returns the names of all patterns.
@@ -198,3 +201,9 @@
 	b.Core.Leave(r.world.Now)
 	r.world.After(leaveTime, func() { b.Restart(processTime) })
 }
+
+func (r *run) evacuate() {
+	zone := zoneName(0)
+	r.world.Empty(zone, true)
+	r.world.After(emptyTime, func() { r.world.Empty(zone, false) })
+}
--- a/model/sim/nodes.go
+++ b/model/sim/nodes.go
@@ -89,9 +89,19 @@
 	if b.Core.WantsSurvey(w.Now) {
 		b.Core.Surveyed(w.Now, w.Now, w.registered())
 	}
+	b.followStore()
 	b.keepRegistry()
 }
 
+// followStore takes over what the operator has changed, where that is the balancer's
+// duty and the store answers.
+func (b *Balancer) followStore() {
+	w := b.w
+	if !w.Now.Before(w.StoreBack) && b.Core.Feeds(w.Now) {
+		b.Core.SetEvacuations(w.Now, w.Evacuations)
+	}
+}
+
 // keepRegistry does what the keeper of the registry has to.
 func (b *Balancer) keepRegistry() {
 	w := b.w
--- a/model/sim/quiet.go
+++ b/model/sim/quiet.go
@@ -26,6 +26,7 @@
 func (QuietBalancer) TargetChanged(*fleet.Target, fleet.Change)          {}
 func (QuietBalancer) TargetForgotten(flow.IPv4)                          {}
 func (QuietBalancer) PeerChanged(flow.IPv4, string)                      {}
+func (QuietBalancer) EvacuationsChanged(_, _ flow.Evacuations, _ string) {}
 
 // QuietAgent hears nothing of what an agent decides.
 type QuietAgent struct{}
@@ -33,17 +34,18 @@
 var _ agentfront.Events = QuietAgent{}
 
 // Delivered implements agentfront.Events, as do the methods below.
-func (QuietAgent) Delivered()                                   {}
-func (QuietAgent) Request(flow.Key, []byte, int, int)           {}
-func (QuietAgent) Waiting(flow.Key, []byte, int, time.Duration) {}
-func (QuietAgent) Postponed(flow.Key, time.Duration)            {}
-func (QuietAgent) GaveUp(flow.Key, time.Duration)               {}
-func (QuietAgent) PassedOn(flow.Key, string, int)               {}
-func (QuietAgent) Bounced(flow.Key, bool)                       {}
-func (QuietAgent) Reset(flow.Key, string)                       {}
-func (QuietAgent) Dropped(agentfront.Drop)                      {}
-func (QuietAgent) TargetReport(string, fleet.Heartbeat)         {}
-func (QuietAgent) Failed()                                      {}
-func (QuietAgent) Ejected(bool, int, int)                       {}
-func (QuietAgent) Unproven(int, time.Duration)                  {}
-func (QuietAgent) PeerChanged(flow.IPv4, string)                {}
+func (QuietAgent) Delivered()                                         {}
+func (QuietAgent) Request(flow.Key, []byte, int, int)                 {}
+func (QuietAgent) Waiting(flow.Key, []byte, int, time.Duration)       {}
+func (QuietAgent) Postponed(flow.Key, time.Duration)                  {}
+func (QuietAgent) GaveUp(flow.Key, time.Duration)                     {}
+func (QuietAgent) PassedOn(flow.Key, string, int)                     {}
+func (QuietAgent) Bounced(flow.Key, bool)                             {}
+func (QuietAgent) Reset(flow.Key, string)                             {}
+func (QuietAgent) Dropped(agentfront.Drop)                            {}
+func (QuietAgent) TargetReport(string, fleet.Heartbeat)               {}
+func (QuietAgent) Failed()                                            {}
+func (QuietAgent) Ejected(bool, int, int)                             {}
+func (QuietAgent) Unproven(int, time.Duration)                        {}
+func (QuietAgent) PeerChanged(flow.IPv4, string)                      {}
+func (QuietAgent) EvacuationsChanged(_, _ flow.Evacuations, _ string) {}
--- a/model/sim/world.go
+++ b/model/sim/world.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"slices"
 	"time"
 
 	"github.com/poppywall/poppywall/fleet"
@@ -20,7 +21,9 @@
 	Balancers map[flow.IPv4]*Balancer
 	Agents    map[flow.IPv4]*Agent
 	Config    *flow.Config
-	Seeds     []flow.IPv4
+	// Evacuations are the emptied zones as the operator's store has them.
+	Evacuations flow.Evacuations
+	Seeds       []flow.IPv4
 
 	// Loss and Double are chances for each datagram, Late adds up to its span.
 	Loss, Double float64
@@ -106,6 +109,20 @@
 	w.Send(defaultDelay, func(data []byte) { w.Client(ip, data) }, packet)
 }
 
+// Empty empties a zone or takes it back by a write at the store, and tells whether the
+// store took it and that changed anything.
+func (w *World) Empty(zone string, empty bool) bool {
+	if w.Now.Before(w.StoreBack) || w.Evacuations.Has(flow.TagOf(zone)) == empty {
+		return false
+	}
+	zones := slices.DeleteFunc(slices.Clone(w.Evacuations.Zones()), func(z string) bool { return z == zone })
+	if empty {
+		zones = append(zones, zone)
+	}
+	w.Evacuations, _ = flow.NewEvacuations(w.Evacuations.Revision+1, zones)
+	return true
+}
+
 // nextIP draws an address for a node.
 func (w *World) nextIP() flow.IPv4 {
 	w.lastIP++
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -6,7 +6,9 @@
 	"syscall"
 	"time"
 
+	"github.com/poppywall/poppywall/platform"
 	"github.com/poppywall/poppywall/standin"
+	"github.com/poppywall/poppywall/store"
 )
 
 // deployment is a site of either front.
@@ -84,6 +86,7 @@
 		return reconfigure(s, rnd, rec)
 	}},
 	fault[*site]{"all processes killed", blackout},
+	fault[*site]{"a zone is emptied", emptyZone},
 )
 
 // reconfigure writes the next configuration.
@@ -292,6 +295,39 @@
 	}
 }
 
+// emptyZone empties a zone for a while, whatever else goes on. What may keep a node
+// from hearing of it is over within that time, so that it is judged only whether the
+// zone still gets new flows after all faults: the last word of the store holds.
+func emptyZone(s *site, rnd *rand.Rand, rec *recorder) func() {
+	zone := zones[rnd.IntN(len(zones))]
+	rec.note("zone %s emptied", zone)
+	s.store.Operator(store.Put{Key: platform.EvacuateKey(zone), Value: []byte("{}")})
+	if rnd.IntN(2) == 0 {
+		return func() {
+			rec.note("zone %s taken back", zone)
+			s.store.OperatorRemoves(platform.EvacuateKey(zone))
+		}
+	}
+	return nil
+}
+
+// checkEmptied checks that no target of a zone that stays emptied has got a new flow
+// lately, and takes all zones back.
+func checkEmptied(s *site, since time.Time, rec *recorder) {
+	for _, zone := range zones {
+		if !s.store.Has(platform.EvacuateKey(zone)) {
+			continue
+		}
+		for _, n := range s.agents {
+			if h := n.current(); h != nil && n.zone == zone && h.OpenedAt().After(since) {
+				rec.violate("a new flow at target %s of zone %s, which is emptied", h.ID, zone)
+			}
+		}
+		rec.note("zone %s taken back", zone)
+		s.store.OperatorRemoves(platform.EvacuateKey(zone))
+	}
+}
+
 // lastOfService tells whether a service would be left without a target.
 func lastOfService(s *site, n *packetNode) bool {
 	for _, other := range s.agents {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -74,6 +74,8 @@
 	startTime = 20 * time.Second
 	// settle is how long after the last fault everything has to work again.
 	settle = 6 * time.Second
+	// emptyWatch is how long zones that stay emptied are looked at after that.
+	emptyWatch = 1500 * time.Millisecond
 	// patience is how long a request may take under faults, and calm at the end.
 	patience = 8 * time.Second
 	calm     = 3 * time.Second
@@ -107,6 +109,9 @@
 	}
 	inject(s, cfg, packetFaults, rand.New(rand.NewPCG(cfg.Seed, 1)), rec)
 	time.Sleep(settle)
+	settled := time.Now()
+	time.Sleep(emptyWatch)
+	checkEmptied(s, settled, rec)
 	close(done)
 	wg.Wait()
 	for _, c := range clients {
--- a/standin/store.go
+++ b/standin/store.go
@@ -288,3 +288,18 @@
 	defer s.mu.Unlock()
 	s.put(puts)
 }
+
+// Has tells whether a key is there, past the faults.
+func (s *Store) Has(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.at(key, s.revision)
+	return ok
+}
+
+// OperatorRemoves removes keys in the same way.
+func (s *Store) OperatorRemoves(keys ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(keys)
+}
--- a/telemetry/lines.go
+++ b/telemetry/lines.go
@@ -58,6 +58,13 @@
 	})
 }
 
+// GaugeVector returns a new vector of gauges with one label.
+func (c Counters) GaugeVector(name, help, label string) *prometheus.GaugeVec {
+	return promauto.With(c.Registry).NewGaugeVec(prometheus.GaugeOpts{
+		Namespace: namespace, Subsystem: c.Subsystem, Name: name, Help: help,
+	}, []string{label})
+}
+
 // Histogram returns a new histogram.
 func (c Counters) Histogram(name, help string, buckets []float64) prometheus.Histogram {
 	return promauto.With(c.Registry).NewHistogram(prometheus.HistogramOpts{
--- /dev/null
+++ b/telemetry/zones.go
@@ -0,0 +1,27 @@
+package telemetry
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// ZoneGauges show which zones a node takes for emptied, and by which revision of the
+// store: where all nodes show the same, an evacuation is in force everywhere.
+type ZoneGauges struct {
+	emptied  *prometheus.GaugeVec
+	revision prometheus.Gauge
+}
+
+// NewZoneGauges registers the gauges of a subsystem.
+func NewZoneGauges(c Counters) *ZoneGauges {
+	return &ZoneGauges{
+		emptied:  c.GaugeVector("emptied_zone", "1 for each availability zone whose targets get no new flows.", "zone"),
+		revision: c.Gauge("emptied_zones_revision", "The store's revision by which the emptied zones changed last."),
+	}
+}
+
+// Set replaces the zones shown.
+func (g *ZoneGauges) Set(zones []string, revision int64) {
+	g.emptied.Reset()
+	for _, zone := range zones {
+		g.emptied.WithLabelValues(zone).Set(1)
+	}
+	g.revision.Set(float64(revision))
+}
