Cold targets get the new flows that they bear, no more

Cause: cold-per-s of a service was not read, and nothing bounded what a target gets that has just started or whose zone was taken back.

The agent gives its target every opening packet, so it alone can keep the bound exactly: a sliding window (backlog/coldstart), which a fresh agent takes for full for its span. A target counts as cold until it has reported after it came up, after its zone was emptied or taken back, and after a flow was gone there. The bound comes with the opening packet's envelope from the balancer's configuration; agents announce what the target still bears, balancers send their share of it and refuse at once what no target bears.

--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -75,6 +75,7 @@
 
 	acks    acks
 	health  health
+	cold    cold
 	held    backlog.Queue[flow.Key]
 	pace    backlog.Pace
 	outage  backlog.Outage
@@ -105,13 +106,15 @@
 }
 
 // New returns a core that knows neither target nor balancers yet.
-func New(opts Options, port Port, codec flow.Codec, events Events) *Core {
-	return &Core{
+func New(now time.Time, opts Options, port Port, codec flow.Codec, events Events) *Core {
+	c := &Core{
 		opts: opts, port: port, codec: codec, events: events,
 		view: fleet.NewView(), flows: newFlows(), notes: newNotes(), acks: newAcks(), health: newHealth(),
 		pace: backlog.NewPace(assumedWork, assumedSlots),
 		buf:  make([]byte, 0, 2048),
 	}
+	c.cold.window.Blind(now)
+	return c
 }
 
 // SetSeeds replaces the balancers to join by.
@@ -172,6 +175,9 @@
 	if ok && c.health.ejected && c.env.Count > 0 {
 		reason, ok = "target ejected", false
 	}
+	if ok && c.flows.get(key) == nil && c.tooCold(now) {
+		reason, ok = "target cold", false
+	}
 	if !ok {
 		c.events.PassedOn(key, reason, int(c.env.Hops))
 		c.passOn(packet, true)
@@ -185,6 +191,7 @@
 
 // admit gives a SYN to the target.
 func (c *Core) admit(now time.Time, key flow.Key, h *flow.Header, packet []byte) {
+	c.cold.window.Give(now)
 	if c.flows.get(key) == nil {
 		r := c.flows.ensure(now, key)
 		r.stage = offered
--- a/agent/packetfront/core_test.go
+++ b/agent/packetfront/core_test.go
@@ -56,11 +56,15 @@
 	port *port
 	now  time.Time
 	seq  uint64
+	// client is the last of those that offers makes up.
+	client int
 }
 
+var platformCodec = platform.Codec{}
+
 func newFixture() *fixture {
 	f := &fixture{port: &port{}, now: time.Unix(1_700_000_000, 0)}
-	f.Core = New(Options{Self: 9, Service: service, Epoch: 1, HeartbeatPeriod: time.Second, FlowTTL: time.Minute}, f.port, platform.Codec{}, quiet{})
+	f.Core = New(f.now, Options{Self: 9, Service: service, Epoch: 1, HeartbeatPeriod: time.Second, FlowTTL: time.Minute}, f.port, platform.Codec{}, quiet{})
 	f.Probed(f.now, ProbeRefused)
 	f.Probed(f.now, ProbeAccepted)
 	f.registered()
@@ -203,7 +207,7 @@
 
 func TestAFreshAgentAsksItsTarget(t *testing.T) {
 	f := newFixture()
-	f.Core = New(f.opts, f.port, platform.Codec{}, quiet{})
+	f.Core = New(f.now, f.opts, f.port, platform.Codec{}, quiet{})
 	f.Probed(f.now, ProbeAccepted)
 	f.deliver(envelope.Envelope{Service: service, Flags: envelope.Search}, packet(keyOf(1), flow.ACK, 500, "x"))
 	require.Len(t, f.port.target, 1)
--- a/agent/packetfront/fromhost.go
+++ b/agent/packetfront/fromtarget.go
@@ -111,6 +111,8 @@
 	c.flows.answered(r)
 	c.flows.setStage(r, dead)
 	r.usedAt = now
+	// The target may have started again without a word.
+	c.cold.doubtedAt = now
 	c.events.Reset(key, "its target no longer holds it")
 	c.port.Reset(key, h.Ack)
 }
--- a/agent/packetfront/front.go
+++ b/agent/packetfront/front.go
@@ -77,7 +77,7 @@
 	}
 	f.entry = registry.New(f.store, fleet.RoleAgent, f.self, opts.Epoch, log, func(p fleet.Presence) { f.locked(func(now time.Time) { f.core.Shown(now, p) }) })
 	f.observer = newObserver(log, f.reg)
-	f.core = New(opts, f, platform.Codec{}, f.observer)
+	f.core = New(time.Now(), opts, f, platform.Codec{}, f.observer)
 	return f, nil
 }
 
--- a/agent/packetfront/health_test.go
+++ b/agent/packetfront/health_test.go
@@ -230,7 +230,7 @@
 			f.beatOf(time.Second, "i-2", 1, false)
 		},
 		"a fresh agent": func(f *fixture) {
-			f.Core = New(f.opts, f.port, f.codec, f.events)
+			f.Core = New(f.now, f.opts, f.port, f.codec, f.events)
 			f.goesDownAndUp(400 * time.Millisecond)
 		},
 		"long ago": func(f *fixture) {
--- a/agent/packetfront/life_test.go
+++ b/agent/packetfront/life_test.go
@@ -33,7 +33,7 @@
 // afterALife is an agent that had 300 heartbeats of a life.
 func afterALife(l fleet.Life) *fixture {
 	f := newFixture()
-	f.Core = New(f.opts, f.port, f.codec, f.events)
+	f.Core = New(f.now, f.opts, f.port, f.codec, f.events)
 	f.opts.HeartbeatPeriod = heartbeatPause
 	f.Probed(f.now, ProbeAccepted)
 	for i := range uint64(300) {
@@ -204,7 +204,7 @@
 		says := rapid.Bool().Draw(t, "says when it was born")
 		f := newFixture()
 		f.opts.HeartbeatPeriod = heartbeatPause
-		f.Core = New(f.opts, f.port, f.codec, f.events)
+		f.Core = New(f.now, f.opts, f.port, f.codec, f.events)
 		f.Probed(f.now, ProbeAccepted)
 		clock := int64(1_700_000_000_000)
 		var lives []liveTarget
@@ -244,7 +244,7 @@
 				begin(id)
 			case "agent":
 				f.opts.Epoch++
-				f.Core = New(f.opts, f.port, f.codec, f.events)
+				f.Core = New(f.now, f.opts, f.port, f.codec, f.events)
 				f.Probed(f.now, ProbeAccepted)
 			case "beat":
 				f.beatOfLife(present)
--- a/agent/packetfront/lifetime_test.go
+++ b/agent/packetfront/lifetime_test.go
@@ -18,7 +18,7 @@
 // freshAgent is one that started beside a target that was there before it.
 func freshAgent() *fixture {
 	f := newFixture()
-	f.Core = New(f.opts, f.port, f.codec, f.events)
+	f.Core = New(f.now, f.opts, f.port, f.codec, f.events)
 	f.Probed(f.now, ProbeAccepted)
 	return f
 }
--- a/agent/packetfront/nodes.go
+++ b/agent/packetfront/nodes.go
@@ -15,7 +15,7 @@
 	}
 	change := c.view.Beacon(now, from, m)
 	if change != fleet.Stale {
-		c.compareEvacuations(from, m.Evacuations)
+		c.compareEvacuations(now, from, m.Evacuations)
 	}
 	c.acks.heard(from, c.opts.Epoch, &m)
 	if change == fleet.Joined {
@@ -30,11 +30,15 @@
 // compareEvacuations takes over later evacuations than the agent knows, or tells a
 // balancer those that it lacks: agents live on when all balancers have restarted while
 // the store is away.
-func (c *Core) compareEvacuations(from flow.IPv4, heard flow.Evacuations) {
+func (c *Core) compareEvacuations(now time.Time, from flow.IPv4, heard flow.Evacuations) {
 	former := c.evacuations
 	switch {
 	case heard.Newer(former):
 		c.evacuations = heard
+		if heard.Has(c.opts.Zone) != former.Has(c.opts.Zone) || former.Revision == 0 {
+			// The targets of a zone may have become cold meanwhile.
+			c.cold.doubtedAt = now
+		}
 		if !heard.Same(former) {
 			c.events.EvacuationsChanged(heard, former, from.String())
 		}
@@ -185,6 +189,7 @@
 	if c.leaving && state == fleet.Ready {
 		state = fleet.Draining
 	}
+	room, cold := c.coldRoom(now)
 	return fleet.Announcement{
 		Zone: c.opts.Zone, Service: c.opts.Service,
 		Incarnation:  c.incarnation(),
@@ -195,6 +200,8 @@
 		WarmupMillis: uint16(min(c.warmup(now).Milliseconds(), 1<<16-1)),
 		Ejected:      c.health.ejected,
 		Listing:      c.listing,
+		Cold:         cold,
+		Room:         uint16(min(room, 1<<16-1)),
 	}
 }
 
--- a/agent/packetfront/nodes_test.go
+++ b/agent/packetfront/nodes_test.go
@@ -108,7 +108,7 @@
 	} {
 		f := newFixture()
 		f.opts.Seeds = []flow.IPv4{nextIP}
-		f.Core = New(f.opts, f.port, f.codec, f.events)
+		f.Core = New(f.now, f.opts, f.port, f.codec, f.events)
 		f.HandleNode(f.now, balancerIP, (&fleet.Beacon{Identity: fleet.Identity{Epoch: 4, Seq: 1}}).Append(nil))
 		f.pass(fleet.NearPeriod)
 		require.Empty(t, f.port.Nodes, name)
@@ -127,7 +127,7 @@
 func TestAnAgentDoesNotWaitForTheRegistryForLong(t *testing.T) {
 	f := newFixture()
 	f.opts.Seeds = []flow.IPv4{nextIP}
-	f.Core = New(f.opts, f.port, f.codec, f.events)
+	f.Core = New(f.now, f.opts, f.port, f.codec, f.events)
 	f.Probed(f.now, ProbeAccepted)
 	f.pass(registerPatience - 1)
 	require.Empty(t, f.port.Nodes)
@@ -139,7 +139,7 @@
 // it is certain that the target has ended.
 func TestTheRegistryFollowsTheTarget(t *testing.T) {
 	f := newFixture()
-	f.Core = New(f.opts, f.port, f.codec, f.events)
+	f.Core = New(f.now, f.opts, f.port, f.codec, f.events)
 	require.Equal(t, fleet.PresenceUnknown, f.Presence(f.now))
 	f.Probed(f.now, ProbeRefused)
 	require.Equal(t, fleet.PresenceUnknown, f.Presence(f.now), "it may be about to start")
--- /dev/null
+++ b/balancer/packetfront/cold.go
@@ -0,0 +1,19 @@
+package packetfront
+
+import (
+	"time"
+
+	"github.com/poppywall/poppywall/fleet"
+)
+
+// coldFull tells whether a cold target bears no new flow of this balancer at the moment:
+// its agent would pass it on. What the target bears is what it announced and what it
+// bears anew since; each balancer sends its share of that.
+func (c *Core) coldFull(now time.Time, h *fleet.Target) bool {
+	if !h.Cold {
+		return false
+	}
+	anew := c.config.ColdRates[h.Service] * now.Sub(h.HeardAt).Seconds()
+	share := (float64(h.Room) + anew) / float64(c.view.BalancerCount()+1)
+	return float64(h.Sent) >= share
+}
--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -282,7 +282,7 @@
 		Age: now.Sub(target.HeardAt), Candidates: len(candidates), Copy: h.Ack})
 	c.env = envelope.Envelope{
 		Kind: envelope.Deliver, Balancer: c.opts.Self, Service: chosen.Service, Priority: route.Priority,
-		Objective: route.Objective, Deadline: route.Deadline,
+		Objective: route.Objective, Deadline: route.Deadline, ColdRate: c.config.ColdRates[backend.Tag],
 	}
 	if repeated {
 		c.env.Flags |= envelope.Repeated
@@ -293,15 +293,14 @@
 
 // noTarget answers a SYN for which no target is known, or none that may get it.
 func (c *Core) noTarget(now time.Time, key flow.Key, h *flow.Header, route *flow.Route, backend flow.Backend, packet []byte) {
-	emptied := c.emptied(backend.Tag)
-	if c.fresh(now) || (!c.settled(now) && !emptied) {
+	reason := c.refusal(backend.Tag)
+	if c.fresh(now) || (!c.settled(now) && reason == "") {
 		c.park(now, key, h, packet, KeepUnsettled)
 		return
 	}
 	c.limbo.drop(key)
-	reason := "no target of the service"
-	if emptied {
-		reason = "zones of the service emptied"
+	if reason == "" {
+		reason = "no target of the service"
 	}
 	c.refuse(key, h, reason, route.Name)
 }
--- a/balancer/packetfront/evacuations.go
+++ b/balancer/packetfront/evacuations.go
@@ -67,14 +67,17 @@
 	return h.State == fleet.Ready && !c.evacuations.Has(h.Zone)
 }
 
-// emptied tells whether a service has ready targets, but in emptied zones alone.
-func (c *Core) emptied(service flow.Tag) bool {
-	ready := false
+// refusal tells why no target of a service may get a new flow, empty where none is known
+// that is ready.
+func (c *Core) refusal(service flow.Tag) string {
+	reason := ""
 	for _, h := range c.view.Service(service) {
-		if c.takesNew(h) {
-			return false
+		switch {
+		case c.takesNew(h):
+			return "targets of the service cold"
+		case h.State == fleet.Ready:
+			reason = "zones of the service emptied"
 		}
-		ready = ready || h.State == fleet.Ready
 	}
-	return ready
+	return reason
 }
--- a/balancer/packetfront/plan.go
+++ b/balancer/packetfront/plan.go
@@ -75,7 +75,7 @@
 	targets := c.view.Service(service)
 	ejectable := c.ejectable(targets)
 	for _, h := range targets {
-		if !c.takesNew(h) || (ejectable && h.Ejected) {
+		if !c.takesNew(h) || (ejectable && h.Ejected) || c.coldFull(now, h) {
 			continue
 		}
 		ranking := p.openFar
--- a/e2e/packets/packets_test.go
+++ b/e2e/packets/packets_test.go
@@ -12,6 +12,10 @@
 	"github.com/poppywall/poppywall/flow"
 )
 
+// coldRate is how many requests a second a cold target of service B bears, where that
+// is bounded.
+const coldRate = 4
+
 // deployment is three zones with a balancer each and targets of two services.
 func deployment(w *world) {
 	zones := []string{"z1", "z2", "z3"}
@@ -127,6 +131,9 @@
 		w.Loss = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "loss")
 		w.Double = rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "double")
 		w.Late = rapid.SampledFrom([]time.Duration{time.Millisecond, 250 * time.Millisecond}).Draw(t, "late")
+		if rapid.Bool().Draw(t, "cold bound") {
+			w.Config.ColdRates = map[flow.Tag]float64{flow.TagOf(serviceB): coldRate}
+		}
 		w.keepIDs, w.sayBorn = rapid.Bool().Draw(t, "keep IDs"), rapid.Bool().Draw(t, "say born")
 		for range rapid.IntRange(5, 40).Draw(t, "steps") {
 			step(t, w)
--- a/e2e/packets/target_test.go
+++ b/e2e/packets/target_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/poppywall/poppywall/backlog/coldstart"
 	"github.com/poppywall/poppywall/fleet"
 	"github.com/poppywall/poppywall/flow"
 	"github.com/poppywall/poppywall/model/sim"
@@ -11,6 +12,9 @@
 	"github.com/poppywall/poppywall/platform/platformtest"
 )
 
+// coldTime is how long targets are cold after a start.
+const coldTime = 2 * time.Second
+
 // target is the oracle: what the program beside an agent does.
 type target struct {
 	id string
@@ -27,6 +31,11 @@
 	flows    map[flow.Key]*targetFlow
 	sequence uint64
 	full     bool
+	// coldUntil is when the target is warm, unseen tells that its agent did not see the
+	// end of the one before and that it has not reported since, openedAt when new flows came.
+	coldUntil time.Time
+	unseen    bool
+	openedAt  []time.Time
 }
 
 func (h *target) life() fleet.Life { return fleet.Life{TargetID: h.id, Born: h.born} }
@@ -47,6 +56,7 @@
 	if w.sayBorn {
 		h.born = w.Now.UnixMilli() + w.clockStep
 	}
+	h.coldUntil, h.unseen = w.Now.Add(coldTime), a.Up && !a.Core.TargetEnded() && len(a.former) > 0
 	a.target, a.Target = h, a
 	w.Every(sim.HeartbeatPeriod, func() bool {
 		if a.target == h {
@@ -62,7 +72,8 @@
 	if !a.Up {
 		return
 	}
-	acknowledged := a.Core.Heartbeat(a.w.Now, fleet.Heartbeat{Life: h.life(), Service: h.service, Slots: h.slots, Draining: h.draining, Sequence: h.sequence})
+	acknowledged := a.Core.Heartbeat(a.w.Now, fleet.Heartbeat{Life: h.life(), Service: h.service, Slots: h.slots, Draining: h.draining, Sequence: h.sequence, WarmupLeft: max(h.coldUntil.Sub(a.w.Now), 0)})
+	h.unseen = h.unseen && !acknowledged
 	if acknowledged && h.draining && h.ackedBy != a.Life {
 		h.ackedBy, h.ackedAt = a.Life, a.w.Now
 	}
@@ -152,12 +163,32 @@
 	}
 	f, ok := h.flows[key]
 	if !ok {
+		a.countCold(h)
 		f = &targetFlow{seq: a.w.Rnd.Uint32() >> 1}
 		h.flows[key] = f
 	}
 	a.targetSends(key, flow.SYN|flow.ACK, f.seq, 0, nil)
 }
 
+// countCold checks that a cold target gets no more new flows within a second than it
+// bears.
+func (a *agentNode) countCold(h *target) {
+	h.openedAt = append(h.openedAt, a.w.Now)
+	rate := a.w.Config.ColdRates[flow.TagOf(h.service)]
+	if rate == 0 || h.unseen || !a.w.Now.Before(h.coldUntil) {
+		return
+	}
+	within := 0
+	for _, at := range h.openedAt {
+		if a.w.Now.Sub(at) < time.Second {
+			within++
+		}
+	}
+	if within > coldstart.Most(rate) {
+		a.w.violate("%d new flows within a second at cold target %s", within, h.id)
+	}
+}
+
 func (a *agentNode) targetSends(key flow.Key, flags flow.Flags, seq, ack uint32, data []byte) {
 	a.FromTarget(platformtest.FromTarget(key, flags, seq, ack, data))
 }
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -91,6 +91,9 @@
 	WarmupMillis uint16
 	// Ejected targets fail their requests.
 	Ejected bool
+	// Cold targets bear only so many new flows a second: Room more at the moment.
+	Cold bool
+	Room uint16
 	// Listing is what the agent knows of its entry in the registry.
 	Listing Listing
 	// Period is how soon the receiver hears of the sender again, whole
@@ -132,8 +135,8 @@
 	Zone, Service, Incarnation            uint32
 	State, WantPeers, WantReply           uint8
 	Slots, Busy, Open, WarmupMilliseconds uint16
-	Ejected, Listing                      uint8
-	PeriodMilliseconds                    uint16
+	Ejected, Listing, Cold                uint8
+	PeriodMilliseconds, Room              uint16
 }
 
 type beaconWire struct {
@@ -165,6 +168,7 @@
 		State: uint8(a.State), WantPeers: bit(a.WantPeers), WantReply: bit(a.WantReply),
 		Slots: a.Slots, Busy: a.Busy, Open: a.Open, WarmupMilliseconds: a.WarmupMillis,
 		Ejected: bit(a.Ejected), Listing: uint8(a.Listing), PeriodMilliseconds: uint16(a.Period.Milliseconds()),
+		Cold: bit(a.Cold), Room: a.Room,
 	})
 }
 
@@ -227,6 +231,7 @@
 		State: State(w.State), WantPeers: w.WantPeers == 1, WantReply: w.WantReply == 1,
 		Slots: w.Slots, Busy: w.Busy, Open: w.Open, WarmupMillis: w.WarmupMilliseconds,
 		Ejected: w.Ejected == 1, Listing: Listing(w.Listing), Period: time.Duration(w.PeriodMilliseconds) * time.Millisecond,
+		Cold: w.Cold == 1, Room: w.Room,
 	}, nil
 }
 
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -58,6 +58,9 @@
 // Balancers returns the addresses of the other balancers.
 func (v *View) Balancers() []flow.IPv4 { return keys(v.peers) }
 
+// BalancerCount returns how many other balancers are known.
+func (v *View) BalancerCount() int { return len(v.peers) }
+
 // ZoneOf returns the zone of another balancer.
 func (v *View) ZoneOf(balancer flow.IPv4) (flow.Tag, bool) {
 	p, known := v.peers[balancer]
--- a/flow/config.go
+++ b/flow/config.go
@@ -8,6 +8,9 @@
 	Version int64
 	// Routes maps each front address to where its flows go.
 	Routes map[Front]*Route
+	// ColdRates are how many requests a second a target of a service bears while it is
+	// cold; a service that is not there states no bound.
+	ColdRates map[Tag]float64
 	// IdleTimeout is the age from which an idle flow may be forgotten.
 	IdleTimeout time.Duration
 }
--- a/flow/envelope/envelope.go
+++ b/flow/envelope/envelope.go
@@ -4,8 +4,8 @@
 //
 // Layout, big-endian: magic (2), version (1), kind (1), balancer (4), hops (1),
 // flags (1), candidate count (1), priority (1), service (4), search (4),
-// objective (2), deadline (2), least loaded target (4), its wait (2), then 8 bytes
-// for each candidate still to try (address 4, service 4), then the packet. Times
+// objective (2), deadline (2), least loaded target (4), its wait (2), cold rate (2),
+// then 8 bytes for each candidate still to try (address 4, service 4), then the packet. Times
 // are whole milliseconds, at most 65,535.
 //
 // Cost: decoding allocates nothing (BenchmarkDecode).
@@ -67,7 +67,7 @@
 	MaxHops = MaxCandidates + 8
 	// PrefixLen is the length of magic, version and kind.
 	PrefixLen = 4
-	headLen   = 30
+	headLen   = 32
 	itemLen   = 8
 	// MaxLen is the longest envelope, in bytes.
 	MaxLen = headLen + MaxCandidates*itemLen
@@ -100,6 +100,9 @@
 	// in vain, BestWait that wait; zero before the first.
 	Best     flow.IPv4
 	BestWait time.Duration
+	// ColdRate is how many requests a second a target of the service bears while it is
+	// cold, zero when that has no bound; for new flows only, in tenths.
+	ColdRate float64
 	// Count is the number of Candidates still to try, in order.
 	Count      int
 	Candidates [MaxCandidates]flow.Candidate
@@ -146,6 +149,7 @@
 	b = appendMillis(b, e.Deadline)
 	b = binary.BigEndian.AppendUint32(b, uint32(e.Best))
 	b = appendMillis(b, e.BestWait)
+	b = binary.BigEndian.AppendUint16(b, uint16(min(max(math.Ceil(e.ColdRate*rateUnits-rateError), 0), math.MaxUint16)))
 	for _, c := range e.Candidates[:e.Count] {
 		b = binary.BigEndian.AppendUint32(b, uint32(c.Target))
 		b = binary.BigEndian.AppendUint32(b, uint32(c.Service))
@@ -175,6 +179,7 @@
 	e.SearchID = binary.BigEndian.Uint32(b[16:])
 	e.Objective, e.Deadline = millis(b[20:]), millis(b[22:])
 	e.Best, e.BestWait = flow.IPv4(binary.BigEndian.Uint32(b[24:])), millis(b[28:])
+	e.ColdRate = float64(binary.BigEndian.Uint16(b[30:])) / rateUnits
 	for i := range count {
 		at := b[headLen+i*itemLen:]
 		e.Candidates[i] = flow.Candidate{
@@ -185,6 +190,13 @@
 	return b[end:], nil
 }
 
+// rateUnits are the steps of a rate on the wire, in one request a second; rateError is
+// what the arithmetic may add to a whole number of them.
+const (
+	rateUnits = 10
+	rateError = 1e-6
+)
+
 // appendMillis appends a time in whole milliseconds, the longest one that fits
 // for those beyond.
 func appendMillis(b []byte, d time.Duration) []byte {
--- a/flow/envelope/envelope_test.go
+++ b/flow/envelope/envelope_test.go
@@ -21,6 +21,7 @@
 		Service:  flow.Tag(rapid.Uint32().Draw(t, "service")),
 		SearchID: rapid.Uint32().Draw(t, "search"),
 		Priority: rapid.Uint8().Draw(t, "priority"),
+		ColdRate: float64(rapid.Uint16().Draw(t, "cold rate")) / rateUnits,
 	}
 	for range rapid.IntRange(0, MaxCandidates).Draw(t, "count") {
 		e.Candidates[e.Count] = flow.Candidate{Target: flow.IPv4(rapid.Uint32().Draw(t, "target")), Service: 1}
@@ -46,6 +47,25 @@
 	})
 }
 
+// TestRatesAreRoundedUp: a bound never becomes none, and keeps its value from node to
+// node.
+func TestRatesAreRoundedUp(t *testing.T) {
+	over := func(rate float64) float64 {
+		e := Envelope{Kind: Deliver, ColdRate: rate}
+		var got Envelope
+		_, err := got.Decode(e.Append(nil))
+		require.NoError(t, err)
+		return got.ColdRate
+	}
+	for tenths := range 1 << 16 {
+		rate := float64(tenths) / rateUnits
+		require.Equal(t, rate, over(rate))
+	}
+	for rate, want := range map[float64]float64{0.01: 0.1, 2.55: 2.6, 1e9: 6553.5, -1: 0} {
+		require.Equal(t, want, over(rate))
+	}
+}
+
 func TestPopTakesCandidatesInOrder(t *testing.T) {
 	var e Envelope
 	e.SetCandidates([]flow.Candidate{{Target: 1}, {Target: 2}})
