Bodies on their way are no load: a target's limit follows what it works on

Trace (packets of one agent): not uploads whose clients went away, as was first taken. Clients are there and send; their packets are lost at balancers with links of 14 Mbit/s and come one each 0.25 s, so that an upload is a request at the target for 2 to 6 s, and six of them are the limit.

Ways weighed: to count a request from the moment its body is whole cannot be seen without reading it; until its route's timeout or its client's silence bounds the fault to seconds, and a hung target would draw more; what the target's own answers say holds at any speed. By Little's law the part of a request's time from its last packet to its answer is the part of the requests delivered that the target works on; the limit and the expected wait follow it, at most 16 times.

Kept for what it promises: a service at 1% is never at its limit (TestSlowUploadsKeepNoSlot), a full one still is.

--- a/agent/packetfront/admission.go
+++ b/agent/packetfront/admission.go
@@ -75,10 +75,13 @@
 	r.packets = append(r.packets, heldPacket{seq, slices.Clone(packet)})
 }
 
-// limit is how many requests the target may have, running and queued.
+// limit is how many requests the target may have: running and queued, and beside them
+// those whose bodies are on their way. These keep no slot, however long they take; were
+// they counted, a few slow uploads would keep an idle target from all others.
 func (c *Core) limit() int {
 	slots := c.target.slots()
-	return slots + int(queuePerSlot*float64(slots))
+	working := slots + int(queuePerSlot*float64(slots))
+	return int(float64(working) / c.pace.Share())
 }
 
 // full tells that there are as many requests as the target should have, those that
@@ -87,7 +90,8 @@
 
 // wait is how long a new request would wait for a slot, served in order.
 func (c *Core) wait() time.Duration {
-	return time.Duration(max(c.flows.busy-c.target.slots()+1, 0)) * c.pace.Each()
+	ahead := float64(c.flows.busy)*c.pace.Share() - float64(c.target.slots()) + 1
+	return time.Duration(max(ahead, 0) * float64(c.pace.Each()))
 }
 
 // settles decides on a new flow for which the target has no room at once. While
@@ -201,6 +205,7 @@
 		held := r.held
 		r.held = nil
 		c.start(now, key, r, c.codec.RequestID(held.packets[0].data))
+		r.givenAt = now
 		for _, p := range held.packets {
 			c.env = held.env
 			c.toOpen(now, key, r, p.data)
--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -248,6 +248,9 @@
 	if h.Len > 0 && c.waits(now, key, r, h, packet) {
 		return
 	}
+	if h.Len > 0 {
+		r.givenAt = now
+	}
 	c.toOpen(now, key, r, packet)
 	if h.Len == 0 && (h.Flags.Has(flow.FIN) || h.Flags.Has(flow.RST)) {
 		c.leaves(now, key, r)
--- a/agent/packetfront/core_test.go
+++ b/agent/packetfront/core_test.go
@@ -58,6 +58,8 @@
 	seq  uint64
 	// client is the last of those that offers makes up.
 	client int
+	// peak is the most requests that the target had at once while uploads was played.
+	peak int
 }
 
 var platformCodec = platform.Codec{}
--- a/agent/packetfront/flows.go
+++ b/agent/packetfront/flows.go
@@ -52,10 +52,12 @@
 	// request is what the flow's requests ask for.
 	request terms
 	// held is the request that waits for a slot, nil when none does; runningAt is
-	// when the present request was given to the target, zero before, and among how
-	// many the target had then, this one included.
+	// when the present request was given to the target, zero before, givenAt when its
+	// last packet so far was, and among how many the target had at first, this one
+	// included.
 	held      *heldRequest
 	runningAt time.Time
+	givenAt   time.Time
 	among     int
 	// balancer is told that the flow is here once the target has taken it; zero
 	// when it knows.
--- a/agent/packetfront/fromtarget.go
+++ b/agent/packetfront/fromtarget.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/poppywall/poppywall/backlog"
 	"github.com/poppywall/poppywall/flow"
 )
 
@@ -37,7 +38,7 @@
 			c.answered(now, r, c.codec.Answer(packet))
 		}
 		if h.Len > 0 && !r.runningAt.IsZero() {
-			c.pace.Done(now.Sub(r.runningAt), r.among, c.target.slots())
+			c.pace.Done(backlog.Served{Took: now.Sub(r.runningAt), Work: now.Sub(r.givenAt), Among: r.among}, c.target.slots())
 		}
 		c.noteSent(key, r, h)
 	}
