Balancers whose link is full leave the rotation to larger ones

Cause of the late uploads after an outage: routers give each balancer of a zone the same share.

A balancer leaves only where those with at least twice its link could carry the zone on half of theirs, at least half of the zone stays, and it is of the weaker half; it is back at once when that ends. Settings state the link (linkMbps).

--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -28,6 +28,8 @@
 	// Epoch is random for each start.
 	Epoch   uint64
 	Weights choose.Weights
+	// LinkMbps is the width of this VM's link, Mbit/s, zero when it is not known.
+	LinkMbps float64
 	// FeedTime is how long after an answer of the store a balancer counts as fed:
 	// a watch's waiting time and its time-out.
 	FeedTime time.Duration
@@ -84,6 +86,8 @@
 
 	seq     uint32
 	leaving bool
+	// rotation tells whether the balancer takes part.
+	rotation rotation
 	// nextNear and nextFar are when nodes of the own and of other zones are told
 	// again, farPeriod is the pause for the latter.
 	nextNear, nextFar time.Time
@@ -178,7 +182,7 @@
 // Ready tells whether clients' packets may come: a configuration is in force and
 // the targets had the time to announce themselves.
 func (c *Core) Ready(now time.Time) bool {
-	if c.config == nil || c.leaving {
+	if c.config == nil || c.leaving || c.rotation.standsBy {
 		return false
 	}
 	return len(c.view.Targets()) > 0 || now.Sub(c.startedAt) > settleTime
@@ -243,6 +247,7 @@
 
 func (c *Core) send(target flow.IPv4, packet []byte) {
 	c.buf = c.env.Append(c.buf[:0])
+	c.rotation.count(len(c.buf) + len(packet))
 	c.port.ToNode(target, c.buf, packet)
 }
 
--- a/balancer/packetfront/events.go
+++ b/balancer/packetfront/events.go
@@ -72,6 +72,10 @@
 	TargetChanged(h *fleet.Target, change fleet.Change)
 	TargetForgotten(ip flow.IPv4)
 	PeerChanged(ip flow.IPv4, what string)
+	// StandsBy tells that the balancer leaves the rotation because its link is full, or
+	// comes back: what it and the zone's balancers send, Mbit/s, and how many others
+	// are in rotation.
+	StandsBy(out bool, own, zone float64, taking int)
 	// EvacuationsChanged tells that other zones than formerly are emptied; from is who
 	// told it.
 	EvacuationsChanged(now, former flow.Evacuations, from string)
--- a/balancer/packetfront/fixture_test.go
+++ b/balancer/packetfront/fixture_test.go
@@ -41,6 +41,7 @@
 func (quiet) TargetChanged(*fleet.Target, fleet.Change)          {}
 func (quiet) TargetForgotten(flow.IPv4)                          {}
 func (quiet) PeerChanged(flow.IPv4, string)                      {}
+func (quiet) StandsBy(bool, float64, float64, int)               {}
 func (quiet) EvacuationsChanged(_, _ flow.Evacuations, _ string) {}
 
 // fixture is a settled balancer with two targets of a service.
--- a/balancer/packetfront/nodes.go
+++ b/balancer/packetfront/nodes.go
@@ -1,6 +1,7 @@
 package packetfront
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -163,6 +164,7 @@
 // Tick does what is due.
 func (c *Core) Tick(now time.Time) {
 	c.join(now)
+	c.rotate(now)
 	c.retryKept(now)
 	c.repeatBeacons(now)
 	if !now.Before(c.nextExpire) {
@@ -261,6 +263,9 @@
 	}
 	m.ConfigVersion = c.ConfigVersion()
 	m.Evacuations = c.evacuations
+	m.InRotation = c.Ready(now)
+	m.LinkMbps = mbpsOnWire(c.opts.LinkMbps)
+	m.SentMbps = mbpsOnWire(c.rotation.mbps())
 	m.Digest = c.digest(now)
 	m.Period = c.periodTo(to)
 	m.Leaving = c.leaving
@@ -268,6 +273,9 @@
 	c.port.ToNode(to, m.Append(c.buf[:0]), nil)
 }
 
+// mbpsOnWire rounds a rate for a beacon.
+func mbpsOnWire(rate float64) uint16 { return uint16(min(math.Ceil(rate), math.MaxUint16)) }
+
 func (c *Core) sendPeers(now time.Time, to flow.IPv4) {
 	names := c.view.Names(now)
 	names.Balancers = append(names.Balancers, c.opts.Self)
--- a/balancer/packetfront/observer.go
+++ b/balancer/packetfront/observer.go
@@ -56,6 +56,7 @@
 	keeps                                        map[Keep]prometheus.Counter
 	readingAge                                   prometheus.Histogram
 	emptied                                      *telemetry.ZoneGauges
+	stoodBy                                      prometheus.Counter
 }
 
 func newObserver(log *zap.Logger, reg *prometheus.Registry) *observer {
@@ -75,6 +76,7 @@
 		readingAge: c.Histogram("reading_age_seconds",
 			"Age of the target's load reading when a new flow was sent to it.", []float64{0.05, 0.1, 0.2, 0.5, 1, 2, 5}),
 		emptied: telemetry.NewZoneGauges(c),
+		stoodBy: c.Counter("stood_by_total", "Times that the balancer left the rotation because its link was full."),
 		lost:    c.Vector("lost_packets_total", "Packets whose flow no target holds.", "sure"),
 	}
 	return o
@@ -162,3 +164,13 @@
 	o.Log.Info("zones emptied", zap.Strings("zones", now.Zones()), zap.Strings("former", former.Zones()),
 		zap.Int64(fieldEvacuations, now.Revision), zap.String("from", from))
 }
+
+// StandsBy implements Events.
+func (o *observer) StandsBy(out bool, own, zone float64, taking int) {
+	what := "back in rotation"
+	if out {
+		what = "link full, out of rotation"
+		o.stoodBy.Inc()
+	}
+	o.Log.Info(what, zap.Float64("mbps", own), zap.Float64("zone_mbps", zone), zap.Int("others_in_rotation", taking))
+}
--- a/balancer/packetfront/settings.go
+++ b/balancer/packetfront/settings.go
@@ -28,6 +28,9 @@
 	// OtherZoneCost is the load, in busy requests per slot, at which a target in
 	// another zone is preferred.
 	OtherZoneCost float64 `json:"otherZoneCost,omitempty" validate:"gte=0,lte=100"`
+	// LinkMbps is the width of the VM's link, Mbit/s; zero when it is not known. A
+	// balancer whose link is full leaves the rotation to others with larger ones.
+	LinkMbps float64 `json:"linkMbps,omitempty" validate:"gte=0,lte=1000000"`
 	// LeaveDelay is how long a stopping balancer forwards on while the routers
 	// take it out.
 	LeaveDelay settings.Duration `json:"leaveDelay,omitempty" validate:"gte=0,lte=600000000000"`
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -36,6 +36,7 @@
 	require.NoError(t, err)
 	require.Equal(t, a, gotA)
 	b := Beacon{Identity: Identity{1, 2}, Zone: 3, ConfigVersion: 1 << 40, Digest: 5, Leaving: true, Feeding: true, Reply: true, Period: 2 * time.Second, Heard: Identity{8, 9}}
+	b.InRotation, b.LinkMbps, b.SentMbps = true, 200, 14
 	b.Evacuations, _ = flow.NewEvacuations(1<<40, []string{"a", "zone-b"})
 	gotB, err := DecodeBeacon(b.Append(nil))
 	require.NoError(t, err)
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -124,6 +124,11 @@
 	// Heard is the last announcement that the sender has of the receiver; zero to
 	// another balancer.
 	Heard Identity
+	// InRotation balancers take clients' packets from the routers.
+	InRotation bool
+	// LinkMbps is the width of the sender's link and SentMbps what it sent over it in the
+	// last second, Mbit/s; zero where the width is not known.
+	LinkMbps, SentMbps uint16
 	// Evacuations are the emptied zones that the sender acts on.
 	Evacuations flow.Evacuations
 }
@@ -150,6 +155,9 @@
 	PeriodMillis     uint16
 	HeardEpoch       uint64
 	HeardSeq         uint32
+	InRotation       uint8
+	LinkMbps         uint16
+	SentMbps         uint16
 }
 
 func bit(b bool) uint8 {
@@ -180,6 +188,7 @@
 		Leaving: bit(m.Leaving), Feeding: bit(m.Feeding), WantPeers: bit(m.WantPeers), Reply: bit(m.Reply),
 		PeriodMillis: uint16(m.Period.Milliseconds()),
 		HeardEpoch:   m.Heard.Epoch, HeardSeq: m.Heard.Seq,
+		InRotation: bit(m.InRotation), LinkMbps: m.LinkMbps, SentMbps: m.SentMbps,
 	})
 	return appendEvacuations(b, m.Evacuations)
 }
@@ -251,6 +260,7 @@
 		Leaving: w.Leaving == 1, Feeding: w.Feeding == 1, WantPeers: w.WantPeers == 1, Reply: w.Reply == 1,
 		Period: time.Duration(w.PeriodMillis) * time.Millisecond,
 		Heard:  Identity{w.HeardEpoch, w.HeardSeq}, Evacuations: evacuations,
+		InRotation: w.InRotation == 1, LinkMbps: w.LinkMbps, SentMbps: w.SentMbps,
 	}, nil
 }
 
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -70,6 +70,17 @@
 	return p.Zone, true
 }
 
+// ZonePeers returns the other balancers of a zone that others may rely on, in no order.
+func (v *View) ZonePeers(now time.Time, zone flow.Tag) []*Peer {
+	var out []*Peer
+	for _, p := range v.peers {
+		if p.Zone == zone && p.onDuty(now) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // BalancersByZone returns the addresses of the other balancers of a zone, and of
 // all other zones.
 func (v *View) BalancersByZone(zone flow.Tag) (near, far []flow.IPv4) {
--- a/model/sim/quiet.go
+++ b/model/sim/quiet.go
@@ -26,6 +26,7 @@
 func (QuietBalancer) TargetChanged(*fleet.Target, fleet.Change)          {}
 func (QuietBalancer) TargetForgotten(flow.IPv4)                          {}
 func (QuietBalancer) PeerChanged(flow.IPv4, string)                      {}
+func (QuietBalancer) StandsBy(bool, float64, float64, int)               {}
 func (QuietBalancer) EvacuationsChanged(_, _ flow.Evacuations, _ string) {}
 
 // QuietAgent hears nothing of what an agent decides.
