Agents keep a copy of the configuration for balancers that find none

An agent fetches the newest version from a balancer of its zone, 0.5 to 2.5 s after it heard of it, and keeps it compressed, as it came. A balancer without any takes an agent's copy when the store has had 150 ms and no balancer has one; the store's answer or a balancer's newer one takes its place, never the other way. A copy that is damaged does not unpack or decode, and its agent is left alone for 5 s. What passes configurations on is one package (fleet/configcopy).

--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -76,6 +76,7 @@
 	acks    acks
 	health  health
 	cold    cold
+	kept    kept
 	held    backlog.Queue[flow.Key]
 	pace    backlog.Pace
 	outage  backlog.Outage
--- a/agent/packetfront/front.go
+++ b/agent/packetfront/front.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/poppywall/poppywall/fleet"
+	"github.com/poppywall/poppywall/fleet/configcopy"
 	"github.com/poppywall/poppywall/fleet/registry"
 	"github.com/poppywall/poppywall/flow"
 	"github.com/poppywall/poppywall/platform"
@@ -48,19 +49,23 @@
 	clientPort         uint16
 	target             netip.AddrPort
 
-	// mu guards core and observer; nothing else is locked under it.
+	// mu guards core, observer and kept; nothing else is locked under it.
 	mu       sync.Mutex
 	core     *Core
 	observer *observer
 	alone    fleet.Alone
 	entry    *registry.Registry
+	// kept is the copy of the configuration, nil before the first.
+	kept *configcopy.Copy
+	// peers fetches it from balancers.
+	peers *configcopy.Client
 }
 
 // NewFront opens the sockets of a front.
 func NewFront(cfg Settings, log *zap.Logger) (*Front, error) {
 	f := &Front{
 		cfg: cfg, log: log, store: platform.NewStore(cfg.Store, storeTimeout),
-		reg: prometheus.NewRegistry(), target: netip.MustParseAddrPort(cfg.Target),
+		reg: prometheus.NewRegistry(), peers: configcopy.NewClient(nil), target: netip.MustParseAddrPort(cfg.Target),
 		clientPort: netip.MustParseAddrPort(cfg.Data).Port(),
 	}
 	f.self, f.port = flow.ParseAddrPort(cfg.Internal)
@@ -121,6 +126,10 @@
 	group.Go(work, "heartbeats", func(ctx context.Context) error {
 		return telemetry.ServeHTTP(ctx, f.cfg.Control, platform.HeartbeatHandler(f.cfg.Service, f))
 	})
+	group.Go(work, "copy of the configuration", f.keepConfig)
+	group.Go(work, "internal calls", func(ctx context.Context) error {
+		return telemetry.ServeHTTP(ctx, f.cfg.Internal, configcopy.Handler(f.copy, f.log))
+	})
 	if f.cfg.Metrics != "" {
 		group.Go(work, "metrics", func(ctx context.Context) error { return telemetry.ServeMetrics(ctx, f.cfg.Metrics, f.reg) })
 	}
--- a/agent/packetfront/nodes.go
+++ b/agent/packetfront/nodes.go
@@ -192,16 +192,17 @@
 	room, cold := c.coldRoom(now)
 	return fleet.Announcement{
 		Zone: c.opts.Zone, Service: c.opts.Service,
-		Incarnation:  c.incarnation(),
-		State:        state,
-		Slots:        uint16(min(c.target.slots(), 1<<16-1)),
-		Busy:         uint16(min(c.flows.busy, 1<<16-1)),
-		Open:         uint16(min(c.flows.open, 1<<16-1)),
-		WarmupMillis: uint16(min(c.warmup(now).Milliseconds(), 1<<16-1)),
-		Ejected:      c.health.ejected,
-		Listing:      c.listing,
-		Cold:         cold,
-		Room:         uint16(min(room, 1<<16-1)),
+		Incarnation:   c.incarnation(),
+		State:         state,
+		Slots:         uint16(min(c.target.slots(), 1<<16-1)),
+		Busy:          uint16(min(c.flows.busy, 1<<16-1)),
+		Open:          uint16(min(c.flows.open, 1<<16-1)),
+		WarmupMillis:  uint16(min(c.warmup(now).Milliseconds(), 1<<16-1)),
+		Ejected:       c.health.ejected,
+		Listing:       c.listing,
+		ConfigVersion: c.kept.version,
+		Cold:          cold,
+		Room:          uint16(min(room, 1<<16-1)),
 	}
 }
 
--- a/balancer/packetfront/bench_test.go
+++ b/balancer/packetfront/bench_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/poppywall/poppywall/fleet"
+	"github.com/poppywall/poppywall/fleet/configcopy"
 	"github.com/poppywall/poppywall/flow"
 )
 
@@ -74,8 +75,8 @@
 	b.SetBytes(int64(raw.Len()))
 	packed := 0
 	for b.Loop() {
-		s := &storedConfig{raw: raw.Bytes()}
-		packed = len(s.gzipped())
+		s := configcopy.Stored(raw.Bytes())
+		packed = len(s.Packed())
 	}
 	b.ReportMetric(float64(packed)/float64(raw.Len()), "ratio")
 }
--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -77,10 +77,14 @@
 	evacuations flow.Evacuations
 	// refusedConfig is the highest version of others that does not decode here.
 	refusedConfig int64
-	gap           gap
-	view          *fleet.View
-	table         *table
-	startedAt     time.Time
+	// badKept are agents whose copy of the configuration did not come or does not decode,
+	// with when they may be asked again; nextKept is when another one may be.
+	badKept   map[flow.IPv4]time.Time
+	nextKept  time.Time
+	gap       gap
+	view      *fleet.View
+	table     *table
+	startedAt time.Time
 	// seedJoinedAt is when a seed was heard for the first time, the last one.
 	seedJoinedAt time.Time
 
@@ -129,7 +133,7 @@
 	return &Core{
 		opts: opts, port: port, codec: codec, events: events, rnd: rnd,
 		view: fleet.NewView(), table: newTable(maxFlows), startedAt: now,
-		buf: make([]byte, 0, 2048), plan: newPlan(), limbo: newLimbo(), named: map[flow.IPv4]time.Time{},
+		buf: make([]byte, 0, 2048), plan: newPlan(), limbo: newLimbo(), named: map[flow.IPv4]time.Time{}, badKept: map[flow.IPv4]time.Time{},
 		searches: uint32(opts.Epoch),
 	}
 }
--- a/balancer/packetfront/front.go
+++ b/balancer/packetfront/front.go
@@ -14,6 +14,7 @@
 
 	"github.com/poppywall/poppywall/choose"
 	"github.com/poppywall/poppywall/fleet"
+	"github.com/poppywall/poppywall/fleet/configcopy"
 	"github.com/poppywall/poppywall/fleet/registry"
 	"github.com/poppywall/poppywall/flow"
 	"github.com/poppywall/poppywall/platform"
@@ -25,19 +26,11 @@
 
 // Times of the shell.
 const (
-	// peerTimeout bounds the time until a balancer that is asked for its configuration
-	// begins to answer.
-	peerTimeout = 500 * time.Millisecond
-	// peerSilence bounds the pauses within its answer: a packet that was lost is sent
-	// again after 200 ms, then after 400 ms more.
-	peerSilence = 900 * time.Millisecond
 	// decodePause is the pause between two pieces of a configuration that is decoded:
 	// long enough for the packets that came meanwhile, 33 of them for 4,200 routes.
 	decodePause = time.Millisecond
 	// warmingFactor weighs the load of a target that is slow after its start.
 	warmingFactor = 1.6
-	// maxConfig bounds a configuration that another balancer sends, in bytes.
-	maxConfig = 4 << 20
 )
 
 // Front is a balancer's packet front: sockets, the store and the lock around a
@@ -47,7 +40,7 @@
 	log   *zap.Logger
 	store store.Watcher
 	// peers calls other balancers.
-	peers *http.Client
+	peers *configcopy.Client
 	entry *registry.Registry
 	reg   *prometheus.Registry
 	// transfers counts how the configuration comes here.
@@ -64,13 +57,13 @@
 	mu   sync.Mutex
 	core *Core
 	// stored is the configuration in force as it is stored, nil before the first.
-	stored *storedConfig
+	stored *configcopy.Copy
 	alone  fleet.Alone
 }
 
 // NewFront opens the sockets of a front.
 func NewFront(cfg Settings, log *zap.Logger) (*Front, error) {
-	f := &Front{cfg: cfg, log: log, store: platform.NewStore(cfg.Store, storeTimeout), reg: prometheus.NewRegistry(), peers: newPeerClient()}
+	f := &Front{cfg: cfg, log: log, store: platform.NewStore(cfg.Store, storeTimeout), reg: prometheus.NewRegistry(), peers: configcopy.NewClient(nil)}
 	f.transfers = newTransfers(f.reg)
 	f.foreign = telemetry.Counters{Registry: f.reg, Subsystem: subsystem}.Counter(
 		"foreign_registry_entries_total", "Invalid entries read in the registry.")
@@ -124,7 +117,9 @@
 	group.Go(work, "peers", f.followPeers)
 	group.Go(work, "survey", f.followRegistry)
 	group.Go(work, "ready", func(ctx context.Context) error { return telemetry.ServeHTTP(ctx, f.cfg.Ready, f.readyHandler()) })
-	group.Go(work, "internal calls", func(ctx context.Context) error { return telemetry.ServeHTTP(ctx, f.cfg.Internal, f.peerHandler()) })
+	group.Go(work, "internal calls", func(ctx context.Context) error {
+		return telemetry.ServeHTTP(ctx, f.cfg.Internal, configcopy.Handler(f.copy, f.log))
+	})
 	if f.cfg.Metrics != "" {
 		group.Go(work, "metrics", func(ctx context.Context) error { return telemetry.ServeMetrics(ctx, f.cfg.Metrics, f.reg) })
 	}
@@ -214,13 +209,19 @@
 		if !f.core.SetConfig(now, c) {
 			return
 		}
-		f.stored = &storedConfig{raw: raw}
+		f.stored = configcopy.Stored(raw)
 		f.transfers.applied(c.Version, len(raw))
 		f.log.Info("configuration in force", zap.Int64(fieldConfig, c.Version), zap.Int64("former", former),
 			zap.Int("routes", len(c.Routes)), zap.Int(fieldBytes, len(raw)), zap.String("from", from))
 	})
 }
 
+// copy returns the configuration in force for other nodes, nil while there is none.
+func (f *Front) copy() (stored *configcopy.Copy) {
+	f.locked(func(time.Time) { stored = f.stored })
+	return stored
+}
+
 // Ready tells whether clients' packets may come.
 func (f *Front) Ready() (ready bool) {
 	f.locked(func(now time.Time) { ready = f.core.Ready(now) })
--- a/balancer/packetfront/front_test.go
+++ b/balancer/packetfront/front_test.go
@@ -13,10 +13,15 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"github.com/poppywall/poppywall/fleet"
+	"github.com/poppywall/poppywall/fleet/configcopy"
 	"github.com/poppywall/poppywall/flow"
+	"github.com/poppywall/poppywall/platform"
 	"github.com/poppywall/poppywall/platform/platformtest"
 	"github.com/poppywall/poppywall/settings"
 	"github.com/poppywall/poppywall/standin"
+	"github.com/poppywall/poppywall/store"
+	"github.com/poppywall/poppywall/telemetry"
 	"github.com/poppywall/poppywall/worker"
 )
 
@@ -164,9 +169,9 @@
 	proxy, err := standin.NewProxy(peer.Listener.Addr().String())
 	require.NoError(t, err)
 	defer proxy.Close()
-	client := newPeerClient()
+	client := configcopy.NewClient(nil)
 	for range 3 {
-		_, err = fetchConfig(t.Context(), client, netip.MustParseAddrPort(proxy.Addr()))
+		_, err = client.Fetch(t.Context(), netip.MustParseAddrPort(proxy.Addr()))
 		require.NoError(t, err)
 		proxy.Silence()
 	}
@@ -209,10 +214,10 @@
 	startFront(t, 82, address)
 	t.Cleanup(worker.Start(newFront(t, 83, address, "z2").Run))
 	follower := newFront(t, 84, address, "z1")
-	follower.peers.Transport.(*http.Transport).DialContext = func(ctx context.Context, _, _ string) (net.Conn, error) {
+	follower.peers = configcopy.NewClient(func(ctx context.Context, _, _ string) (net.Conn, error) {
 		<-ctx.Done()
 		return nil, ctx.Err()
-	}
+	})
 	t.Cleanup(worker.Start(follower.Run))
 	feeds := func() (yes bool) {
 		follower.locked(func(now time.Time) { yes = follower.core.Feeds(now) })
@@ -227,3 +232,27 @@
 		require.Eventually(t, func() bool { return follower.version() == version }, inForceWithin, 5*time.Millisecond, "version %d", version)
 	}
 }
+
+// TestAnAgentsCopyServesWhereNobodyElseHasOne: all balancers have restarted, the store
+// does not answer, and one of the two agents has a copy that was damaged.
+func TestAnAgentsCopyServesWhereNobodyElseHasOne(t *testing.T) {
+	s := standin.NewStore(time.Now)
+	putVersion(t, s, 7)
+	resp, err := s.Range(t.Context(), store.RangeRequest{Key: platform.ConfigKey})
+	require.NoError(t, err)
+	f := startFront(t, 95, silentStore(t))
+	began := time.Now()
+	for i, raw := range [][]byte{resp.KVs[0].Value, resp.KVs[0].Value[:20]} {
+		address := netip.MustParseAddrPort(fmt.Sprintf("127.0.%d.1:%d", 96+i, f.port))
+		kept := configcopy.Stored(raw)
+		ctx, stop := context.WithCancel(t.Context())
+		t.Cleanup(stop)
+		go func() {
+			_ = telemetry.ServeHTTP(ctx, address.String(), configcopy.Handler(func() *configcopy.Copy { return kept }, zap.NewNop()))
+		}()
+		a := fleet.Announcement{Identity: fleet.Identity{Epoch: 1, Seq: 1}, Service: alpha, State: fleet.Ready, Slots: 4, ConfigVersion: 7}
+		f.locked(func(now time.Time) { f.core.HandleNode(now, flow.FromAddr(address.Addr()), a.Append(nil)) })
+	}
+	require.Eventually(t, func() bool { return f.version() == 7 }, 3*time.Second, time.Millisecond)
+	require.Less(t, time.Since(began), storeTimeout, "before the first call to the store was given up")
+}
--- a/balancer/packetfront/gap.go
+++ b/balancer/packetfront/gap.go
@@ -15,6 +15,13 @@
 	// configuration before it reads the store as well: a fetch that works takes 0.2 s,
 	// one that does not 0.5 s, and a change has to be in force within 3 s.
 	storePatience = time.Second
+	// keptPatience is how long a balancer without a configuration waits for the store,
+	// which answers in milliseconds, and for other balancers before it takes an agent's
+	// copy; keptPause is the pause between two that it asks.
+	keptPatience = 150 * time.Millisecond
+	keptPause    = 100 * time.Millisecond
+	// badKeptTime is how long an agent is left alone whose copy did not come whole.
+	badKeptTime = 5 * time.Second
 )
 
 // StoreDuty is what a balancer has to do at the store for the configuration.
@@ -70,11 +77,22 @@
 func (c *Core) FetchFrom(now time.Time) (peer flow.IPv4, version int64, due bool) {
 	g := c.compareConfigs(now)
 	if g.since.IsZero() {
-		return 0, 0, false
+		return c.fetchKept(now)
 	}
 	return g.peer, g.version, g.own == 0 || !c.Feeds(now) || g.lasted(now, peerPatience)
 }
 
+// fetchKept returns an agent that keeps a copy of a configuration for a balancer that has
+// none, after the store had its time and while no balancer has one. The copy may be an
+// older one: what the store answers, or a balancer has, takes its place.
+func (c *Core) fetchKept(now time.Time) (agent flow.IPv4, version int64, due bool) {
+	if c.config != nil || now.Sub(c.startedAt) < keptPatience || now.Before(c.nextKept) {
+		return 0, 0, false
+	}
+	c.nextKept = now.Add(keptPause)
+	return c.view.NewestKept(now, func(ip flow.IPv4) bool { return now.Before(c.badKept[ip]) }, c.rnd.IntN)
+}
+
 // StoreDuty returns what to do at the store now.
 func (c *Core) StoreDuty(now time.Time) StoreDuty {
 	g := c.compareConfigs(now)
@@ -97,6 +115,21 @@
 	}
 }
 
-// RefuseConfig notes that a version that another balancer has does not decode here:
-// it is not fetched again.
-func (c *Core) RefuseConfig(version int64) { c.refusedConfig = max(c.refusedConfig, version) }
+// RefuseConfig notes that a version that another balancer has does not decode here: it is
+// not fetched again. An agent's copy says nothing of the version, for agents do not look
+// into what they keep; that agent is left alone for a while.
+func (c *Core) RefuseConfig(now time.Time, from flow.IPv4, version int64) {
+	if !c.NotFetched(now, from) {
+		c.refusedConfig = max(c.refusedConfig, version)
+	}
+}
+
+// NotFetched notes that no configuration came from a node. It tells whether that is an
+// agent; others are asked first then.
+func (c *Core) NotFetched(now time.Time, from flow.IPv4) bool {
+	if !c.view.KnowsTarget(from) {
+		return false
+	}
+	c.badKept[from] = now.Add(badKeptTime)
+	return true
+}
--- a/balancer/packetfront/largeconfig_test.go
+++ b/balancer/packetfront/largeconfig_test.go
@@ -3,12 +3,12 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/poppywall/poppywall/fleet/configcopy"
 	"github.com/poppywall/poppywall/flow"
 	"github.com/poppywall/poppywall/platform"
 	"github.com/poppywall/poppywall/platform/platformtest"
@@ -63,7 +63,7 @@
 	putVersion(t, s, 1)
 	feeder := startFront(t, 71, serveStore(t, s))
 	follower := newFront(t, 72, silentStore(t), "z1")
-	follower.peers.Transport.(*http.Transport).DialContext = standin.NewLink(narrowLink).DialContext
+	follower.peers = configcopy.NewClient(standin.NewLink(narrowLink).DialContext)
 	t.Cleanup(worker.Start(follower.Run))
 	require.Eventually(t, func() bool { return feeder.version() == 1 && follower.version() == 1 }, 5*time.Second, 5*time.Millisecond)
 
--- a/balancer/packetfront/peerconfig.go
+++ b/balancer/packetfront/peerconfig.go
@@ -1,14 +1,8 @@
 package packetfront
 
 import (
-	"bytes"
-	"compress/gzip"
 	"context"
-	"net/http"
 	"net/netip"
-	"strconv"
-	"strings"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -41,7 +35,7 @@
 // version.
 func (f *Front) fetch(ctx context.Context, peer flow.IPv4, version int64) {
 	began := time.Now()
-	raw, err := fetchConfig(ctx, f.peers, netip.AddrPortFrom(peer.Addr(), f.port))
+	raw, err := f.peers.Fetch(ctx, netip.AddrPortFrom(peer.Addr(), f.port))
 	f.transfers.fetched(err)
 	fields := []zap.Field{
 		zap.Stringer(telemetry.FieldPeer, peer), zap.Int64(fieldConfig, f.version()), zap.Int64(fieldHeard, version),
@@ -49,6 +43,7 @@
 	}
 	if err != nil {
 		f.log.Warn("configuration not fetched", append(fields, zap.Error(err))...)
+		f.locked(func(now time.Time) { f.core.NotFetched(now, peer) })
 		return
 	}
 	f.log.Info("configuration fetched", fields...)
@@ -56,7 +51,7 @@
 	c, err := decode(raw)
 	if err != nil {
 		f.log.Error("configuration of another balancer refused", zap.Stringer(telemetry.FieldPeer, peer), zap.Int64(fieldHeard, version), zap.Error(err))
-		f.locked(func(time.Time) { f.core.RefuseConfig(version) })
+		f.locked(func(now time.Time) { f.core.RefuseConfig(now, peer, version) })
 		return
 	}
 	f.apply(c, raw, peer.String())
@@ -70,83 +65,3 @@
 	}
 	return len(whole)
 }
-
-const pathConfig = "/config"
-
-// newPeerClient returns a client that opens a connection for each call: calls are
-// rare, and a kept connection may have gone silent since.
-func newPeerClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-}
-
-// fetchLimits bound a fetch. Only silence ends one: the link of a small VM takes
-// most of a second for a large configuration, and a fetch that is begun anew would
-// take as long again.
-var fetchLimits = transfer.Limits{Begin: peerTimeout, Silence: peerSilence, Most: maxConfig}
-
-// fetchConfig returns the configuration of another balancer.
-func fetchConfig(ctx context.Context, client *http.Client, peer netip.AddrPort) ([]byte, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.String()+pathConfig, nil)
-	if err != nil {
-		return nil, err
-	}
-	answer, err := transfer.Do(client, req, fetchLimits)
-	if err != nil {
-		return nil, err
-	}
-	if answer.Status != http.StatusOK {
-		return nil, errors.Errorf("answered %d", answer.Status)
-	}
-	return answer.Body, nil
-}
-
-// storedConfig is a configuration as it is stored and as other balancers get it.
-type storedConfig struct {
-	raw []byte
-
-	pack   sync.Once
-	packed []byte
-}
-
-// gzipped returns the configuration compressed, worked out at the first call: most
-// balancers are never asked. The fastest level: a balancer may have a twentieth of a
-// core and is asked by several others at once.
-func (s *storedConfig) gzipped() []byte {
-	s.pack.Do(func() {
-		var b bytes.Buffer
-		// Only a level that does not exist is refused.
-		w, _ := gzip.NewWriterLevel(&b, gzip.BestSpeed)
-		// Writes to a buffer do not fail.
-		_, _ = w.Write(s.raw)
-		_ = w.Close()
-		s.packed = b.Bytes()
-	})
-	return s.packed
-}
-
-const encodingGzip = "gzip"
-
-func (f *Front) peerHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+pathConfig, func(w http.ResponseWriter, r *http.Request) {
-		var stored *storedConfig
-		f.locked(func(time.Time) { stored = f.stored })
-		if stored == nil {
-			http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
-			return
-		}
-		body := stored.raw
-		if strings.Contains(r.Header.Get("Accept-Encoding"), encodingGzip) {
-			w.Header().Set("Content-Encoding", encodingGzip)
-			body = stored.gzipped()
-		}
-		w.Header().Set("Content-Type", "application/octet-stream")
-		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-		// Several may ask at once, and this VM's link may be a small one: the server's bound
-		// on the whole answer would cut off the last of them.
-		if err := transfer.Write(w, body, peerSilence); err != nil {
-			f.log.Info("configuration not given", zap.String(telemetry.FieldPeer, r.RemoteAddr), zap.Error(err))
-		}
-	})
-	return mux
-}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -31,7 +31,7 @@
 	a := announcement(7, 8, alpha, Draining)
 	a.Zone, a.WantPeers, a.WantReply, a.Busy, a.Open, a.WarmupMillis = 3, true, true, 4, 5, 600
 	a.Ejected, a.Period = true, 1500*time.Millisecond
-	a.Cold, a.Room = true, 9
+	a.Cold, a.Room, a.ConfigVersion = true, 9, 1<<40
 	gotA, err := DecodeAnnouncement(a.Append(nil))
 	require.NoError(t, err)
 	require.Equal(t, a, gotA)
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -91,6 +91,9 @@
 	WarmupMillis uint16
 	// Ejected targets fail their requests.
 	Ejected bool
+	// ConfigVersion is the version of the configuration that the agent keeps a copy of,
+	// zero without one.
+	ConfigVersion int64
 	// Cold targets bear only so many new flows a second: Room more at the moment.
 	Cold bool
 	Room uint16
@@ -126,8 +129,8 @@
 	Heard Identity
 	// InRotation balancers take clients' packets from the routers.
 	InRotation bool
-	// LinkMbps is the width of the sender's link and SentMbps what it sent over it in the
-	// last second, Mbit/s; zero where the width is not known.
+	// LinkMbps is the width of the sender's link and SentMbps what it sent over it lately,
+	// Mbit/s; zero where the width is not known.
 	LinkMbps, SentMbps uint16
 	// Evacuations are the emptied zones that the sender acts on.
 	Evacuations flow.Evacuations
@@ -142,6 +145,7 @@
 	Slots, Busy, Open, WarmupMilliseconds uint16
 	Ejected, Listing, Cold                uint8
 	PeriodMilliseconds, Room              uint16
+	ConfigVersion                         int64
 }
 
 type beaconWire struct {
@@ -176,7 +180,7 @@
 		State: uint8(a.State), WantPeers: bit(a.WantPeers), WantReply: bit(a.WantReply),
 		Slots: a.Slots, Busy: a.Busy, Open: a.Open, WarmupMilliseconds: a.WarmupMillis,
 		Ejected: bit(a.Ejected), Listing: uint8(a.Listing), PeriodMilliseconds: uint16(a.Period.Milliseconds()),
-		Cold: bit(a.Cold), Room: a.Room,
+		Cold: bit(a.Cold), Room: a.Room, ConfigVersion: a.ConfigVersion,
 	})
 }
 
@@ -240,7 +244,7 @@
 		State: State(w.State), WantPeers: w.WantPeers == 1, WantReply: w.WantReply == 1,
 		Slots: w.Slots, Busy: w.Busy, Open: w.Open, WarmupMillis: w.WarmupMilliseconds,
 		Ejected: w.Ejected == 1, Listing: Listing(w.Listing), Period: time.Duration(w.PeriodMilliseconds) * time.Millisecond,
-		Cold: w.Cold == 1, Room: w.Room,
+		Cold: w.Cold == 1, Room: w.Room, ConfigVersion: w.ConfigVersion,
 	}, nil
 }
 
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -261,6 +261,49 @@
 	return ip, version, ip != 0
 }
 
+// NewestNear is Newest for an agent: of the balancers with the highest configuration one
+// of its own zone, and there one with the widest link, is asked first.
+func (v *View) NewestNear(above int64, zone flow.Tag) (ip flow.IPv4, version int64, ok bool) {
+	_, version, ok = v.Newest(above)
+	if !ok {
+		return 0, 0, false
+	}
+	best := -1
+	for peer, p := range v.peers {
+		if p.ConfigVersion < version {
+			continue
+		}
+		rank := int(p.LinkMbps)
+		if p.Zone == zone {
+			rank += 1 << 16
+		}
+		if rank > best || (rank == best && peer < ip) {
+			ip, best = peer, rank
+		}
+	}
+	return ip, version, true
+}
+
+// NewestKept returns an agent that keeps a copy of the highest configuration that any
+// agent heard lately keeps; of several, the one that pick chooses by their number.
+func (v *View) NewestKept(now time.Time, except func(flow.IPv4) bool, pick func(n int) int) (ip flow.IPv4, version int64, ok bool) {
+	var holders []flow.IPv4
+	for _, target := range v.Targets() {
+		h := v.targets[target]
+		switch {
+		case h.ConfigVersion == 0 || h.Quiet(now) || except(target) || h.ConfigVersion < version:
+			continue
+		case h.ConfigVersion > version:
+			version, holders = h.ConfigVersion, holders[:0]
+		}
+		holders = append(holders, target)
+	}
+	if len(holders) == 0 {
+		return 0, 0, false
+	}
+	return holders[pick(len(holders))], version, true
+}
+
 // Expire forgets who was not heard for long and returns them.
 func (v *View) Expire(now time.Time) (targets, balancers []Entry) {
 	for ip, h := range v.targets {
