--- a/agent/packetfront/front.go
+++ b/agent/packetfront/front.go
@@ -39,10 +39,11 @@
 
 // Front is an agent's packet front: sockets and the lock around a Core.
 type Front struct {
-	cfg   Settings
-	log   *zap.Logger
-	store store.Watcher
-	reg   *prometheus.Registry
+	cfg Settings
+	log *zap.Logger
+	// registry is the store as far as it lists the nodes.
+	registry store.Store
+	reg      *prometheus.Registry
 
 	internal, outbound *relay.Datagrams
 	self               flow.IPv4
@@ -67,8 +68,7 @@
 // NewFront opens the sockets of a front.
 func NewFront(cfg Settings, log *zap.Logger) (*Front, error) {
 	f := &Front{
-		cfg: cfg, log: log, store: platform.NewStore(cfg.Store, storeTimeout),
-		reg: prometheus.NewRegistry(), peers: configcopy.NewClient(nil), target: netip.MustParseAddrPort(cfg.Target),
+		cfg: cfg, log: log, reg: prometheus.NewRegistry(), peers: configcopy.NewClient(nil), target: netip.MustParseAddrPort(cfg.Target),
 		clientPort: netip.MustParseAddrPort(cfg.Data).Port(),
 	}
 	f.self, f.port = flow.ParseAddrPort(cfg.Internal)
@@ -83,9 +83,12 @@
 		Self: f.self, Zone: flow.TagOf(cfg.Zone), Service: flow.TagOf(cfg.Service), Seeds: flow.ParseAddrs(cfg.Seeds),
 		Epoch: rand.Uint64() | 1, HeartbeatPeriod: cfg.HeartbeatEvery.D(), FlowTTL: cfg.FlowTTL.D(),
 	}
-	f.entry = registry.New(f.store, fleet.RoleAgent, f.self, opts.Epoch, log, func(p fleet.Presence) { f.locked(func(now time.Time) { f.core.Shown(now, p) }) })
+	counters := telemetry.Counters{Registry: f.reg, Subsystem: "packetagent"}
+	stored, calls := platform.NewStore(cfg.Store, storeTimeout), telemetry.NewStoreCalls(counters)
+	f.registry = calls.For(telemetry.PurposeRegistry, stored)
+	f.entry = registry.New(calls.For(telemetry.PurposeEntry, stored), fleet.RoleAgent, f.self, opts.Epoch, log, func(p fleet.Presence) { f.locked(func(now time.Time) { f.core.Shown(now, p) }) })
 	f.observer = newObserver(log, f.reg)
-	f.sent = telemetry.NewSentTraffic(telemetry.Counters{Registry: f.reg, Subsystem: "packetagent"}, envelope.KindNames)
+	f.sent = telemetry.NewSentTraffic(counters, envelope.KindNames)
 	f.core = New(time.Now(), opts, f, platform.Codec{}, f.observer)
 	return f, nil
 }
@@ -263,15 +266,15 @@
 		if !f.lone() {
 			return
 		}
-		balancers, passed, err := registry.List(ctx, f.store, fleet.RoleBalancer)
+		balancers, err := registry.List(ctx, f.registry, fleet.RoleBalancer)
 		if err != nil {
 			f.log.Warn("registry not read", zap.Error(err))
 			return
 		}
-		if passed > 0 {
-			f.log.Warn("invalid registry entries", zap.Int("entries", passed))
+		if balancers.Passed > 0 {
+			f.log.Warn("invalid registry entries", zap.Int("entries", balancers.Passed))
 		}
-		f.locked(func(now time.Time) { f.core.Greet(now, fleet.Addresses(balancers)) })
+		f.locked(func(now time.Time) { f.core.Greet(now, fleet.Addresses(balancers.Entries)) })
 	})
 }
 
--- a/agent/packetfront/front_test.go
+++ b/agent/packetfront/front_test.go
@@ -40,9 +40,9 @@
 	defer server.Close()
 	address := strings.TrimPrefix(server.URL, "http://")
 	entries := func() int {
-		got, _, err := registry.List(context.Background(), s, fleet.RoleAgent)
+		got, err := registry.List(context.Background(), s, fleet.RoleAgent)
 		require.NoError(t, err)
-		return len(got)
+		return len(got.Entries)
 	}
 	known := func(f *Front, want fleet.State) func() bool {
 		return func() (yes bool) {
--- a/balancer/operator/gap.go
+++ b/balancer/operator/gap.go
@@ -20,6 +20,9 @@
 	// copy; keptPause is the pause between two that it asks.
 	keptPatience = 150 * time.Millisecond
 	keptPause    = 100 * time.Millisecond
+	// watchDelay is how long after its start a balancer does not watch the store yet: it
+	// has to hear of those that do. A watch tells what has changed meanwhile.
+	watchDelay = 500 * time.Millisecond
 	// badKeptTime is how long an agent is left alone whose copy did not come whole.
 	badKeptTime = 5 * time.Second
 )
@@ -31,7 +34,7 @@
 const (
 	// DutyNone: others watch, this one hears of changes from them.
 	DutyNone StoreDuty = iota
-	// DutyWatch: follow the changes.
+	// DutyWatch: read once, then follow the changes.
 	DutyWatch
 	// DutyRead: others have a newer configuration and this one does not get it; read
 	// what is in force.
@@ -99,7 +102,9 @@
 	switch {
 	case g.own != 0 && g.lasted(now, storePatience):
 		return DutyRead
-	case g.own == 0 || s.Feeds(now):
+	case s.fedAt.IsZero() && (g.own == 0 || s.Feeds(now)):
+		return DutyWatch
+	case now.Sub(s.startedAt) >= watchDelay && s.Feeds(now):
 		return DutyWatch
 	default:
 		return DutyNone
--- a/balancer/operator/source.go
+++ b/balancer/operator/source.go
@@ -51,14 +51,15 @@
 
 // watchWait is how long the store may hold a watch. One that was lost in silence
 // is noticed after that and the store's time-out; then the configuration takes its
-// time to come. Each watch is a priced call, so it is as long as the bound allows.
-func watchWait(catchUp, transfer time.Duration) time.Duration {
-	return min(max(catchUp-StoreTimeout-watchMargin-transfer, leastWatchWait), mostWatchWait)
+// time to come. Each watch is a priced call, so it is as long as the bound allows, counted
+// from the last answer, since when the connection may be silent.
+func watchWait(catchUp, transfer, sinceAnswer time.Duration) time.Duration {
+	return min(max(catchUp-StoreTimeout-watchMargin-transfer-sinceAnswer, leastWatchWait), mostWatchWait)
 }
 
 // FeedTime is how long after an answer of the store a balancer counts as fed: a watch's
 // waiting time and its time-out.
-func FeedTime(catchUp time.Duration) time.Duration { return watchWait(catchUp, 0) + StoreTimeout }
+func FeedTime(catchUp time.Duration) time.Duration { return watchWait(catchUp, 0, 0) + StoreTimeout }
 
 // Source follows what the operator has written: the configuration and the emptied zones,
 // by one watch of the store and from other nodes. The exported fields are set before it
@@ -83,6 +84,8 @@
 	transfer time.Duration
 	// emptied are the zones that the store empties, as of the last answer.
 	emptied map[string]bool
+	// answeredAt is when the store answered last.
+	answeredAt time.Time
 	// lost tells that the store does not answer.
 	lost bool
 }
@@ -107,6 +110,7 @@
 			return nil
 		case err == nil:
 			s.Locked(s.State.Fed)
+			s.answeredAt = time.Now()
 			revision = next
 			s.noteStore(nil)
 			if duty == DutyWatch {
@@ -137,7 +141,7 @@
 	if revision == 0 {
 		return s.read(ctx)
 	}
-	changes, err := s.Store.Watch(ctx, platform.OperatorPrefix, revision, watchWait(s.CatchUp, s.transfer))
+	changes, err := s.Store.Watch(ctx, platform.OperatorPrefix, revision, watchWait(s.CatchUp, s.transfer, time.Since(s.answeredAt)))
 	if err != nil {
 		return 0, err
 	}
--- a/balancer/operator/source_test.go
+++ b/balancer/operator/source_test.go
@@ -13,8 +13,10 @@
 		4 * time.Second: 2600 * time.Millisecond, 5 * time.Second: 3600 * time.Millisecond,
 		time.Minute: mostWatchWait,
 	} {
-		require.Equal(t, want, watchWait(catchUp, 0), catchUp)
+		require.Equal(t, want, watchWait(catchUp, 0, 0), catchUp)
 	}
-	require.Equal(t, 1400*time.Millisecond, watchWait(4*time.Second, 1200*time.Millisecond), "the transfer is a part of the bound")
-	require.Equal(t, leastWatchWait, watchWait(4*time.Second, time.Minute))
+	require.Equal(t, 1400*time.Millisecond, watchWait(4*time.Second, 1200*time.Millisecond, 0), "the transfer is a part of the bound")
+	require.Equal(t, 1400*time.Millisecond, watchWait(4*time.Second, 0, 1200*time.Millisecond), "the connection may be silent since the last answer")
+	require.Equal(t, leastWatchWait, watchWait(4*time.Second, time.Minute, 0))
+	require.Equal(t, leastWatchWait, watchWait(4*time.Second, 0, time.Minute))
 }
--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -104,6 +104,7 @@
 	departed                []Departed
 	nextDepart              time.Time
 	relays                  relays
+	surveys                 surveys
 	loads                   serviceLoads
 	beaconRounds, farRounds int
 	// lastDigest is the view's digest at a moment, zero time when it has changed.
@@ -129,7 +130,7 @@
 		opts: opts, port: port, codec: codec, events: events, rnd: rnd,
 		view: fleet.NewView(), table: search.NewTable(search.MaxFlows), startedAt: now,
 		buf: make([]byte, 0, 2048), plan: newPlan(), relays: newRelays(),
-		loads: serviceLoads{},
+		loads: serviceLoads{}, surveys: surveys{shunned: map[flow.IPv4]time.Time{}},
 	}
 	c.operator = operator.New(now, operator.Options{Self: opts.Self, Zone: opts.Zone, FeedTime: opts.FeedTime}, c.view, listener{c}, rnd)
 	c.proof = search.NewProof(now, opts.Self, opts.Seeds, c.view)
--- a/balancer/packetfront/finder.go
+++ b/balancer/packetfront/finder.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/poppywall/poppywall/fleet"
 	"github.com/poppywall/poppywall/flow"
 	"github.com/poppywall/poppywall/flow/envelope"
 )
@@ -29,18 +28,6 @@
 // Reset implements search.Port.
 func (c finderPort) Reset(key flow.Key, seq uint32) { c.port.Reset(key, seq) }
 
-// WantsSurvey tells whether the registry of agents is to be read: right after
-// the start, and when a flow seems to be over.
-func (c *Core) WantsSurvey(now time.Time) bool { return c.proof.WantsSurvey(now) }
-
-// Surveyed takes a reading of the agents' registry that began at the given time.
-// Flows that waited for it are looked at again.
-func (c *Core) Surveyed(now, began time.Time, agents []fleet.Entry) {
-	c.proof.Surveyed(now, began, agents)
-	c.Greet(now, nil, fleet.Addresses(agents))
-	c.finder.Wake(now)
-}
-
 // handleReturned takes a packet back that nobody took.
 func (c *Core) handleReturned(now time.Time, from flow.IPv4, datagram []byte) error {
 	packet, err := c.env.Decode(datagram)
--- a/balancer/packetfront/fixture_test.go
+++ b/balancer/packetfront/fixture_test.go
@@ -39,7 +39,6 @@
 func (quiet) Refused(flow.Key, string, string)                   {}
 func (quiet) OverloadChanged(Overload)                           {}
 func (quiet) Searching(flow.Key, int, int)                       {}
-func (quiet) Inquired(int, int)                                  {}
 func (quiet) OwnerFound(flow.Key, flow.IPv4, int)                {}
 func (q quiet) Lost(_ flow.Key, _ int, d Doubt, _ flow.IPv4)     { *q.doubt = d }
 func (q quiet) Kept(flow.Key, Keep)                              { *q.kept++ }
@@ -75,7 +74,7 @@
 	f.now = f.now.Add(search.SettleTime + time.Second)
 	f.announce(targetA, fleet.Ready)
 	f.announce(targetB, fleet.Ready)
-	f.Surveyed(f.now, f.now, registered(targetA, targetB))
+	f.Surveyed(f.now, fleet.SurveyAt(f.now, registered(targetA, targetB)))
 	f.port.Nodes = nil
 	return f
 }
--- a/balancer/packetfront/followregistry.go
+++ b/balancer/packetfront/followregistry.go
@@ -2,30 +2,44 @@
 
 import (
 	"context"
+	"errors"
+	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/poppywall/poppywall/balancer/search"
 	"github.com/poppywall/poppywall/fleet"
 	"github.com/poppywall/poppywall/fleet/registry"
+	"github.com/poppywall/poppywall/fleet/surveycopy"
+	"github.com/poppywall/poppywall/flow"
 	"github.com/poppywall/poppywall/telemetry"
 	"github.com/poppywall/poppywall/worker"
 )
 
 // followRegistry reads the registry when the core wants to know the agents, and
-// when the balancer is alone. It starts at once: the registry names the agents
-// before any of them is heard. It has a loop of its own, for a store that does
+// when the balancer is alone. It has a loop of its own, for a store that does
 // not answer holds it up.
 func (f *Front) followRegistry(ctx context.Context) error {
-	look := func() {
+	worker.Sleep(ctx, search.ParkPause)
+	f.findTargets(ctx)
+	return worker.Every(ctx, tickPeriod, func() {
+		f.register()
 		if f.lone() {
-			f.readRegistry(ctx)
+			f.findBalancers(ctx)
 		}
 		f.surveyAgents(ctx)
 		f.keepRegistry(ctx)
+	})
+}
+
+// register has the balancer named in the registry where that is needed.
+func (f *Front) register() {
+	wanted := false
+	f.locked(func(now time.Time) { wanted = f.core.Registers(now) })
+	if wanted {
+		f.entry.Want(fleet.PresenceHere)
 	}
-	look()
-	return worker.Every(ctx, tickPeriod, look)
 }
 
 // lone tells that no other node has been known for a while.
@@ -36,46 +50,108 @@
 	return due
 }
 
-func (f *Front) readRegistry(ctx context.Context) {
+func (f *Front) findBalancers(ctx context.Context) {
 	balancers, ok := f.list(ctx, fleet.RoleBalancer)
 	if !ok {
 		return
 	}
-	f.locked(func(now time.Time) { f.core.Greet(now, fleet.Addresses(balancers), nil) })
+	f.locked(func(now time.Time) { f.core.Greet(now, fleet.Addresses(balancers.Entries), nil) })
 }
 
-// surveyAgents reads which agents are registered when the core wants to know.
-func (f *Front) surveyAgents(ctx context.Context) {
+// findTargets reads the first targets of a balancer that has started: all where one call
+// names them, otherwise those that come first and those around its own address, whose
+// VMs are likely those of its zone.
+func (f *Front) findTargets(ctx context.Context) {
 	wanted, began := false, time.Time{}
-	f.locked(func(now time.Time) { wanted, began = f.core.WantsSurvey(now), now })
+	f.locked(func(now time.Time) { wanted, began = f.core.WantsTargets(now), now })
 	if !wanted {
 		return
 	}
-	agents, ok := f.list(ctx, fleet.RoleAgent)
-	if !ok {
+	page, err := registry.Page(ctx, f.registry, fleet.RoleAgent, 0)
+	if !f.read(fleet.RoleAgent, page, err) {
+		return
+	}
+	if !page.More {
+		f.locked(func(now time.Time) { f.core.Surveyed(now, surveyOf(began, now, page)) })
 		return
 	}
-	f.locked(func(now time.Time) { f.core.Surveyed(now, began, agents) })
+	f.locked(func(now time.Time) { f.core.Greet(now, nil, fleet.Addresses(page.Entries)) })
+	page, err = registry.Page(ctx, f.registry, fleet.RoleAgent, f.self)
+	if f.read(fleet.RoleAgent, page, err) {
+		f.locked(func(now time.Time) { f.core.Greet(now, nil, fleet.Addresses(page.Entries)) })
+	}
+}
+
+func surveyOf(began, ended time.Time, l registry.Listed) fleet.Survey {
+	return fleet.Survey{Earliest: began, Latest: ended, Revision: l.Revision, Agents: l.Entries}
+}
+
+// surveyAgents reads which agents are registered when the core wants to know, or has
+// another balancer do it.
+func (f *Front) surveyAgents(ctx context.Context) {
+	var ask []flow.IPv4
+	wanted := false
+	f.locked(func(now time.Time) { ask, wanted = f.core.SurveyFrom(now) })
+	if !wanted {
+		return
+	}
+	for _, ip := range ask {
+		survey, err := f.surveyClient.Fetch(ctx, netip.AddrPortFrom(ip.Addr(), f.port))
+		switch {
+		case err == nil:
+			f.surveyed(survey, ip.String())
+			return
+		case errors.Is(err, surveycopy.ErrPending):
+			// It will have read when the core wants to know again.
+			f.log.Debug("registry is being read", zap.Stringer(telemetry.FieldPeer, ip))
+			return
+		}
+		f.log.Info("no reading of the registry from a balancer", zap.Stringer(telemetry.FieldPeer, ip), zap.Error(err))
+		f.locked(func(now time.Time) { f.core.NotSurveyed(now, ip) })
+	}
+	if survey, err := f.surveyReader.Get(ctx); err == nil {
+		f.surveyed(survey, "store")
+	}
+}
+
+func (f *Front) surveyed(s fleet.Survey, from string) {
+	f.locked(func(now time.Time) {
+		f.log.Debug("registry read", zap.Int("agents", len(s.Agents)), zap.Int64(telemetry.FieldRevision, s.Revision),
+			zap.Duration("age", now.Sub(s.Earliest)), zap.String("from", from))
+		f.core.Surveyed(now, s)
+	})
+}
+
+// readAgents implements surveycopy.Read.
+func (f *Front) readAgents(ctx context.Context) ([]fleet.Entry, int64, error) {
+	listed, err := registry.List(ctx, f.registry, fleet.RoleAgent)
+	f.read(fleet.RoleAgent, listed, err)
+	return listed.Entries, listed.Revision, err
 }
 
 // list reads the entries of a role.
-func (f *Front) list(ctx context.Context, role fleet.Role) ([]fleet.Entry, bool) {
-	entries, passed, err := registry.List(ctx, f.store, role)
+func (f *Front) list(ctx context.Context, role fleet.Role) (registry.Listed, bool) {
+	listed, err := registry.List(ctx, f.registry, role)
+	return listed, f.read(role, listed, err)
+}
+
+// read notes a reading and tells whether it came.
+func (f *Front) read(role fleet.Role, listed registry.Listed, err error) bool {
 	if err != nil {
 		f.log.Warn("registry not read", zap.String("role", string(role)), zap.Error(err))
 	}
-	if passed > 0 {
-		f.foreign.Add(float64(passed))
-		f.log.Warn("invalid registry entries", zap.String("role", string(role)), zap.Int("entries", passed))
+	if listed.Passed > 0 {
+		f.foreign.Add(float64(listed.Passed))
+		f.log.Warn("invalid registry entries", zap.String("role", string(role)), zap.Int("entries", listed.Passed))
 	}
-	return entries, err == nil
+	return err == nil
 }
 
 // takeOut takes dead nodes out of the registry; what is left when the store fails
 // waits for it.
 func (f *Front) takeOut(ctx context.Context, departed []Departed) {
 	for i, d := range departed {
-		err := registry.Remove(ctx, f.store, d.Role, d.Entry)
+		err := registry.Remove(ctx, f.registry, d.Role, d.Entry)
 		f.log.Info("dead node taken out of the registry", zap.String("role", string(d.Role)),
 			zap.Stringer(telemetry.FieldPeer, d.IP), zap.Error(err))
 		if err != nil {
@@ -101,6 +177,6 @@
 	balancers, ok := f.list(ctx, fleet.RoleBalancer)
 	agents, ok2 := f.list(ctx, fleet.RoleAgent)
 	if ok && ok2 {
-		f.locked(func(now time.Time) { f.core.Roster(now, began, balancers, agents) })
+		f.locked(func(now time.Time) { f.core.Roster(now, began, balancers.Entries, surveyOf(began, now, agents)) })
 	}
 }
--- a/balancer/packetfront/front.go
+++ b/balancer/packetfront/front.go
@@ -17,6 +17,7 @@
 	"github.com/poppywall/poppywall/fleet"
 	"github.com/poppywall/poppywall/fleet/configcopy"
 	"github.com/poppywall/poppywall/fleet/registry"
+	"github.com/poppywall/poppywall/fleet/surveycopy"
 	"github.com/poppywall/poppywall/flow"
 	"github.com/poppywall/poppywall/flow/envelope"
 	"github.com/poppywall/poppywall/platform"
@@ -32,9 +33,10 @@
 // Front is a balancer's packet front: sockets, the store and the lock around a
 // Core.
 type Front struct {
-	cfg   Settings
-	log   *zap.Logger
-	store store.Watcher
+	cfg Settings
+	log *zap.Logger
+	// registry is the store as far as it lists the nodes.
+	registry store.Store
 	// source keeps the operator's state up to date.
 	source *operator.Source
 	entry  *registry.Registry
@@ -53,11 +55,16 @@
 	mu    sync.Mutex
 	core  *Core
 	alone fleet.Alone
+	// surveyReader reads the agents' registry for this balancer and others of its zone,
+	// surveyClient asks others for their readings.
+	surveyReader *surveycopy.Reader
+	surveyClient *surveycopy.Client
 }
 
 // NewFront opens the sockets of a front.
 func NewFront(cfg Settings, log *zap.Logger) (*Front, error) {
-	f := &Front{cfg: cfg, log: log, store: platform.NewStore(cfg.Store, operator.StoreTimeout), reg: prometheus.NewRegistry()}
+	f := &Front{cfg: cfg, log: log, reg: prometheus.NewRegistry()}
+	stored := platform.NewStore(cfg.Store, operator.StoreTimeout)
 	counters := telemetry.Counters{Registry: f.reg, Subsystem: subsystem}
 	f.sent = telemetry.NewSentTraffic(counters, envelope.KindNames)
 	f.foreign = counters.Counter(
@@ -78,11 +85,14 @@
 		LinkMbps: cfg.LinkMbps,
 		FeedTime: operator.FeedTime(cfg.CatchUpWithin.D()),
 	}
-	f.entry = registry.New(f.store, fleet.RoleBalancer, f.self, opts.Epoch, log, func(fleet.Presence) {})
+	calls := telemetry.NewStoreCalls(counters)
+	f.registry = calls.For(telemetry.PurposeRegistry, stored)
+	f.surveyReader, f.surveyClient = surveycopy.NewReader(f.readAgents), surveycopy.NewClient()
+	f.entry = registry.New(calls.For(telemetry.PurposeEntry, stored), fleet.RoleBalancer, f.self, opts.Epoch, log, func(fleet.Presence) {})
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	f.core = New(time.Now(), opts, f, platform.Codec{}, newObserver(log, f.reg), rnd)
 	f.source = &operator.Source{
-		State: f.core.Operator(), Locked: f.locked, Store: f.store, Peers: configcopy.NewClient(nil), Port: f.port,
+		State: f.core.Operator(), Locked: f.locked, Store: calls.For(telemetry.PurposeOperator, stored), Peers: configcopy.NewClient(nil), Port: f.port,
 		CatchUp: cfg.CatchUpWithin.D(), Transfers: operator.NewTransfers(counters), Log: log,
 	}
 	return f, nil
@@ -113,14 +123,13 @@
 	group.Go(work, "data", func(ctx context.Context) error { return f.data.Serve(ctx, f.handleClient) })
 	group.Go(work, "internal", func(ctx context.Context) error { return f.internal.Serve(ctx, f.handleNode) })
 	group.Go(work, "tick", f.tick)
-	f.entry.Want(fleet.PresenceHere)
 	group.Go(ctx, "registry", f.entry.Run)
 	group.Go(work, "operator", f.source.FollowStore)
 	group.Go(work, "peers", f.source.FollowPeers)
 	group.Go(work, "survey", f.followRegistry)
 	group.Go(work, "ready", func(ctx context.Context) error { return telemetry.ServeHTTP(ctx, f.cfg.Ready, f.readyHandler()) })
 	group.Go(work, "internal calls", func(ctx context.Context) error {
-		return telemetry.ServeHTTP(ctx, f.cfg.Internal, configcopy.Handler(f.source.Copy, f.log))
+		return telemetry.ServeHTTP(ctx, f.cfg.Internal, f.internalHandler())
 	})
 	if f.cfg.Metrics != "" {
 		group.Go(work, "metrics", func(ctx context.Context) error { return telemetry.ServeMetrics(ctx, f.cfg.Metrics, f.reg) })
@@ -133,6 +142,14 @@
 	return nil
 }
 
+// internalHandler answers the calls of other nodes.
+func (f *Front) internalHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(configcopy.Path, configcopy.Handler(f.source.Copy, f.log))
+	mux.Handle(surveycopy.Path, surveycopy.Handler(f.surveyReader, f.log))
+	return mux
+}
+
 func (f *Front) leave() {
 	f.log.Info("leaving", zap.Duration("delay", f.cfg.LeaveDelay.D()))
 	f.locked(func(now time.Time) { f.core.Leave(now) })
--- a/balancer/packetfront/keeper.go
+++ b/balancer/packetfront/keeper.go
@@ -27,11 +27,12 @@
 	return true
 }
 
-// Roster takes a reading of the whole registry that began at the given time.
-func (c *Core) Roster(now, began time.Time, balancers, agents []fleet.Entry) {
+// Roster takes a reading of the whole registry; that of the balancers began at the given
+// time.
+func (c *Core) Roster(now, began time.Time, balancers []fleet.Entry, agents fleet.Survey) {
 	balancers = slices.DeleteFunc(balancers, func(e fleet.Entry) bool { return e.IP == c.opts.Self })
 	c.balancerRegistry.Take(began, balancers, c.view.KnowsBalancer)
-	c.Surveyed(now, began, agents)
+	c.Surveyed(now, agents)
 }
 
 // departPause is the pause after a dead node could not be taken out of the registry:
--- a/balancer/packetfront/keeper_test.go
+++ b/balancer/packetfront/keeper_test.go
@@ -56,13 +56,13 @@
 			want: []Departed{agent(targetB), {fleet.RoleBalancer, fleet.Entry{IP: lower, Epoch: uint64(lower)}}},
 		},
 		"a registered agent was never heard": {
-			prepare: func(f *fixture) { f.Surveyed(f.now, f.now, registered(targetA, targetB, other)) },
+			prepare: func(f *fixture) { f.Surveyed(f.now, fleet.SurveyAt(f.now, registered(targetA, targetB, other))) },
 			agents:  []flow.IPv4{targetA, targetB}, balancers: []flow.IPv4{higher},
 			want: []Departed{surveyed(other)},
 		},
 		"a registered balancer was never heard": {
 			prepare: func(f *fixture) {
-				f.Roster(f.now, f.now, registered(self, higher, lower), registered(targetA, targetB))
+				f.Roster(f.now, f.now, registered(self, higher, lower), fleet.SurveyAt(f.now, registered(targetA, targetB)))
 			},
 			agents: []flow.IPv4{targetA, targetB}, balancers: []flow.IPv4{higher},
 			want: []Departed{{fleet.RoleBalancer, registered(lower)[0]}},
--- /dev/null
+++ b/balancer/packetfront/survey.go
@@ -0,0 +1,79 @@
+package packetfront
+
+import (
+	"slices"
+	"time"
+
+	"github.com/poppywall/poppywall/balancer/search"
+	"github.com/poppywall/poppywall/fleet"
+	"github.com/poppywall/poppywall/flow"
+)
+
+// shunTime is how long a balancer is not asked for a reading of the registry after it has
+// not given one.
+const shunTime = 5 * time.Second
+
+// surveys is where the readings of the agents' registry come from.
+type surveys struct {
+	// introduced is set once the balancer has looked for its first targets.
+	introduced bool
+	// shunned are balancers that have not given a reading, with when they may be asked
+	// again.
+	shunned map[flow.IPv4]time.Time
+}
+
+// WantsTargets tells, once, whether the registry is to name the balancer's first targets:
+// where it has heard of none within a moment of its start, nobody that it can reach knows
+// any yet.
+func (c *Core) WantsTargets(now time.Time) bool {
+	if c.surveys.introduced || now.Sub(c.startedAt) < search.ParkPause {
+		return false
+	}
+	c.surveys.introduced = true
+	return c.view.TargetCount() == 0
+}
+
+// Registers tells whether the registry has to name this balancer: nodes that know nobody
+// find the others there. It is among the first of its zone, once it has had the time to
+// hear of them, or hears of no other one at all.
+func (c *Core) Registers(now time.Time) bool {
+	age := now.Sub(c.startedAt)
+	if c.view.BalancerCount() == 0 {
+		return age >= search.FreshTime
+	}
+	return age >= search.SettleTime && c.view.Registers(now, c.opts.Self, c.opts.Zone)
+}
+
+// SurveyFrom tells whether the registry of agents is to be read, and which balancers are to
+// be asked for a reading before the store is: those of the zone that watch it, by one that
+// does so itself only those before it. So the first one of a zone reads for all.
+func (c *Core) SurveyFrom(now time.Time) (ask []flow.IPv4, due bool) {
+	if !c.proof.WantsSurvey(now) {
+		return nil, false
+	}
+	feeds := c.operator.Feeds(now)
+	ask = slices.DeleteFunc(c.view.ZoneFeeders(now, c.opts.Zone), func(ip flow.IPv4) bool {
+		return now.Before(c.surveys.shunned[ip]) || (feeds && ip > c.opts.Self)
+	})
+	return ask[:min(len(ask), fleet.FeedersPerZone)], true
+}
+
+// NotSurveyed notes that a balancer that was asked has not given a reading.
+func (c *Core) NotSurveyed(now time.Time, from flow.IPv4) {
+	for ip, until := range c.surveys.shunned {
+		if !now.Before(until) {
+			delete(c.surveys.shunned, ip)
+		}
+	}
+	c.surveys.shunned[from] = now.Add(shunTime)
+}
+
+// Surveyed takes a reading of the agents' registry. Flows that waited for it are looked at
+// again.
+func (c *Core) Surveyed(now time.Time, s fleet.Survey) {
+	if !c.proof.Surveyed(now, s) {
+		return
+	}
+	c.Greet(now, nil, fleet.Addresses(s.Agents))
+	c.finder.Wake(now)
+}
--- a/balancer/search/fixture_test.go
+++ b/balancer/search/fixture_test.go
@@ -72,7 +72,7 @@
 	f.now = f.now.Add(SettleTime + time.Second)
 	f.announce(targetA, fleet.Ready)
 	f.announce(targetB, fleet.Ready)
-	f.Surveyed(f.now, f.now, registered(targetA, targetB))
+	f.Surveyed(f.now, fleet.SurveyAt(f.now, registered(targetA, targetB)))
 	f.port.Nodes = nil
 	return f
 }
@@ -99,8 +99,8 @@
 func (f *fixture) View() *fleet.View { return f.fleet }
 
 // Surveyed takes a reading of the registry.
-func (f *fixture) Surveyed(now, began time.Time, agents []fleet.Entry) {
-	f.Proof.Surveyed(now, began, agents)
+func (f *fixture) Surveyed(now time.Time, s fleet.Survey) {
+	f.Proof.Surveyed(now, s)
 	f.Wake(now)
 }
 
--- a/balancer/search/proof.go
+++ b/balancer/search/proof.go
@@ -49,10 +49,6 @@
 	// agent that has registered since has told this balancer, again until that
 	// was acknowledged.
 	surveyTTL = 2 * time.Second
-	// surveyPause is the least pause between readings of the registry, each a
-	// priced call. While doubt lasts the pause doubles up to the most.
-	surveyPause     = 400 * time.Millisecond
-	mostSurveyPause = 1600 * time.Millisecond
 )
 
 // survey is the last reading of the agents' registry. An agent is registered
@@ -60,12 +56,11 @@
 // which targets may hold flows, also when their agents are not back.
 type survey struct {
 	fleet.RegistryReading
-	readAt time.Time
-	wanted bool
-	// startedAt is when the last reading was asked for, pause how long the next one
-	// has to wait from then on.
-	startedAt time.Time
-	pause     time.Duration
+	// earliest and latest bound when the reading began; zero before the first.
+	earliest, latest time.Time
+	revision         int64
+	wanted           bool
+	pace             fleet.SurveyPace
 }
 
 // Proof tells whether this balancer knows all targets that may hold flows. It is not safe
@@ -110,7 +105,7 @@
 // unsurveyed tells whether the registry was not read shortly before a packet came
 // or since.
 func (p *Proof) unsurveyed(since time.Time) Doubt {
-	if !p.survey.readAt.Before(since.Add(-surveyTTL)) {
+	if !p.survey.earliest.Before(since.Add(-surveyTTL)) {
 		return ""
 	}
 	p.survey.wanted = true
@@ -123,7 +118,7 @@
 	switch {
 	case p.Fresh(now):
 		return DoubtFresh, 0
-	case p.survey.readAt.IsZero():
+	case p.survey.earliest.IsZero():
 		p.survey.wanted = true
 		return DoubtSurvey, 0
 	}
@@ -201,35 +196,38 @@
 func (p *Proof) unregistered() (flow.IPv4, bool) {
 	for _, ip := range p.view.Targets() {
 		h, _ := p.view.Target(ip)
-		if h.State != fleet.Gone && !h.Listed && !h.RegisteredSince(p.survey.readAt) {
+		if h.State != fleet.Gone && !h.Listed && !h.RegisteredSince(p.survey.latest) {
 			return ip, true
 		}
 	}
 	return 0, false
 }
 
-// WantsSurvey tells whether the registry of agents is to be read: right after
-// the start, and when a flow seems to be over.
+// WantsSurvey tells whether the registry of agents is to be read: once the balancer is
+// not fresh any more, for nothing is concluded before, and when a flow seems to be over.
 func (p *Proof) WantsSurvey(now time.Time) bool {
-	s := &p.survey
-	since := now.Sub(s.startedAt)
-	if since < s.pause || (!s.wanted && !s.readAt.IsZero()) {
+	if now.Sub(p.startedAt) < FreshTime || (!p.survey.wanted && !p.survey.earliest.IsZero()) {
 		return false
 	}
-	if since > 2*mostSurveyPause {
-		s.pause = surveyPause
-	} else {
-		s.pause = min(2*s.pause, mostSurveyPause)
-	}
-	s.startedAt = now
-	return true
+	return p.survey.pace.Begin(now)
 }
 
-// Surveyed takes a reading of the agents' registry that began at the given time.
-func (p *Proof) Surveyed(now, began time.Time, agents []fleet.Entry) {
-	p.survey.Take(began, agents, p.view.KnowsTarget)
-	p.view.List(now, began, agents)
-	p.survey.readAt, p.survey.wanted = began, false
+// Surveyed takes a reading of the agents' registry, and tells whether it is not older
+// than the last one: an agent that has registered since must not get lost.
+func (p *Proof) Surveyed(now time.Time, s fleet.Survey) bool {
+	if s.Revision < p.survey.revision {
+		return false
+	}
+	p.survey.Take(s.Latest, s.Agents, p.view.KnowsTarget)
+	p.view.List(now, s.Latest, s.Agents)
+	p.survey.revision, p.survey.wanted = s.Revision, false
+	if s.Earliest.After(p.survey.earliest) {
+		p.survey.earliest = s.Earliest
+	}
+	if s.Latest.After(p.survey.latest) {
+		p.survey.latest = s.Latest
+	}
+	return true
 }
 
 // Strike takes the agents off the last reading that were not heard for as long as nodes
--- a/balancer/search/proof_test.go
+++ b/balancer/search/proof_test.go
@@ -76,24 +76,24 @@
 		"just started": {prepare: func(f *fixture) { f.startedAt = f.now }, want: DoubtFresh},
 		"an agent was missing for a while": {
 			prepare: func(f *fixture) {
-				f.Surveyed(f.now, f.now, registered(targetA, targetB, other))
+				f.Surveyed(f.now, fleet.SurveyAt(f.now, registered(targetA, targetB, other)))
 				f.wait(absentTime - time.Millisecond)
 			},
 			want: DoubtMissing,
 		},
 		"an agent was missing for long": {
 			prepare: func(f *fixture) {
-				f.Surveyed(f.now, f.now, registered(targetA, targetB, other))
+				f.Surveyed(f.now, fleet.SurveyAt(f.now, registered(targetA, targetB, other)))
 				f.wait(absentTime)
-				f.survey.readAt = f.now
+				f.survey.earliest = f.now
 			},
 			want: "",
 		},
 		"an agent is missing still": {
 			prepare: func(f *fixture) {
-				f.Surveyed(f.now, f.now, registered(targetA, targetB, other))
+				f.Surveyed(f.now, fleet.SurveyAt(f.now, registered(targetA, targetB, other)))
 				f.wait(absentTime)
-				f.Surveyed(f.now, f.now, registered(targetA, targetB, other))
+				f.Surveyed(f.now, fleet.SurveyAt(f.now, registered(targetA, targetB, other)))
 			},
 			want: "",
 		},
@@ -101,24 +101,24 @@
 			prepare: func(f *fixture) {
 				f.announce(other, fleet.Gone)
 				f.wait(fleet.Quiet + time.Second)
-				f.Surveyed(f.now, f.now, registered(targetA, targetB, other))
+				f.Surveyed(f.now, fleet.SurveyAt(f.now, registered(targetA, targetB, other)))
 			},
 			want: DoubtMissing,
 		},
 		"one that said it is gone is registered, and falls silent": {
 			prepare: func(f *fixture) {
 				f.announce(other, fleet.Gone)
-				f.Surveyed(f.now, f.now, registered(targetA, targetB, other))
+				f.Surveyed(f.now, fleet.SurveyAt(f.now, registered(targetA, targetB, other)))
 			},
 			during: func(f *fixture) {
 				f.wait(fleet.Quiet + 1)
-				f.survey.readAt = f.now
+				f.survey.earliest = f.now
 			},
 			want: DoubtMissing,
 		},
 		"one that was heard to be registered after the reading": {
 			prepare: func(f *fixture) {
-				f.Surveyed(f.now, f.now, registered(targetA, targetB))
+				f.Surveyed(f.now, fleet.SurveyAt(f.now, registered(targetA, targetB)))
 				f.now = f.now.Add(1)
 				f.announceRegistered(other)
 			},
@@ -127,14 +127,14 @@
 		"one that was heard to be registered before the reading": {
 			prepare: func(f *fixture) {
 				f.announceRegistered(other)
-				f.Surveyed(f.now, f.now, registered(targetA, targetB))
+				f.Surveyed(f.now, fleet.SurveyAt(f.now, registered(targetA, targetB)))
 			},
 			want: DoubtRegistry,
 		},
-		"registry not read":          {prepare: func(f *fixture) { f.survey.readAt = time.Time{} }, want: DoubtSurvey},
-		"registry read before":       {prepare: func(f *fixture) { f.survey.readAt = f.now.Add(-surveyTTL - 1) }, want: DoubtSurvey},
-		"an agent is missing":        {prepare: func(f *fixture) { f.Surveyed(f.now, f.now, registered(targetA, targetB, other)) }, want: DoubtMissing},
-		"an agent is not registered": {prepare: func(f *fixture) { f.Surveyed(f.now, f.now, registered(targetA)) }, want: DoubtRegistry},
+		"registry not read":          {prepare: func(f *fixture) { f.survey.earliest = time.Time{} }, want: DoubtSurvey},
+		"registry read before":       {prepare: func(f *fixture) { f.survey.earliest = f.now.Add(-surveyTTL - 1) }, want: DoubtSurvey},
+		"an agent is missing":        {prepare: func(f *fixture) { f.Surveyed(f.now, fleet.SurveyAt(f.now, registered(targetA, targetB, other))) }, want: DoubtMissing},
+		"an agent is not registered": {prepare: func(f *fixture) { f.Surveyed(f.now, fleet.SurveyAt(f.now, registered(targetA))) }, want: DoubtRegistry},
 		"another balancer names one": {
 			prepare: func(f *fixture) {
 				fleet.Names{Holders: []flow.IPv4{other}}.Append(nil, func(msg []byte) { f.HandleNode(f.now, peer, msg) })
@@ -150,7 +150,7 @@
 				f.announce(targetB, fleet.Gone)
 				f.now = f.now.Add(fleet.Quiet + time.Second)
 				f.announce(targetA, fleet.Ready)
-				f.Surveyed(f.now, f.now, registered(targetA))
+				f.Surveyed(f.now, fleet.SurveyAt(f.now, registered(targetA)))
 			},
 			want: "",
 		},
@@ -159,7 +159,7 @@
 				f.announce(targetB, fleet.Gone)
 				f.now = f.now.Add(fleet.Quiet + time.Second)
 				f.announce(targetA, fleet.Ready)
-				f.Surveyed(f.now, f.now, registered(targetA, targetB))
+				f.Surveyed(f.now, fleet.SurveyAt(f.now, registered(targetA, targetB)))
 			},
 			want: DoubtMissing,
 		},
@@ -168,7 +168,7 @@
 				f.announce(targetB, fleet.Gone)
 				f.now = f.now.Add(absentTime)
 				f.announce(targetA, fleet.Ready)
-				f.Surveyed(f.now, f.now, registered(targetA, targetB))
+				f.Surveyed(f.now, fleet.SurveyAt(f.now, registered(targetA, targetB)))
 			},
 			want: "",
 		},
@@ -218,7 +218,7 @@
 	} {
 		f := newFixture()
 		f.announce(other, fleet.Gone)
-		f.Surveyed(f.now, f.now, c.agents)
+		f.Surveyed(f.now, fleet.SurveyAt(f.now, c.agents))
 		f.client(packet(false, 9))
 		require.Equal(t, c.asked, slices.Contains(targetsOf(f.visiting()...), other), name)
 		for _, s := range f.visiting() {
@@ -243,7 +243,7 @@
 		if !during {
 			f.announce(other, fleet.Ready)
 		}
-		f.Surveyed(f.now, f.now, registered(targetA, targetB, other))
+		f.Surveyed(f.now, fleet.SurveyAt(f.now, registered(targetA, targetB, other)))
 		f.pass(ParkPause)
 		asked := f.port.Delivered()
 		require.Len(t, asked, 2, name)
@@ -276,7 +276,7 @@
 // flow costs one search.
 func TestAFlowIsNotSearchedForOverAndOverInDoubt(t *testing.T) {
 	f := newFixture()
-	f.Surveyed(f.now, f.now, registered(targetA, targetB, other))
+	f.Surveyed(f.now, fleet.SurveyAt(f.now, registered(targetA, targetB, other)))
 	f.client(packet(false, 9))
 	f.answer(targetB, envelope.Searched, packet(false, 9))
 	require.Equal(t, DoubtMissing, f.doubt)
@@ -293,7 +293,7 @@
 	f.SetConfig(f.now, config(5))
 	f.announce(targetA, fleet.Ready)
 	f.announce(targetB, fleet.Ready)
-	f.Surveyed(f.now, f.now, registered(targetA, targetB))
+	f.Surveyed(f.now, fleet.SurveyAt(f.now, registered(targetA, targetB)))
 	former.client(packet(false, 9))
 	f.client(packet(false, 9))
 	late := former.port.Delivered()[0]
@@ -306,6 +306,7 @@
 
 // TestTheRegistryIsReadLessOftenWhileDoubtLasts: each reading is a priced call.
 func TestTheRegistryIsReadLessOftenWhileDoubtLasts(t *testing.T) {
+	const surveyPause, mostSurveyPause = 400 * time.Millisecond, 1600 * time.Millisecond
 	f := newFixture()
 	var readings []time.Duration
 	begin := f.now
--- a/balancer/search/search_test.go
+++ b/balancer/search/search_test.go
@@ -20,7 +20,7 @@
 	for i := range flow.IPv4(count - 2) {
 		f.announce(0x0a020000+i, fleet.Ready)
 	}
-	f.Surveyed(f.now, f.now, registered(f.View().Targets()...))
+	f.Surveyed(f.now, fleet.SurveyAt(f.now, registered(f.View().Targets()...)))
 	f.port.Nodes = nil
 	return f
 }
@@ -98,7 +98,7 @@
 	}
 	lost := targetsOf(parts[0])
 	f.announce(lost[2], fleet.Gone)
-	f.Surveyed(f.now, f.now, registered(slices.DeleteFunc(f.View().Targets(), func(ip flow.IPv4) bool { return ip == lost[2] })...))
+	f.Surveyed(f.now, fleet.SurveyAt(f.now, registered(slices.DeleteFunc(f.View().Targets(), func(ip flow.IPv4) bool { return ip == lost[2] })...)))
 	f.pass(keptPause)
 	again := f.visiting()
 	backward := slices.Delete(slices.Clone(lost), 2, 3)
@@ -125,7 +125,7 @@
 	f.client(packet(false, 9))
 	f.announce(targetA, fleet.Gone)
 	f.announce(targetB, fleet.Gone)
-	f.Surveyed(f.now, f.now, nil)
+	f.Surveyed(f.now, fleet.SurveyAt(f.now, nil))
 	f.pass(keptPause)
 	require.Len(t, f.port.Resets, 1)
 }
--- a/fleet/configcopy/configcopy.go
+++ b/fleet/configcopy/configcopy.go
@@ -26,8 +26,8 @@
 )
 
 const (
-	// path is where nodes serve their copies.
-	path = "/config"
+	// Path is where nodes serve their copies.
+	Path = "/config"
 
 	encodingGzip = "gzip"
 	// peerTimeout bounds the time until a node that is asked begins to answer.
@@ -107,7 +107,7 @@
 }
 
 func fetch(ctx context.Context, client *http.Client, node netip.AddrPort, encoding string) ([]byte, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node.String()+path, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node.String()+Path, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -130,7 +130,7 @@
 // Handler serves a node's present copy, nil while it has none.
 func Handler(present func() *Copy, log *zap.Logger) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("GET "+Path, func(w http.ResponseWriter, r *http.Request) {
 		c := present()
 		if c == nil {
 			http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
--- a/fleet/configcopy/configcopy_test.go
+++ b/fleet/configcopy/configcopy_test.go
@@ -54,7 +54,7 @@
 	require.NoError(t, err)
 	require.Equal(t, raw, got)
 	for encoding, want := range map[string]struct{ least, most int }{"gzip": {size / 10, size * 2 / 3}, "identity": {size, size}} {
-		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL+path, nil)
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL+Path, nil)
 		require.NoError(t, err)
 		req.Header.Set("Accept-Encoding", encoding)
 		answer, err := http.DefaultClient.Do(req)
@@ -96,7 +96,7 @@
 	require.NoError(t, err)
 	require.Equal(t, raw, got)
 
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL+path, nil)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL+Path, nil)
 	require.NoError(t, err)
 	req.Header.Set("Accept-Encoding", "identity")
 	answer, err := http.DefaultClient.Do(req)
--- a/fleet/feeders.go
+++ b/fleet/feeders.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"github.com/poppywall/poppywall/flow"
@@ -16,6 +17,34 @@
 	enoughFeeders = 3
 )
 
+// RegisteredPerZone is how many balancers of a zone the registry names: a node that knows
+// no other one needs one that lives.
+const RegisteredPerZone = 4
+
+// ZoneFeeders returns the other balancers of a zone that watch the store, in order.
+func (v *View) ZoneFeeders(now time.Time, zone flow.Tag) []flow.IPv4 {
+	var out []flow.IPv4
+	for _, p := range v.ZonePeers(now, zone) {
+		if p.Feeding {
+			out = append(out, p.IP)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Registers tells whether the registry has to name the balancer self: it is one of the
+// first of its zone by address of those heard lately.
+func (v *View) Registers(now time.Time, self flow.IPv4, zone flow.Tag) bool {
+	before := 0
+	for _, p := range v.ZonePeers(now, zone) {
+		if p.IP < self {
+			before++
+		}
+	}
+	return before < RegisteredPerZone
+}
+
 // Feeds tells whether the balancer self has to watch the store: it is one of the
 // first of its zone by address, or too few that feed were heard lately.
 func (v *View) Feeds(now time.Time, self flow.IPv4, zone flow.Tag) bool {
--- a/fleet/registry/registry.go
+++ b/fleet/registry/registry.go
@@ -184,19 +184,52 @@
 	r.shown(fleet.PresenceEnded)
 }
 
-// List returns the entries of a role, and how many invalid ones were passed over.
-func List(ctx context.Context, s store.Store, role fleet.Role) (list []fleet.Entry, passed int, err error) {
+// Listed are the entries of a role.
+type Listed struct {
+	Entries []fleet.Entry
+	// Revision is the store's when the reading began.
+	Revision int64
+	// Passed counts the invalid entries, which were passed over.
+	Passed int
+	// More tells that there are entries behind these.
+	More bool
+}
+
+func (l *Listed) add(role fleet.Role, kv store.KV) {
+	if e, ok := decode(role, kv); ok {
+		l.Entries = append(l.Entries, e)
+	} else {
+		l.Passed++
+	}
+}
+
+// List returns all entries of a role.
+func List(ctx context.Context, s store.Store, role fleet.Role) (Listed, error) {
+	var out Listed
 	req := store.RangeRequest{Key: prefix(role), End: store.PrefixEnd(prefix(role))}
-	_, err = store.ReadAll(ctx, s, req, func(kv store.KV) error {
-		e, ok := decode(role, kv)
-		if !ok {
-			passed++
-			return nil
-		}
-		list = append(list, e)
+	revision, err := store.ReadAll(ctx, s, req, func(kv store.KV) error {
+		out.add(role, kv)
 		return nil
 	})
-	return list, passed, err
+	out.Revision = revision
+	return out, err
+}
+
+// Page returns the entries of one call: from the first one on, or those behind an address.
+func Page(ctx context.Context, s store.Store, role fleet.Role, behind flow.IPv4) (Listed, error) {
+	req := store.RangeRequest{Key: prefix(role), End: store.PrefixEnd(prefix(role))}
+	if behind != 0 {
+		req.Key = keyOf(role, behind) + "\x00"
+	}
+	resp, err := s.Range(ctx, req)
+	if err != nil {
+		return Listed{}, err
+	}
+	out := Listed{Revision: resp.Revision, More: resp.More}
+	for _, kv := range resp.KVs {
+		out.add(role, kv)
+	}
+	return out, nil
 }
 
 // Remove takes the entry of a dead node away, if it still is the one that is
--- a/fleet/registry/registry_test.go
+++ b/fleet/registry/registry_test.go
@@ -20,17 +20,17 @@
 
 func list(t *testing.T, s *standin.Store) []fleet.Entry {
 	t.Helper()
-	got, _, err := List(context.Background(), s, fleet.RoleAgent)
+	got, err := List(context.Background(), s, fleet.RoleAgent)
 	require.NoError(t, err)
-	return got
+	return got.Entries
 }
 
 // listed waits until the registry lists the process.
 func listed(t *testing.T, s *standin.Store, epoch uint64) {
 	t.Helper()
 	require.Eventually(t, func() bool {
-		got, _, err := List(context.Background(), s, fleet.RoleAgent)
-		return err == nil && len(got) == 1 && got[0].IP == self && got[0].Epoch == epoch
+		got, err := List(context.Background(), s, fleet.RoleAgent)
+		return err == nil && len(got.Entries) == 1 && got.Entries[0].IP == self && got.Entries[0].Epoch == epoch
 	}, 5*time.Second, 5*time.Millisecond)
 }
 
@@ -50,9 +50,9 @@
 	s.LapseLeases()
 	stop()
 	listed(t, s, 7)
-	none, _, err := List(context.Background(), s, fleet.RoleBalancer)
+	none, err := List(context.Background(), s, fleet.RoleBalancer)
 	require.NoError(t, err)
-	require.Empty(t, none)
+	require.Empty(t, none.Entries)
 
 	r, stop := run(s, 8)
 	listed(t, s, 8)
@@ -195,17 +195,17 @@
 		s := standin.NewStore(time.Now)
 		require.NoError(t, New(s, fleet.RoleAgent, self, 7, zap.NewNop(), func(fleet.Presence) {}).enter(ctx))
 		s.Operator(foreign)
-		got, passed, err := List(ctx, s, fleet.RoleAgent)
+		got, err := List(ctx, s, fleet.RoleAgent)
 		require.NoError(t, err, name)
-		require.Equal(t, 1, passed, name)
-		require.Len(t, got, 1, name)
-		require.Equal(t, self, got[0].IP, name)
+		require.Equal(t, 1, got.Passed, name)
+		require.Len(t, got.Entries, 1, name)
+		require.Equal(t, self, got.Entries[0].IP, name)
 
 		require.NoError(t, Remove(ctx, s, fleet.RoleAgent, fleet.Entry{IP: self + 1, Epoch: 9}), name)
 		require.NoError(t, Remove(ctx, s, fleet.RoleAgent, fleet.Entry{IP: self + 1}), name)
-		_, passed, err = List(ctx, s, fleet.RoleAgent)
+		got, err = List(ctx, s, fleet.RoleAgent)
 		require.NoError(t, err, name)
-		require.Equal(t, 1, passed, "%s: it stays", name)
+		require.Equal(t, 1, got.Passed, "%s: it stays", name)
 	}
 }
 
--- a/model/sim/nodes.go
+++ b/model/sim/nodes.go
@@ -18,6 +18,8 @@
 	AgentTick    = 50 * time.Millisecond
 	registryTick = 20 * time.Millisecond
 	flowTTL      = time.Minute
+	// feedTime is how long after an answer of the store a balancer counts as fed.
+	feedTime = 5 * time.Second
 	// joinSeeds is how many balancers are named to others as seeds.
 	joinSeeds = 3
 )
@@ -37,6 +39,9 @@
 	w *World
 	// life tells the ticks of a former process to end.
 	life int
+	// surveyed is the last reading of the registry, by the pace of the process.
+	surveyed fleet.Survey
+	pace     fleet.SurveyPace
 }
 
 // ToNode implements balancerfront.Port.
@@ -63,10 +68,11 @@
 func (b *Balancer) Start() {
 	w := b.w
 	opts := balancerfront.Options{
-		Self: b.IP, Zone: flow.TagOf(b.Zone), Seeds: w.Seeds, Epoch: w.Rnd.Uint64() | 1, Weights: Weights, RelayFrom: w.RelayFrom,
+		Self: b.IP, Zone: flow.TagOf(b.Zone), Seeds: w.Seeds, Epoch: w.Rnd.Uint64() | 1, Weights: Weights, RelayFrom: w.RelayFrom, FeedTime: feedTime,
 	}
 	b.Core = balancerfront.New(w.Now, opts, b, platform.Codec{}, QuietBalancer{}, w.Rnd)
 	b.Core.SetConfig(w.Now, w.Config)
+	b.pace = fleet.SurveyPace{}
 	b.Up = true
 	b.life++
 	b.run(b.life)
@@ -86,9 +92,8 @@
 func (b *Balancer) tick() {
 	w := b.w
 	b.Core.Tick(w.Now)
-	if b.Core.WantsSurvey(w.Now) {
-		b.Core.Surveyed(w.Now, w.Now, w.registered())
-	}
+	b.findTargets()
+	b.survey()
 	b.followStore()
 	b.keepRegistry()
 }
@@ -98,6 +103,7 @@
 func (b *Balancer) followStore() {
 	w := b.w
 	if !w.Now.Before(w.StoreBack) && b.Core.Feeds(w.Now) {
+		b.Core.Operator().Fed(w.Now)
 		b.Core.SetEvacuations(w.Now, w.Evacuations)
 	}
 }
@@ -113,7 +119,8 @@
 			continue
 		}
 		delete(w.Registry, d.IP)
-		if w.Agents[d.IP].Up {
+		w.Calls[CallRemove]++
+		if a, known := w.Agents[d.IP]; known && a.Up {
 			w.StruckAlive++
 		}
 	}
@@ -235,6 +242,7 @@
 		delete(w.Registry, a.IP)
 		if want == fleet.PresenceHere {
 			w.Registry[a.IP] = fleet.Entry{IP: a.IP, Epoch: epoch}
+			w.Calls[CallRegister]++
 		}
 		a.Core.Shown(w.Now, want)
 		return true
--- a/model/sim/world.go
+++ b/model/sim/world.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -64,6 +65,10 @@
 	// Across counts the datagrams between nodes of two zones, by kind.
 	Across map[envelope.Kind]Traffic
 
+	// Calls counts the calls at the store, Asked the readings that a balancer was asked for.
+	Calls map[Call]int
+	Asked map[flow.IPv4]int
+
 	lastIP flow.IPv4
 }
 
@@ -75,7 +80,8 @@
 	return &World{
 		Loop:      NewLoop(seed),
 		Balancers: map[flow.IPv4]*Balancer{}, Agents: map[flow.IPv4]*Agent{}, Registry: map[flow.IPv4]fleet.Entry{},
-		Across:     map[envelope.Kind]Traffic{},
+		Across: map[envelope.Kind]Traffic{},
+		Calls:  map[Call]int{}, Asked: map[flow.IPv4]int{},
 		lastIP:     firstIP - 1,
 		Delay:      func(_, _ flow.IPv4) time.Duration { return defaultDelay },
 		Cut:        func(_, _ flow.IPv4) bool { return false },
@@ -208,10 +214,8 @@
 // registered returns the agents that the store has, in an order that repeats.
 func (w *World) registered() []fleet.Entry {
 	var out []fleet.Entry
-	for _, ip := range w.AgentIPs() {
-		if e, ok := w.Registry[ip]; ok {
-			out = append(out, e)
-		}
+	for _, ip := range slices.Sorted(maps.Keys(w.Registry)) {
+		out = append(out, w.Registry[ip])
 	}
 	return out
 }
