Targets are asked about many unknown flows at once

A balancer has one inquiry under way at a time, about all flows that wait (48 at most), by key and acknowledgement instead of their packets; flows that come meanwhile are in the next one. An agent that knows all flows of its target denies or tells the balancer; one that does not is named unsure and gets the packet itself, as before. The certainty of a reset is what it was: every target of the flow's generation has denied it. Agents of an earlier version, and what is lost twice, get the packet.

Weighed: a census of all targets' flows shared in a zone (one for all balancers, but flows of a zone wait for another node, and it grows with the open flows); a filter of the open flows in each announcement (tells of the moment at which it was sent, not of that at which the flow's packet came: not certain); an answer by the age of targets (a packet does not tell how old its flow is).

At full size not measured yet.

--- a/balancer/packetfront/nodes.go
+++ b/balancer/packetfront/nodes.go
@@ -36,6 +36,8 @@
 		err = c.handleOwner(now, from, datagram)
 	case envelope.Returned:
 		err = c.handleReturned(now, from, datagram)
+	case envelope.Inquired:
+		err = c.handleInquired(now, datagram)
 	default:
 		err = envelope.ErrMalformed
 	}
--- a/balancer/search/search.go
+++ b/balancer/search/search.go
@@ -35,6 +35,9 @@
 	// First is how many targets of a flow's ranking, in the own zone and elsewhere, are
 	// asked before all others: at most as many as one message visits, both together.
 	First int
+	// InquireFrom is the number of targets above which the others are asked about several
+	// flows at once; what one message visits unless it is set.
+	InquireFrom int
 }
 
 // Finder finds the targets of flows that the balancer does not know. It is not safe for
@@ -49,6 +52,9 @@
 	port   Port
 	events Events
 	kept   keptFlows
+	// inquiry is under way, nil when none is; inquirers wait for the next one.
+	inquiry   *inquiry
+	inquirers []inquiredFlow
 	// searches numbers the messages of searches, from the epoch on: answers to a
 	// former process arrive here.
 	searches uint32
@@ -63,6 +69,9 @@
 // New returns a finder that has found nothing yet. config returns the configuration in
 // force; it is asked only for flows whose configuration is known.
 func New(opts Options, config func() *flow.Config, view *fleet.View, table *Table, proof *Proof, codec flow.Codec, port Port, events Events) *Finder {
+	if opts.InquireFrom == 0 {
+		opts.InquireFrom = searchRound
+	}
 	return &Finder{
 		opts: opts, config: config, view: view, table: table, proof: proof, codec: codec, port: port, events: events,
 		kept: newKept(), searches: uint32(opts.Epoch),
@@ -82,9 +91,13 @@
 	return !known || !h.Quiet(now)
 }
 
-// Found notes which target holds a flow and sends it the packets that waited.
+// Found notes which target holds a flow and sends it the packets that waited. The first
+// one it has already, unless it was only asked about the flow.
 func (f *Finder) Found(now time.Time, key flow.Key, target flow.IPv4) {
 	f.table.Put(now, key, target)
+	if k, kept := f.kept.flows[key]; kept && k.inquired() {
+		f.port.Forward(key, target, k.first)
+	}
 	f.Release(key, target)
 }
 
@@ -128,11 +141,12 @@
 		return
 	}
 	k.begin(f.view.Generation())
-	// Where there are more than one message visits, the likeliest are asked alone
-	// first: nearly every flow that lives is at one of them.
-	if len(candidates) > searchRound {
-		k.unasked = slices.Clone(candidates[2*f.opts.First:])
-		candidates = candidates[:2*f.opts.First]
+	// Where there are many, the likeliest are asked alone first: nearly every flow that
+	// lives is at one of them.
+	if len(candidates) > f.opts.InquireFrom {
+		likeliest := min(2*f.opts.First, len(candidates))
+		k.unasked = slices.Clone(candidates[likeliest:])
+		candidates = candidates[:likeliest]
 	}
 	f.visit(now, key, k, candidates)
 }
@@ -177,6 +191,18 @@
 // same time where there are many. Whoever may not be there any more is visited alone:
 // a packet that is passed on through a VM that has died is lost there.
 func (f *Finder) visit(now time.Time, key flow.Key, k *keptFlow, targets []flow.Candidate) {
+	f.events.Searching(key, len(targets), k.searches)
+	k.next = now.Add(keptPause)
+	for _, part := range f.parts(now, targets, k.backward()) {
+		f.searches++
+		k.visits[f.searches] = part
+		f.sendAlong(k.first, part, f.searches)
+	}
+}
+
+// parts divides targets among messages. backward reverses the order in which they are
+// visited.
+func (f *Finder) parts(now time.Time, targets []flow.Candidate, backward bool) [][]flow.Candidate {
 	var together, alone []flow.Candidate
 	for _, candidate := range targets {
 		if h, known := f.view.Target(candidate.Target); known && h.State != fleet.Gone && !h.Quiet(now) {
@@ -185,24 +211,10 @@
 			alone = append(alone, candidate)
 		}
 	}
-	if k.backward() {
+	if backward {
 		slices.Reverse(together)
 	}
-	f.events.Searching(key, len(targets), k.searches)
-	k.next = now.Add(keptPause)
-	for part := range slices.Chunk(together, partOf(len(together))) {
-		f.sendPart(k, part)
-	}
-	for part := range slices.Chunk(alone, 1) {
-		f.sendPart(k, part)
-	}
-}
-
-// sendPart sends the first packet of a flow along some of its targets.
-func (f *Finder) sendPart(k *keptFlow, part []flow.Candidate) {
-	f.searches++
-	k.visits[f.searches] = part
-	f.sendAlong(k.first, part, f.searches)
+	return slices.AppendSeq(slices.Collect(slices.Chunk(together, partOf(len(together)))), slices.Chunk(alone, 1))
 }
 
 // askAgain goes on with a search whose messages do not come back: those targets are
@@ -212,29 +224,35 @@
 	targets := k.unasked
 	for _, id := range slices.Sorted(maps.Keys(k.visits)) {
 		for _, candidate := range k.visits[id] {
-			if target, known := f.view.Target(candidate.Target); known && target.MayHold(now) {
+			if f.mayHold(now, candidate.Target) {
 				targets = append(targets, candidate)
 			}
 		}
 	}
 	clear(k.visits)
-	k.unasked = nil
+	k.unasked = targets
 	if len(targets) == 0 {
 		f.allAsked(now, key, k, h, 0)
 		return
 	}
 	k.searches++
-	f.visit(now, key, k, targets)
+	f.askRest(now, key, k)
 }
 
 // sendAlong sends a packet to the first of some targets, to be passed on to the
 // others.
 func (f *Finder) sendAlong(packet []byte, targets []flow.Candidate, searchID uint32) {
+	f.sendAs(envelope.Deliver, packet, targets, searchID)
+}
+
+// sendAs sends what stands behind an envelope to the first of some targets, to be passed
+// on to the others.
+func (f *Finder) sendAs(kind envelope.Kind, body []byte, targets []flow.Candidate, searchID uint32) {
 	f.env = envelope.Envelope{
-		Kind: envelope.Deliver, Balancer: f.opts.Self, Flags: envelope.Search, SearchID: searchID, Service: targets[0].Service,
+		Kind: kind, Balancer: f.opts.Self, Flags: envelope.Search, SearchID: searchID, Service: targets[0].Service,
 	}
 	f.env.SetCandidates(targets[1:])
-	f.port.Send(targets[0].Target, &f.env, packet)
+	f.port.Send(targets[0].Target, &f.env, body)
 }
 
 // Returned takes a packet back that nobody took, in the envelope that came with it. One
@@ -256,9 +274,8 @@
 	if len(k.visits) > 0 {
 		return
 	}
-	if rest := k.unasked; len(rest) > 0 {
-		k.unasked = nil
-		f.visit(now, key, k, rest)
+	if len(k.unasked) > 0 {
+		f.askRest(now, key, k)
 		return
 	}
 	f.allAsked(now, key, k, h, int(env.Hops))
@@ -334,6 +351,7 @@
 
 // Retry tries the packets that are due once more.
 func (f *Finder) Retry(now time.Time) {
+	f.expireInquiry(now)
 	if len(f.kept.flows) == 0 {
 		return
 	}
--- a/e2e/packets/packets_test.go
+++ b/e2e/packets/packets_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/poppywall/poppywall/fleet"
 	"github.com/poppywall/poppywall/flow"
+	"github.com/poppywall/poppywall/flow/envelope"
 )
 
 // coldRate is how many requests a second a cold target of service B bears, where that
@@ -132,6 +133,27 @@
 	})
 }
 
+// TestFlowsKeepTheirTargetsWhateverIsShared: the same where balancers of a zone share their
+// readings of the registry, and all but two targets are asked about several flows at once.
+func TestFlowsKeepTheirTargetsWhateverIsShared(t *testing.T) {
+	shared, inquiries := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(t, "seed"))
+		w.SearchFirst, w.InquireFrom = 1, 1
+		for range 3 {
+			deployment(w)
+		}
+		w.Run(3 * time.Second)
+		keepTargets(t, w)
+		for _, asked := range w.Asked {
+			shared += asked
+		}
+		inquiries += w.kinds[envelope.Inquire]
+	})
+	require.NotZero(t, shared, "readings are shared")
+	require.NotZero(t, inquiries)
+}
+
 // keepTargets lets a settled deployment go through what is drawn.
 func keepTargets(t *rapid.T, w *world) {
 	w.Loss = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "loss")
--- a/model/sim/survey.go
+++ b/model/sim/survey.go
@@ -74,13 +74,13 @@
 func (b *Balancer) ask(from *Balancer) {
 	w, life, asked := b.w, b.life, b.w.Now
 	w.Asked[from.IP]++
-	w.After(w.Delay(b.IP, from.IP), func() {
+	w.After(w.Delay(b.IP, from.IP)+w.Jitter(w.Late+1), func() {
 		if !from.Up {
 			return
 		}
 		s := from.read()
 		began, ended := w.Now.Sub(s.Earliest), w.Now.Sub(s.Latest)
-		w.After(w.Delay(from.IP, b.IP), func() {
+		w.After(w.Delay(from.IP, b.IP)+w.Jitter(w.Late+1), func() {
 			if b.Up && b.life == life {
 				s.Earliest, s.Latest = asked.Add(-began), w.Now.Add(-ended)
 				b.Core.Surveyed(w.Now, s)
