--- a/balancer/search/search.go
+++ b/balancer/search/search.go
@@ -200,21 +200,34 @@
 	}
 }
 
-// parts divides targets among messages. backward reverses the order in which they are
-// visited.
+// parts divides targets among messages. A message that visits several of many stays in
+// their zone: so what crosses zones goes with the messages, not with the targets. backward
+// reverses the order in which they are visited.
 func (f *Finder) parts(now time.Time, targets []flow.Candidate, backward bool) [][]flow.Candidate {
-	var together, alone []flow.Candidate
+	together, alone := map[flow.Tag][]flow.Candidate{}, [][]flow.Candidate{}
+	heard := 0
 	for _, candidate := range targets {
-		if h, known := f.view.Target(candidate.Target); known && h.State != fleet.Gone && !h.Quiet(now) {
-			together = append(together, candidate)
-		} else {
-			alone = append(alone, candidate)
+		h, known := f.view.Target(candidate.Target)
+		if !known || h.State == fleet.Gone || h.Quiet(now) {
+			alone = append(alone, []flow.Candidate{candidate})
+			continue
 		}
+		heard++
+		zone := h.Zone
+		if len(targets) <= searchRound {
+			// One message visits them all, the likeliest first.
+			zone = 0
+		}
+		together[zone] = append(together[zone], candidate)
 	}
-	if backward {
-		slices.Reverse(together)
+	var out [][]flow.Candidate
+	for _, zone := range slices.Sorted(maps.Keys(together)) {
+		if backward {
+			slices.Reverse(together[zone])
+		}
+		out = slices.AppendSeq(out, slices.Chunk(together[zone], partOf(heard)))
 	}
-	return slices.AppendSeq(slices.Collect(slices.Chunk(together, partOf(len(together)))), slices.Chunk(alone, 1))
+	return append(out, alone...)
 }
 
 // askAgain goes on with a search whose messages do not come back: those targets are
--- a/balancer/search/search_test.go
+++ b/balancer/search/search_test.go
@@ -258,3 +258,30 @@
 	repeat := func(s string, n int) string { return string(slices.Repeat([]byte(s), n)) }
 	require.Equal(t, repeat("n", 8)+repeat("f", 8)+repeat("n", 12)+repeat("f", 12)+repeat("o", 20)+"qq", kinds)
 }
+
+// TestAMessageToManyTargetsStaysInAZone: hundreds of targets in six zones, each of which is
+// asked about a flow that none holds.
+func TestAMessageToManyTargetsStaysInAZone(t *testing.T) {
+	const zones, targets = 6, 678
+	f := newFixture()
+	for i := range flow.IPv4(targets) {
+		f.seq++
+		a := fleet.Announcement{Identity: fleet.Identity{Epoch: 1, Seq: f.seq}, Service: alpha, Zone: flow.Tag(1 + i%zones), State: fleet.Ready, Slots: 4}
+		f.HandleNode(f.now, 0x0a020000+i, a.Append(nil))
+	}
+	f.client(packet(false, 9))
+	f.comeBack(f.visiting()[0], 0)
+	messages := f.visiting()
+	require.LessOrEqual(t, len(messages), targets/searchRound+zones+1)
+	visited := 0
+	for _, s := range messages {
+		in := map[flow.Tag]bool{}
+		for _, ip := range targetsOf(s) {
+			h, _ := f.View().Target(ip)
+			in[h.Zone] = true
+			visited++
+		}
+		require.Len(t, in, 1)
+	}
+	require.Equal(t, targets+2-2*first, visited)
+}
