--- a/balancer/search/proof_test.go
+++ b/balancer/search/proof_test.go
@@ -265,7 +265,7 @@
 	late := f.port.Delivered()[0]
 	f.pass(keptPause + tickPeriod)
 	require.Len(t, f.port.Delivered(), 2, "repeated")
-	late.Env.Kind, late.Env.Count, late.Env.Flags = envelope.Returned, 0, envelope.Search|envelope.Searched
+	late.Env.Kind, late.Env.Count, late.Env.Flags = envelope.Returned, 0, envelope.Search|envelope.Searched|envelope.Unsure
 	f.HandleNode(f.now, targetB, append(late.Env.Append(nil), packet(false, 9)...))
 	require.Empty(t, f.port.Resets)
 	f.answer(targetB, envelope.Searched, packet(false, 9))
