--- a/balancer/search/proof.go
+++ b/balancer/search/proof.go
@@ -164,12 +164,11 @@
 		}
 		return ip, true
 	}
-	for _, ip := range p.view.Targets() {
-		if h, _ := p.view.Target(ip); !answers(now, h) && p.mayLive(now, h) {
-			return ip, true
-		}
+	ip, silent := p.view.FirstTarget(func(h *fleet.Target) bool { return !answers(now, h) && p.mayLive(now, h) })
+	if h, known := p.view.Target(ip); known && h.State == fleet.Gone {
+		p.survey.wanted = true
 	}
-	return 0, false
+	return ip, silent
 }
 
 // answers tells whether a target's agent is there to be asked.
@@ -184,23 +183,15 @@
 	if h.State != fleet.Gone {
 		return true
 	}
-	if !p.view.MayLive(h) || now.Sub(h.HeardAt) >= absentTime {
-		return false
-	}
-	p.survey.wanted = true
-	return true
+	return p.view.MayLive(h) && now.Sub(h.HeardAt) < absentTime
 }
 
 // unregistered returns an agent that is heard and not in the registry. One that was
 // heard to be there only after the reading began is newer than it.
 func (p *Proof) unregistered() (flow.IPv4, bool) {
-	for _, ip := range p.view.Targets() {
-		h, _ := p.view.Target(ip)
-		if h.State != fleet.Gone && !h.Listed && !h.RegisteredSince(p.survey.latest) {
-			return ip, true
-		}
-	}
-	return 0, false
+	return p.view.FirstTarget(func(h *fleet.Target) bool {
+		return h.State != fleet.Gone && !h.Listed && !h.RegisteredSince(p.survey.latest)
+	})
 }
 
 // WantsSurvey tells whether the registry of agents is to be read: once the balancer is
--- /dev/null
+++ b/fleet/digest_test.go
@@ -0,0 +1,93 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/poppywall/poppywall/flow"
+)
+
+// viewOf is a view of so many nodes, two balancers to five agents.
+func viewOf(now time.Time, nodes int) *View {
+	v := NewView()
+	for i := range nodes {
+		id := Identity{Epoch: 1, Seq: 1}
+		if i%7 < 2 {
+			v.Beacon(now, flow.IPv4(0x0a000001+i), Beacon{Identity: id})
+			continue
+		}
+		v.Announce(now, flow.IPv4(0x0a000001+i), Announcement{Identity: id, State: Ready})
+	}
+	return v
+}
+
+func BenchmarkDigest(b *testing.B) {
+	now := time.Unix(1_700_000_000, 0)
+	for _, nodes := range []int{100, 300, 982, 2000} {
+		v := viewOf(now, nodes)
+		b.Run(fmt.Sprint(nodes), func(b *testing.B) {
+			for b.Loop() {
+				v.Digest(now, 7)
+			}
+		})
+	}
+}
+
+// digestOf is what the digest stands for: all balancers, the owner, and the targets that are
+// not gone or were heard lately.
+func digestOf(v *View, now time.Time, self flow.IPv4) uint32 {
+	sum := member(self, true)
+	for ip := range v.peers {
+		sum ^= member(ip, true)
+	}
+	for ip, h := range v.targets {
+		if h.State != Gone || !h.Quiet(now) {
+			sum ^= member(ip, false)
+		}
+	}
+	return sum
+}
+
+// TestTheDigestIsThatOfTheNodesKnown, whoever comes, goes, is back or is forgotten.
+func TestTheDigestIsThatOfTheNodesKnown(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v, now, seq := NewView(), time.Unix(1_700_000_000, 0), uint32(0)
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			ip := flow.IPv4(rapid.IntRange(1, 8).Draw(t, "node"))
+			seq++
+			id := Identity{Epoch: rapid.Uint64Range(1, 3).Draw(t, "epoch"), Seq: seq}
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				v.Beacon(now, 100+ip, Beacon{Identity: id})
+			case 1:
+				v.Expire(now)
+			case 2:
+				now = now.Add(time.Duration(rapid.IntRange(0, 9).Draw(t, "seconds")) * time.Second)
+			default:
+				v.Announce(now, ip, Announcement{Identity: id, State: State(rapid.IntRange(0, 3).Draw(t, "state"))})
+			}
+			require.Equal(t, digestOf(v, now, 7), v.Digest(now, 7))
+		}
+	})
+}
+
+func BenchmarkTargets(b *testing.B) {
+	now := time.Unix(1_700_000_000, 0)
+	for _, nodes := range []int{100, 300, 982, 2000} {
+		v := viewOf(now, nodes)
+		b.Run(fmt.Sprint("sorted/", nodes), func(b *testing.B) {
+			for b.Loop() {
+				v.Targets()
+			}
+		})
+		b.Run(fmt.Sprint("first/", nodes), func(b *testing.B) {
+			for b.Loop() {
+				v.FirstTarget(func(h *Target) bool { return h.State == Gone })
+			}
+		})
+	}
+}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -32,6 +32,10 @@
 	// entries; listedAt is when that reading began.
 	listed   map[flow.IPv4]uint64
 	listedAt time.Time
+	// members is the part of the digest of the balancers and of the targets that are not
+	// gone; gone are the others.
+	members uint32
+	gone    map[flow.IPv4]*Target
 	// generation rises with each target that comes to be one that may hold a flow.
 	generation uint32
 	zones      zones
@@ -41,7 +45,7 @@
 func NewView() *View {
 	return &View{
 		targets: map[flow.IPv4]*Target{}, services: map[flow.Tag][]*Target{}, peers: map[flow.IPv4]*Peer{},
-		listed: map[flow.IPv4]uint64{}, zones: newZones(),
+		listed: map[flow.IPv4]uint64{}, gone: map[flow.IPv4]*Target{}, zones: newZones(),
 	}
 }
 
@@ -112,6 +116,17 @@
 	return split(v.Targets(), func(ip flow.IPv4) bool { return v.targets[ip].Zone == zone })
 }
 
+// FirstTarget returns the lowest address of the targets that a predicate holds for. It
+// sorts nothing: whether a flow is over is asked with all targets at hand.
+func (v *View) FirstTarget(holds func(*Target) bool) (first flow.IPv4, found bool) {
+	for ip, h := range v.targets {
+		if (!found || ip < first) && holds(h) {
+			first, found = ip, true
+		}
+	}
+	return first, found
+}
+
 // split divides a list by a predicate.
 func split(list []flow.IPv4, first func(flow.IPv4) bool) (yes, no []flow.IPv4) {
 	for _, ip := range list {
@@ -150,20 +165,42 @@
 }
 
 // Digest tells two views that name the same nodes from others, whatever their
-// order. self is the address of the view's owner.
+// order. self is the address of the view's owner. Its cost goes with the targets that
+// are gone, not with the nodes: each beacon of the zone is compared by it.
 func (v *View) Digest(now time.Time, self flow.IPv4) uint32 {
-	sum := member(self, true)
-	for ip := range v.peers {
-		sum ^= member(ip, true)
-	}
-	for ip, h := range v.targets {
-		if h.State != Gone || !h.Quiet(now) {
+	sum := v.members ^ member(self, true)
+	for ip, h := range v.gone {
+		if !h.Quiet(now) {
 			sum ^= member(ip, false)
 		}
 	}
 	return sum
 }
 
+// recount keeps the digest when a target has come, has gone, or is back.
+func (v *View) recount(h *Target) {
+	_, gone := v.gone[h.IP]
+	switch {
+	case h.State == Gone && !gone:
+		v.gone[h.IP] = h
+		if h.counted {
+			v.members ^= member(h.IP, false)
+		}
+	case h.State != Gone && (gone || !h.counted):
+		delete(v.gone, h.IP)
+		v.members ^= member(h.IP, false)
+	}
+	h.counted = h.State != Gone
+}
+
+// uncount takes a target that is forgotten out of the digest.
+func (v *View) uncount(h *Target) {
+	delete(v.gone, h.IP)
+	if h.counted {
+		v.members ^= member(h.IP, false)
+	}
+}
+
 // member is the share of one node in a digest.
 func member(ip flow.IPv4, balancer bool) uint32 {
 	salt := uint64(1)
@@ -205,6 +242,7 @@
 		a.State = Draining
 	}
 	h.Announcement, h.HeardAt, h.Sent = a, now, 0
+	v.recount(h)
 	v.heardZone(now, a.Zone)
 	h.heard()
 	if !known || former.Epoch != a.Epoch || former.Listing != a.Listing {
@@ -266,6 +304,9 @@
 	if !p.order.accept(m.Identity, unheard(now, p.HeardAt, p.Period, quietPeriods)) {
 		return Stale
 	}
+	if !known {
+		v.members ^= member(ip, true)
+	}
 	v.peers[ip] = p
 	p.Beacon, p.HeardAt = m, now
 	v.heardZone(now, m.Zone)
@@ -339,6 +380,7 @@
 	for ip, h := range v.targets {
 		if now.Sub(h.HeardAt) > Forget {
 			v.unlist(h, h.Service)
+			v.uncount(h)
 			delete(v.targets, ip)
 			targets = append(targets, Entry{IP: ip, Epoch: h.Epoch})
 		}
@@ -346,6 +388,7 @@
 	for ip, p := range v.peers {
 		if now.Sub(p.HeardAt) > Forget {
 			delete(v.peers, ip)
+			v.members ^= member(ip, true)
 			balancers = append(balancers, Entry{IP: ip, Epoch: p.Epoch})
 		}
 	}
