Ten balancers of a zone are relays at a time

So packets went with the zone's balancers.

Ten are relays in a slot of ten seconds, the next ten in the next one, by the time of day; a node whose clock is wrong uses others, which do as well. Readings are as fresh as before (TestReadingsOfOtherZonesAreAsFreshAsTheDirectWays).

Weighed: gathering for longer (readings get older); a subset without slots (the same ten always). At full size not measured yet.

--- a/fleet/zonecast/plan.go
+++ b/fleet/zonecast/plan.go
@@ -16,6 +16,11 @@
 	// From is the number of a zone's balancers from which on it is told through relays:
 	// with fewer the direct way is as cheap or is used more often.
 	From = 10
+	// Active is how many balancers of a zone are relays at a time: the fewer there are, the
+	// more messages share a datagram to each balancer of the zone.
+	Active = 10
+	// slotTime is how long these are the same ones.
+	slotTime = 10 * time.Second
 	// Period is the pause between two rounds: with what the relays add, readings are as
 	// fresh as by the direct way at its longest pause.
 	Period = 1800 * time.Millisecond
@@ -36,15 +41,19 @@
 	Period time.Duration
 }
 
-// Make plans a round of the node self. known are the balancers of each other zone,
+// Slot numbers the spans of time in which the same balancers of a zone are relays, by the time
+// of day. A node whose clock is wrong uses others, which do as well.
+func Slot(now time.Time) int64 { return now.Unix() / int64(slotTime/time.Second) }
+
+// Make plans a round of the node self in a slot. known are the balancers of each other zone,
 // recent those that were heard lately, both in order; a zone with at least from recent
 // ones gets relays.
-func Make(known, recent map[flow.Tag][]flow.IPv4, from int, self flow.IPv4, round int) Plan {
+func Make(known, recent map[flow.Tag][]flow.IPv4, from int, self flow.IPv4, slot int64, round int) Plan {
 	p := Plan{Relayed: map[flow.Tag]int{}}
 	for _, zone := range slices.Sorted(maps.Keys(known)) {
 		if count := len(recent[zone]); count >= max(from, 1) {
 			p.Relayed[zone] = count
-			p.Relays = append(p.Relays, relays(recent[zone], self, round)...)
+			p.Relays = append(p.Relays, relays(recent[zone], self, slot, round)...)
 		} else {
 			p.Direct = append(p.Direct, known[zone]...)
 		}
@@ -71,14 +80,16 @@
 	}
 }
 
-// relays returns the balancers whose turn it is. Nodes begin at different ones, so that
-// each balancer has its share.
-func relays(balancers []flow.IPv4, self flow.IPv4, round int) []flow.IPv4 {
+// relays returns the balancers whose turn it is: each slot takes the next ones, and nodes
+// begin at different ones of these, so that each balancer has its share.
+func relays(balancers []flow.IPv4, self flow.IPv4, slot int64, round int) []flow.IPv4 {
 	var out []flow.IPv4
-	begin := flow.Score(0, self) % uint64(len(balancers))
+	count, active := uint64(len(balancers)), uint64(min(Active, len(balancers)))
+	first := uint64(slot) % count * active % count
+	begin := flow.Score(0, self) % active
 	for i := range min(Copies, len(balancers)) {
 		turn := begin + uint64(round)*Copies + uint64(i)
-		out = append(out, balancers[turn%uint64(len(balancers))])
+		out = append(out, balancers[(first+turn%active)%count])
 	}
 	return out
 }
--- a/model/sim/world.go
+++ b/model/sim/world.go
@@ -46,7 +46,7 @@
 	// Sent and Heard, where set, are told of each datagram between nodes: when it is sent,
 	// its head, and when it arrives.
 	Sent  func(from flow.IPv4, head []byte)
-	Heard func(from flow.IPv4, kind envelope.Kind, datagram []byte)
+	Heard func(from, to flow.IPv4, kind envelope.Kind, datagram []byte)
 	// Announcing disturbs what agents announce: whether a message is lost, else how much
 	// later it comes.
 	Announcing func() (lost bool, late time.Duration)
@@ -139,7 +139,7 @@
 	}
 	w.Send(delay, func(data []byte) {
 		if w.Heard != nil {
-			w.Heard(from, kind, data)
+			w.Heard(from, to, kind, data)
 		}
 		if b, ok := w.Balancers[to]; ok && b.Up {
 			b.Core.HandleNode(w.Now, from, data)
