Inquiries about many flows are taken out: no agent could answer them where they were meant to help

After a power loss agents find their targets listening: they did not see them start, know their flows from then on only, and were named unsure; the packet's bounce is the only proof they have. And a balancer meets 2.5 such flows a second for eight seconds, each when its client speaks again: there is hardly ever a second one to ask about.

Ruled out as proof for such an agent: the time of birth in a heartbeat (clocks are stepped), a bounce of another flow (a target may discard one), a life's tag in its entry (a target is offered without an entry after 0.25 s while the store is away), what is left of a target's warm-up (its whole is not known).

--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -154,8 +154,6 @@
 	switch kind {
 	case envelope.Deliver:
 		err = c.handleDeliver(now, datagram)
-	case envelope.Inquire:
-		err = c.handleInquiry(datagram)
 	case envelope.Beacon:
 		err = c.handleBeacon(now, from, datagram)
 	case envelope.Batch:
@@ -326,9 +324,12 @@
 // deliverUnknown handles a packet of a flow that is not known here. An agent
 // that saw its target start knows all its flows; another one asks the target.
 func (c *Core) deliverUnknown(now time.Time, key flow.Key, h *flow.Header, packet []byte) {
-	sure, ask := c.knowsAll()
-	if !ask {
-		c.passOn(packet, sure)
+	if c.target.state() == fleet.Absent || c.target.state() == fleet.Gone {
+		c.passOn(packet, c.target.holdsNothing())
+		return
+	}
+	if c.target.sawStart && !c.flows.overflowed {
+		c.passOn(packet, true)
 		return
 	}
 	// What the target sends on this flow will show that it holds it.
@@ -340,49 +341,27 @@
 	c.toTarget(now, key, packet)
 }
 
-// knowsAll tells whether the agent certainly knows all flows of its target, and whether the
-// target can be asked where it does not.
-func (c *Core) knowsAll() (sure, ask bool) {
-	switch state := c.target.state(); {
-	case state == fleet.Absent || state == fleet.Gone:
-		return c.target.holdsNothing(), false
-	case c.target.sawStart && !c.flows.overflowed:
-		return true, false
-	default:
-		return false, true
-	}
-}
-
 // passOn sends a packet to its next candidate, or back to its balancer when
 // there is none. sure tells that this target certainly does not hold the flow.
 func (c *Core) passOn(packet []byte, sure bool) {
 	if !sure {
 		c.env.Flags |= envelope.Unsure
 	}
-	if c.sendNext(packet) {
-		return
-	}
-	if c.env.Flags&envelope.Search != 0 {
-		c.env.Flags |= envelope.Searched
-	}
-	c.env.Kind = envelope.Returned
-	c.sendEnvelope(c.env.Balancer, packet)
-}
-
-// sendNext sends what stands behind the envelope to the next candidate, and tells whether
-// there is one. Where some may not be visited any more the answer is unsure.
-func (c *Core) sendNext(body []byte) bool {
 	c.env.Hops++
 	next, ok := c.env.Pop()
 	if ok && c.env.Hops < envelope.MaxHops {
 		c.env.Service = next.Service
-		c.sendEnvelope(next.Target, body)
-		return true
+		c.sendEnvelope(next.Target, packet)
+		return
 	}
 	if ok {
 		c.env.Flags |= envelope.Unsure
 	}
-	return false
+	if c.env.Flags&envelope.Search != 0 {
+		c.env.Flags |= envelope.Searched
+	}
+	c.env.Kind = envelope.Returned
+	c.sendEnvelope(c.env.Balancer, packet)
 }
 
 func (c *Core) sendEnvelope(to flow.IPv4, packet []byte) {
--- a/balancer/packetfront/finder.go
+++ b/balancer/packetfront/finder.go
@@ -28,21 +28,6 @@
 // Reset implements search.Port.
 func (c finderPort) Reset(key flow.Key, seq uint32) { c.port.Reset(key, seq) }
 
-// handleInquired takes a question back that all of its targets have answered.
-func (c *Core) handleInquired(now time.Time, datagram []byte) error {
-	body, err := c.env.Decode(datagram)
-	if err != nil {
-		return err
-	}
-	answer, err := envelope.DecodeInquiry(body)
-	if err != nil {
-		return err
-	}
-	env := c.env
-	c.finder.Inquired(now, &env, answer)
-	return nil
-}
-
 // handleReturned takes a packet back that nobody took.
 func (c *Core) handleReturned(now time.Time, from flow.IPv4, datagram []byte) error {
 	packet, err := c.env.Decode(datagram)
--- a/balancer/packetfront/observer.go
+++ b/balancer/packetfront/observer.go
@@ -50,16 +50,15 @@
 
 	opening, searching, other, changes telemetry.Budget
 
-	forwarded, opened, refused        prometheus.Counter
-	searches, inquiries, owners       prometheus.Counter
-	overloads                         *prometheus.CounterVec
-	lost                              *prometheus.CounterVec
-	drops                             map[Drop]prometheus.Counter
-	keeps                             map[Keep]prometheus.Counter
-	crossed                           prometheus.Counter
-	readingAge, expected              prometheus.Histogram
-	emptied                           *telemetry.ZoneGauges
-	stoodBy, silences, relayed, asked prometheus.Counter
+	forwarded, opened, refused, searches, owners prometheus.Counter
+	overloads                                    *prometheus.CounterVec
+	lost                                         *prometheus.CounterVec
+	drops                                        map[Drop]prometheus.Counter
+	keeps                                        map[Keep]prometheus.Counter
+	crossed                                      prometheus.Counter
+	readingAge, expected                         prometheus.Histogram
+	emptied                                      *telemetry.ZoneGauges
+	stoodBy, silences, relayed, asked            prometheus.Counter
 }
 
 func newObserver(log *zap.Logger, reg *prometheus.Registry) *observer {
@@ -75,7 +74,6 @@
 		refused:   c.Counter("refused_flows_total", "Flows reset because no target can take them."),
 		overloads: c.Vector("overloads_total", "Times that a service was found overloaded.", "service"),
 		searches:  c.Counter("searches_total", "Packets of unknown flows sent along their candidates."),
-		inquiries: c.Counter("inquiries_total", "Questions to many targets about several unknown flows at once."),
 		owners:    c.Counter("owners_found_total", "Flows whose target a search found."),
 		drops:     telemetry.ByReason(c, "dropped_packets_total", "Packets dropped, by reason.", Drops),
 		keeps:     telemetry.ByReason(c, "kept_packets_total", "Packets kept because their way was not known yet, by reason.", search.Keeps),
@@ -139,12 +137,6 @@
 	o.Write(&o.searching, "flow unknown, searched for", zap.Stringer(fieldFlow, key), zap.Int(fieldCandidates, candidates), zap.Int("round", round))
 }
 
-// Inquiring implements Events.
-func (o *observer) Inquiring(flows, targets int) {
-	o.inquiries.Inc()
-	o.Write(&o.searching, "flows unknown, targets asked about all of them", zap.Int("flows", flows), zap.Int(fieldCandidates, targets))
-}
-
 // OwnerFound implements Events.
 func (o *observer) OwnerFound(key flow.Key, target flow.IPv4, hops int) {
 	o.owners.Inc()
--- a/balancer/search/events.go
+++ b/balancer/search/events.go
@@ -34,8 +34,6 @@
 type Events interface {
 	// Searching tells that a flow's packet is sent along so many targets.
 	Searching(key flow.Key, candidates, round int)
-	// Inquiring tells that targets are asked about several flows at once.
-	Inquiring(flows, targets int)
 	// Lost is a packet whose flow no candidate holds. doubt says why the flow is
 	// not reset all the same, empty when it is; missing is the target that was not
 	// asked, if that is the doubt.
--- a/balancer/search/kept.go
+++ b/balancer/search/kept.go
@@ -64,9 +64,8 @@
 	// unsure is set once a target could not say a certain no.
 	unsure bool
 
-	// searches counts the searches so far, inquiries how often it was asked about with
-	// others.
-	searches, inquiries int
+	// searches counts the searches so far.
+	searches int
 	// denied tells that all targets have said a certain no that the view had up to
 	// the generation deniedUpTo: they are not asked again.
 	denied     bool
@@ -79,12 +78,8 @@
 	k.asking, k.unsure, k.generation = true, false, generation
 	k.visits, k.unasked = map[uint32][]flow.Candidate{}, nil
 	k.searches++
-	k.inquiries = 0
 }
 
-// inquired tells that targets are asked about the flow without its packet, or will be.
-func (k *keptFlow) inquired() bool { return k.asking && len(k.visits) == 0 }
-
 // backward tells whether the next messages ask the likeliest targets last. Each second
 // time they do: a packet that is passed on through a VM that has died without a word
 // is lost there, and would be again.
--- a/balancer/search/search.go
+++ b/balancer/search/search.go
@@ -35,9 +35,6 @@
 	// First is how many targets of a flow's ranking, in the own zone and elsewhere, are
 	// asked before all others: at most as many as one message visits, both together.
 	First int
-	// InquireFrom is the number of targets above which the others are asked about several
-	// flows at once; what one message visits unless it is set.
-	InquireFrom int
 }
 
 // Finder finds the targets of flows that the balancer does not know. It is not safe for
@@ -52,9 +49,6 @@
 	port   Port
 	events Events
 	kept   keptFlows
-	// inquiry is under way, nil when none is; inquirers wait for the next one.
-	inquiry   *inquiry
-	inquirers []inquiredFlow
 	// searches numbers the messages of searches, from the epoch on: answers to a
 	// former process arrive here.
 	searches uint32
@@ -69,9 +63,6 @@
 // New returns a finder that has found nothing yet. config returns the configuration in
 // force; it is asked only for flows whose configuration is known.
 func New(opts Options, config func() *flow.Config, view *fleet.View, table *Table, proof *Proof, codec flow.Codec, port Port, events Events) *Finder {
-	if opts.InquireFrom == 0 {
-		opts.InquireFrom = searchRound
-	}
 	return &Finder{
 		opts: opts, config: config, view: view, table: table, proof: proof, codec: codec, port: port, events: events,
 		kept: newKept(), searches: uint32(opts.Epoch),
@@ -91,13 +82,9 @@
 	return !known || !h.Quiet(now)
 }
 
-// Found notes which target holds a flow and sends it the packets that waited. The first
-// one it has already, unless it was only asked about the flow.
+// Found notes which target holds a flow and sends it the packets that waited.
 func (f *Finder) Found(now time.Time, key flow.Key, target flow.IPv4) {
 	f.table.Put(now, key, target)
-	if k, kept := f.kept.flows[key]; kept && k.inquired() {
-		f.port.Forward(key, target, k.first)
-	}
 	f.Release(key, target)
 }
 
@@ -141,12 +128,11 @@
 		return
 	}
 	k.begin(f.view.Generation())
-	// Where there are many, the likeliest are asked alone first: nearly every flow that
-	// lives is at one of them.
-	if len(candidates) > f.opts.InquireFrom {
-		likeliest := min(2*f.opts.First, len(candidates))
-		k.unasked = slices.Clone(candidates[likeliest:])
-		candidates = candidates[:likeliest]
+	// Where there are more than one message visits, the likeliest are asked alone
+	// first: nearly every flow that lives is at one of them.
+	if len(candidates) > searchRound {
+		k.unasked = slices.Clone(candidates[2*f.opts.First:])
+		candidates = candidates[:2*f.opts.First]
 	}
 	f.visit(now, key, k, candidates)
 }
@@ -237,35 +223,29 @@
 	targets := k.unasked
 	for _, id := range slices.Sorted(maps.Keys(k.visits)) {
 		for _, candidate := range k.visits[id] {
-			if f.mayHold(now, candidate.Target) {
+			if target, known := f.view.Target(candidate.Target); known && target.MayHold(now) {
 				targets = append(targets, candidate)
 			}
 		}
 	}
 	clear(k.visits)
-	k.unasked = targets
+	k.unasked = nil
 	if len(targets) == 0 {
 		f.allAsked(now, key, k, h, 0)
 		return
 	}
 	k.searches++
-	f.askRest(now, key, k)
+	f.visit(now, key, k, targets)
 }
 
 // sendAlong sends a packet to the first of some targets, to be passed on to the
 // others.
 func (f *Finder) sendAlong(packet []byte, targets []flow.Candidate, searchID uint32) {
-	f.sendAs(envelope.Deliver, packet, targets, searchID)
-}
-
-// sendAs sends what stands behind an envelope to the first of some targets, to be passed
-// on to the others.
-func (f *Finder) sendAs(kind envelope.Kind, body []byte, targets []flow.Candidate, searchID uint32) {
 	f.env = envelope.Envelope{
-		Kind: kind, Balancer: f.opts.Self, Flags: envelope.Search, SearchID: searchID, Service: targets[0].Service,
+		Kind: envelope.Deliver, Balancer: f.opts.Self, Flags: envelope.Search, SearchID: searchID, Service: targets[0].Service,
 	}
 	f.env.SetCandidates(targets[1:])
-	f.port.Send(targets[0].Target, &f.env, body)
+	f.port.Send(targets[0].Target, &f.env, packet)
 }
 
 // Returned takes a packet back that nobody took, in the envelope that came with it. One
@@ -287,8 +267,9 @@
 	if len(k.visits) > 0 {
 		return
 	}
-	if len(k.unasked) > 0 {
-		f.askRest(now, key, k)
+	if rest := k.unasked; len(rest) > 0 {
+		k.unasked = nil
+		f.visit(now, key, k, rest)
 		return
 	}
 	f.allAsked(now, key, k, h, int(env.Hops))
@@ -364,7 +345,6 @@
 
 // Retry tries the packets that are due once more.
 func (f *Finder) Retry(now time.Time) {
-	f.expireInquiry(now)
 	if len(f.kept.flows) == 0 {
 		return
 	}
--- a/flow/envelope/envelope.go
+++ b/flow/envelope/envelope.go
@@ -40,23 +40,14 @@
 	Evacuated
 	Relay
 	Batch
-	// Inquire asks targets about many flows, one target after the other; Inquired is its
-	// return to the balancer. An Inquiry stands behind the envelope.
-	Inquire
-	Inquired
 )
 
 // KindNames are the names of all kinds in metrics, in order from Deliver on.
-var KindNames = []string{"deliver", "returned", "owner", "announce", "beacon", "peers", "evacuated", "relay", "batch", "inquire", "inquired"}
+var KindNames = []string{"deliver", "returned", "owner", "announce", "beacon", "peers", "evacuated", "relay", "batch"}
 
 // Index is the place of the kind in KindNames.
 func (k Kind) Index() int { return int(k) - int(Deliver) }
 
-// hasEnvelope tells whether a datagram of the kind begins with an Envelope.
-func (k Kind) hasEnvelope() bool {
-	return (k >= Deliver && k <= Owner) || k == Inquire || k == Inquired
-}
-
 // Flags of an envelope.
 type Flags uint8
 
@@ -180,7 +171,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if !kind.hasEnvelope() || len(b) < headLen {
+	if kind < Deliver || kind > Owner || len(b) < headLen {
 		return nil, ErrMalformed
 	}
 	count := int(b[10])
