Nodes that start together do not repeat and relay at the same moments

Cause: rounds began with the start or the last change, so after a common start all 982 nodes sent within 0.3 s of each 1.8 s, and relays flushed together. Rounds, flushes and the change to the next ten relays follow each node's own phase by the time of day; a stepped clock only shortens a pause.

At full size not measured yet.

--- a/agent/packetfront/nodes.go
+++ b/agent/packetfront/nodes.go
@@ -136,7 +136,7 @@
 	}
 	near, _ := c.view.BalancersByZone(c.opts.Zone)
 	if !now.Before(c.nextNear) {
-		c.nextNear = now.Add(fleet.NearPeriod)
+		c.nextNear = fleet.NextRound(now, fleet.NearPeriod, c.opts.Self)
 		c.announceIn(now, near)
 		return
 	}
@@ -175,7 +175,7 @@
 func (c *Core) announceAll(now time.Time) {
 	near, far := c.view.BalancersByZone(c.opts.Zone)
 	c.farPeriod = c.farPlan(now).Period
-	c.nextNear, c.nextFar = now.Add(fleet.NearPeriod), now.Add(c.farPeriod)
+	c.nextNear, c.nextFar = fleet.NextRound(now, fleet.NearPeriod, c.opts.Self), fleet.NextRound(now, c.farPeriod, c.opts.Self)
 	c.announceIn(now, near)
 	c.announceIn(now, far)
 	// Also where nobody is known yet: those who are met later are told the same.
--- a/agent/packetfront/relay.go
+++ b/agent/packetfront/relay.go
@@ -32,7 +32,7 @@
 // farPlan is how this round reaches the balancers of other zones.
 func (c *Core) farPlan(now time.Time) zonecast.Plan {
 	known, recent := c.view.FarBalancers(now, c.opts.Zone, relayWithin)
-	plan := zonecast.Make(known, recent, c.opts.RelayFrom, c.opts.Self, zonecast.Slot(now), c.farRounds)
+	plan := zonecast.Make(known, recent, c.opts.RelayFrom, c.opts.Self, zonecast.Slot(now, c.opts.Self), c.farRounds)
 	plan.Changes(c.relays.relayed, recent, c.events.ZoneRelayed)
 	c.relays.relayed = plan.Relayed
 	return plan
@@ -43,7 +43,7 @@
 	c.farRounds++
 	plan := c.farPlan(now)
 	c.farPeriod = plan.Period
-	c.nextFar = now.Add(c.farPeriod)
+	c.nextFar = fleet.NextRound(now, c.farPeriod, c.opts.Self)
 	c.announceIn(now, plan.Direct)
 	if c.introduced && len(plan.Relays) > 0 {
 		c.announceThrough(now, plan.Relays)
--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -39,9 +39,6 @@
 	// RelayFrom is the number of a zone's balancers from which on the nodes of other
 	// zones reach it through relays; zonecast.From unless it is set.
 	RelayFrom int
-	// SearchFirst and InquireFrom are search.Options' First and InquireFrom; the product's
-	// unless they are set.
-	SearchFirst, InquireFrom int
 }
 
 // Times of the core, chosen with the bounds of the platform's routers and
@@ -129,18 +126,15 @@
 	if opts.RelayFrom == 0 {
 		opts.RelayFrom = zonecast.From
 	}
-	if opts.SearchFirst == 0 {
-		opts.SearchFirst = searchFirst
-	}
 	c := &Core{
 		opts: opts, port: port, codec: codec, events: events, rnd: rnd,
 		view: fleet.NewView(), table: search.NewTable(search.MaxFlows), startedAt: now,
-		buf: make([]byte, 0, 2048), plan: newPlan(), relays: newRelays(),
+		buf: make([]byte, 0, 2048), plan: newPlan(), relays: newRelays(opts.Self),
 		loads: serviceLoads{}, surveys: surveys{shunned: map[flow.IPv4]time.Time{}},
 	}
 	c.operator = operator.New(now, operator.Options{Self: opts.Self, Zone: opts.Zone, FeedTime: opts.FeedTime}, c.view, listener{c}, rnd)
 	c.proof = search.NewProof(now, opts.Self, opts.Seeds, c.view)
-	found := search.Options{Self: opts.Self, Zone: opts.Zone, Epoch: opts.Epoch, First: opts.SearchFirst, InquireFrom: opts.InquireFrom}
+	found := search.Options{Self: opts.Self, Zone: opts.Zone, Epoch: opts.Epoch, First: searchFirst}
 	c.finder = search.New(found, c.operator.Config, c.view, c.table, c.proof, codec, finderPort{c}, events)
 	return c
 }
--- a/balancer/packetfront/nodes.go
+++ b/balancer/packetfront/nodes.go
@@ -36,8 +36,6 @@
 		err = c.handleOwner(now, from, datagram)
 	case envelope.Returned:
 		err = c.handleReturned(now, from, datagram)
-	case envelope.Inquired:
-		err = c.handleInquired(now, datagram)
 	default:
 		err = envelope.ErrMalformed
 	}
@@ -240,7 +238,7 @@
 // other zones, and agents, less often.
 func (c *Core) repeatBeacons(now time.Time) {
 	if !now.Before(c.nextNear) {
-		c.nextNear = now.Add(fleet.NearPeriod)
+		c.nextNear = fleet.NextRound(now, fleet.NearPeriod, c.opts.Self)
 		c.beaconRounds++
 		balancers, _ := c.view.BalancersByZone(c.opts.Zone)
 		c.sendBeacons(now, balancers)
--- a/balancer/packetfront/relay.go
+++ b/balancer/packetfront/relay.go
@@ -34,10 +34,10 @@
 	relayed map[flow.Tag]int
 }
 
-func newRelays() relays {
+func newRelays(self flow.IPv4) relays {
 	return relays{
-		forBalancers: zonecast.Held{Pause: zonecast.FlushPeriod},
-		forAgents:    zonecast.Held{Pause: zonecast.AgentFlushPeriod},
+		forBalancers: zonecast.Held{Pause: zonecast.FlushPeriod, Self: self},
+		forAgents:    zonecast.Held{Pause: zonecast.AgentFlushPeriod, Self: self},
 		greeted:      zonecast.Greetings{Max: maxGreeted},
 	}
 }
@@ -45,7 +45,7 @@
 // farPlan is how this round reaches the balancers of other zones.
 func (c *Core) farPlan(now time.Time) zonecast.Plan {
 	known, recent := c.view.FarBalancers(now, c.opts.Zone, relayWithin)
-	plan := zonecast.Make(known, recent, c.opts.RelayFrom, c.opts.Self, zonecast.Slot(now), c.farRounds)
+	plan := zonecast.Make(known, recent, c.opts.RelayFrom, c.opts.Self, zonecast.Slot(now, c.opts.Self), c.farRounds)
 	plan.Changes(c.relays.relayed, recent, c.events.ZoneRelayed)
 	c.relays.relayed = plan.Relayed
 	return plan
@@ -57,7 +57,7 @@
 	c.farRounds++
 	plan := c.farPlan(now)
 	c.farPeriod = plan.Period
-	c.nextFar = now.Add(c.farPeriod)
+	c.nextFar = fleet.NextRound(now, c.farPeriod, c.opts.Self)
 	c.sendBeacons(now, plan.Direct)
 	c.beaconThrough(now, plan.Relays)
 	if c.farRounds%agentBeacons == 0 {
--- a/e2e/packets/mesh_test.go
+++ b/e2e/packets/mesh_test.go
@@ -109,6 +109,22 @@
 	}
 }
 
+// TestNoZoneFallsSilentInCalm after a common start, also when other balancers come to be
+// relays: their messages flow evenly.
+func TestNoZoneFallsSilentInCalm(t *testing.T) {
+	w := newWorld(1)
+	meshFleet(w, 450)
+	w.Run(2 * time.Second)
+	for range 240 {
+		w.Run(50 * time.Millisecond)
+		for _, ip := range w.BalancerIPs()[:6] {
+			for i := range 3 {
+				require.False(t, w.Balancers[ip].Core.View().ZoneSilent(flow.TagOf(meshZone(i))), "%v after %v", ip, w.Since())
+			}
+		}
+	}
+}
+
 // TestReadingsOfOtherZonesAreAsFreshAsTheDirectWays.
 func TestReadingsOfOtherZonesAreAsFreshAsTheDirectWays(t *testing.T) {
 	mean := map[int]time.Duration{}
--- a/fleet/overdue.go
+++ b/fleet/overdue.go
@@ -13,7 +13,7 @@
 	askPeriods = 1.5
 	// askPause is the pause between two questions, askTries their number: all are asked
 	// before the node counts as quiet.
-	askPause = 500 * time.Millisecond
+	askPause = 400 * time.Millisecond
 	askTries = 4
 )
 
--- a/fleet/period.go
+++ b/fleet/period.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"github.com/poppywall/poppywall/flow"
+)
 
 // Repetition of what a node has said, to those that heard it before. Changes are
 // told at once; the repetition shows that the node lives and carries its load.
@@ -27,6 +31,22 @@
 	return min(max(time.Duration(nodes)*time.Second/farRate, NearPeriod), mostFarPeriod)
 }
 
+// NextRound returns when a node that repeats something each period does so next: at its own
+// part of the period, by the time of day, so that nodes that have started together, or have
+// heard of the same change, do not all send at once. A clock that is stepped only makes one
+// pause shorter.
+func NextRound(now time.Time, period time.Duration, self flow.IPv4) time.Time {
+	phase := time.Duration(flow.Score(phaseSalt, self) % uint64(period))
+	since := (time.Duration(now.UnixNano()) - phase) % period
+	if since < 0 {
+		since += period
+	}
+	return now.Add(period - since)
+}
+
+// phaseSalt tells the phases of nodes from other scores of theirs.
+const phaseSalt = 3
+
 // unheard tells whether a node was silent for longer than so many of the periods
 // that it has stated; zero stands for the near one.
 func unheard(now, heardAt time.Time, period time.Duration, periods float64) bool {
--- a/fleet/view_test.go
+++ b/fleet/view_test.go
@@ -49,3 +49,32 @@
 		}
 	}
 }
+
+// TestNodesThatStartTogetherDoNotSendTogether: after a common start, and after a change that
+// all hear of, their rounds are spread over the period, and none pauses for longer.
+func TestNodesThatStartTogetherDoNotSendTogether(t *testing.T) {
+	const nodes, parts = 1000, 10
+	now, period := time.Unix(1_700_000_000, 123), 1800*time.Millisecond
+	counts := make([]int, parts)
+	for i := range nodes {
+		self := flow.IPv4(0x0a000001 + i)
+		next := NextRound(now, period, self)
+		pause := next.Sub(now)
+		require.Positive(t, pause)
+		require.LessOrEqual(t, pause, period)
+		counts[int((pause-1)*parts/period)]++
+		require.Equal(t, period, NextRound(next, period, self).Sub(next), "then each period")
+	}
+	for _, count := range counts {
+		require.InDelta(t, nodes/parts, count, nodes/parts/2)
+	}
+}
+
+// TestAClockThatIsSteppedLengthensNoPause.
+func TestAClockThatIsSteppedLengthensNoPause(t *testing.T) {
+	for _, now := range []time.Time{time.Unix(0, 0), time.Unix(-5, 7), time.Unix(1<<33, 0)} {
+		pause := NextRound(now, time.Second, 9).Sub(now)
+		require.Positive(t, pause)
+		require.LessOrEqual(t, pause, time.Second)
+	}
+}
--- a/fleet/zonecast/held.go
+++ b/fleet/zonecast/held.go
@@ -15,8 +15,10 @@
 // Held are messages that a relay is to send on. The zero value holds none. It is not safe
 // for concurrent use.
 type Held struct {
-	// Pause is how long messages are gathered.
+	// Pause is how long messages are gathered at the most, Self the relay, whose part of the
+	// pause ends it: so relays do not all send at once.
 	Pause time.Duration
+	Self  flow.IPv4
 
 	messages map[flow.IPv4]heldMessage
 	due      time.Time
@@ -39,7 +41,7 @@
 		return false
 	}
 	if len(h.messages) == 0 {
-		h.due = now.Add(h.Pause)
+		h.due = fleet.NextRound(now, h.Pause, h.Self)
 	}
 	h.messages[from] = heldMessage{id: id, message: append(m.message[:0], message...), at: now}
 	return true
--- a/fleet/zonecast/plan.go
+++ b/fleet/zonecast/plan.go
@@ -21,6 +21,8 @@
 	Active = 10
 	// slotTime is how long these are the same ones.
 	slotTime = 10 * time.Second
+	// changeTime is how long it takes until all nodes have changed over.
+	changeTime = time.Second
 	// Period is the pause between two rounds: with what the relays add, readings are as
 	// fresh as by the direct way at its longest pause.
 	Period = 1800 * time.Millisecond
@@ -41,9 +43,13 @@
 	Period time.Duration
 }
 
-// Slot numbers the spans of time in which the same balancers of a zone are relays, by the time
-// of day. A node whose clock is wrong uses others, which do as well.
-func Slot(now time.Time) int64 { return now.Unix() / int64(slotTime/time.Second) }
+// Slot numbers the spans of time in which the same balancers of a zone are relays to a node,
+// by the time of day. Nodes change over one by one, so that relays come and go in an even
+// flow of messages; one whose clock is wrong uses others, which do as well.
+func Slot(now time.Time, self flow.IPv4) int64 {
+	late := flow.Score(0, self) % uint64(changeTime)
+	return (now.UnixNano() - int64(late)) / int64(slotTime)
+}
 
 // Make plans a round of the node self in a slot. known are the balancers of each other zone,
 // recent those that were heard lately, both in order; a zone with at least from recent
