Callers of flows that are over are told as soon as that is certain

A balancer counts as just started for 0.5 s after it has met the last seed, met it up to 0.2 s after that one's start, and then looked at the flows again within 0.15 s.

- Flows are looked at in the tick in which the balancer is not fresh any more.
- A seed that is not known is greeted each 50 ms, not each 200, for the first two seconds: only who has not heard it, so each seed gets one more message from each balancer, whatever their number.
When a flow is certainly over is what it was.
At full size not measured yet.

--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -84,6 +84,8 @@
 	proof     *search.Proof
 	finder    *search.Finder
 	startedAt time.Time
+	// fresh is what the proof said at the last tick.
+	fresh bool
 
 	seq     uint32
 	leaving bool
--- a/balancer/packetfront/nodes.go
+++ b/balancer/packetfront/nodes.go
@@ -187,6 +187,7 @@
 		c.events.ZoneSilence(silence)
 	}
 	c.join(now)
+	c.noteFresh(now)
 	c.rotate(now)
 	c.judgeAll(now)
 	c.finder.Retry(now)
@@ -198,9 +199,23 @@
 	}
 }
 
+// noteFresh lets the flows that all targets have denied be looked at as soon as the balancer
+// is not fresh any more: after a common start all of its callers wait for that.
+func (c *Core) noteFresh(now time.Time) {
+	fresh := c.proof.Fresh(now)
+	if c.fresh && !fresh {
+		c.finder.Wake(now)
+	}
+	c.fresh = fresh
+}
+
 // join greets the seeds that are not known, often at first: two balancers that
-// know each other may both have missed a third.
+// know each other may both have missed a third, and one that has started together with its
+// seeds is fresh until it has known the last of them for a while.
 func (c *Core) join(now time.Time) {
+	if !c.proof.Settled(now) {
+		c.Greet(now, c.opts.Seeds, nil)
+	}
 	if now.Before(c.nextJoin) {
 		return
 	}
