--- a/agent/packetfront/admission.go
+++ b/agent/packetfront/admission.go
@@ -222,8 +222,10 @@
 
 // releaseHeld gives requests that wait to the target while it has room.
 func (c *Core) releaseHeld(now time.Time) {
-	for c.held.Len() > 0 && c.flows.running < c.limit() {
+	if c.held.Len() > 0 && c.flows.running < c.limit() {
 		c.expireHeld(now)
+	}
+	for c.held.Len() > 0 && c.flows.running < c.limit() {
 		key, ok := c.nextHeld(now)
 		if !ok {
 			return
--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -105,7 +105,6 @@
 	// told again, farPeriod is the pause for the latter.
 	nextNear, nextFar time.Time
 	farPeriod         time.Duration
-	farRounds         int
 	relays            relays
 	nextJoin          time.Time
 	nextExpire        time.Time
@@ -124,7 +123,7 @@
 		opts: opts, port: port, codec: codec, events: events,
 		view: fleet.NewView(), notes: newNotes(), acks: newAcks(), health: newHealth(),
 		pace: backlog.NewPace(assumedWork, assumedSlots),
-		buf:  make([]byte, 0, 2048), relays: relays{greeted: zonecast.Greetings{Max: maxGreeted}},
+		buf:  make([]byte, 0, 2048), relays: newRelays(opts, events.ZoneRelayed),
 	}
 	c.flows = newFlows(func(r *heldRequest) { c.held.Remove(r.key) })
 	c.cold.window.Blind(now)
--- a/agent/packetfront/nodes.go
+++ b/agent/packetfront/nodes.go
@@ -169,12 +169,12 @@
 	former := c.announced
 	return former.Incarnation == 0 && next.Incarnation != 0 &&
 		next.State == former.State && next.Ejected == former.Ejected && next.Listing == former.Listing &&
-		len(c.farPlan(now).Relays) > 0
+		len(c.relays.rounds.Plan(now, c.view).Relays) > 0
 }
 
 func (c *Core) announceAll(now time.Time) {
 	near, far := c.view.BalancersByZone(c.opts.Zone)
-	c.farPeriod = c.farPlan(now).Period
+	c.farPeriod = c.relays.rounds.Plan(now, c.view).Period
 	c.nextNear, c.nextFar = fleet.NextRound(now, fleet.NearPeriod, c.opts.Self), fleet.NextRound(now, c.farPeriod, c.opts.Self)
 	c.announceIn(now, near)
 	c.announceIn(now, far)
--- a/agent/packetfront/overload.go
+++ b/agent/packetfront/overload.go
@@ -60,12 +60,13 @@
 		c.overload.Outage(now)
 	}
 	c.noteSlots(now)
-	stands := c.overload.Stands(now, c.wait(now))
+	wait := c.wait(now)
+	stands := c.overload.Stands(now, wait)
 	if stands == c.overload.stands {
 		return
 	}
 	c.overload.stands = stands
-	c.events.Overloaded(stands, c.overload.Load(now), c.held.Len(), c.wait(now))
+	c.events.Overloaded(stands, c.overload.Load(now), c.held.Len(), wait)
 	c.nextNear = now
 	if next := c.overload.changedAt.Add(tellFarPeriod); next.Before(c.nextFar) {
 		c.nextFar = next
--- a/agent/packetfront/relay.go
+++ b/agent/packetfront/relay.go
@@ -23,25 +23,23 @@
 
 // relays is what an agent knows of the way of messages between zones.
 type relays struct {
-	// relayed are the zones that were told through relays in the last round.
-	relayed map[flow.Tag]int
+	// rounds plans how other zones are told.
+	rounds zonecast.Planner
 	// greeted are balancers that others named.
 	greeted zonecast.Greetings
 }
 
-// farPlan is how this round reaches the balancers of other zones.
-func (c *Core) farPlan(now time.Time) zonecast.Plan {
-	known, recent := c.view.FarBalancers(now, c.opts.Zone, relayWithin)
-	plan := zonecast.Make(known, recent, c.opts.RelayFrom, c.opts.Self, zonecast.Slot(now, c.opts.Self), c.farRounds)
-	plan.Changes(c.relays.relayed, recent, c.events.ZoneRelayed)
-	c.relays.relayed = plan.Relayed
-	return plan
+func newRelays(opts Options, report func(zone flow.Tag, balancers int, relayed bool)) relays {
+	return relays{
+		greeted: zonecast.Greetings{Max: maxGreeted},
+		rounds:  zonecast.Planner{Self: opts.Self, Zone: opts.Zone, From: opts.RelayFrom, Within: relayWithin, Report: report},
+	}
 }
 
 // announceFar repeats the announcement to other zones.
 func (c *Core) announceFar(now time.Time) {
-	c.farRounds++
-	plan := c.farPlan(now)
+	c.relays.rounds.Begin()
+	plan := c.relays.rounds.Plan(now, c.view)
 	c.farPeriod = plan.Period
 	c.nextFar = fleet.NextRound(now, c.farPeriod, c.opts.Self)
 	c.announceIn(now, plan.Direct)
--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -103,12 +103,12 @@
 	nextRoster       time.Time
 	// departed are dead nodes that are still in the registry, nextDepart is when they
 	// may be taken out.
-	departed                []Departed
-	nextDepart              time.Time
-	relays                  relays
-	surveys                 surveys
-	loads                   serviceLoads
-	beaconRounds, farRounds int
+	departed     []Departed
+	nextDepart   time.Time
+	relays       relays
+	surveys      surveys
+	loads        serviceLoads
+	beaconRounds int
 	// lastDigest is the view's digest at a moment, zero time when it has changed.
 	lastDigest uint32
 	digestAt   time.Time
@@ -131,7 +131,7 @@
 	c := &Core{
 		opts: opts, port: port, codec: codec, events: events, rnd: rnd,
 		view: fleet.NewView(), table: search.NewTable(search.MaxFlows), startedAt: now,
-		buf: make([]byte, 0, 2048), plan: newPlan(), relays: newRelays(opts.Self),
+		buf: make([]byte, 0, 2048), plan: newPlan(), relays: newRelays(opts, events.ZoneRelayed),
 		loads: serviceLoads{}, surveys: surveys{shunned: map[flow.IPv4]time.Time{}},
 	}
 	c.operator = operator.New(now, operator.Options{Self: opts.Self, Zone: opts.Zone, FeedTime: opts.FeedTime}, c.view, listener{c}, rnd)
--- a/balancer/packetfront/relay.go
+++ b/balancer/packetfront/relay.go
@@ -30,37 +30,30 @@
 	large bool
 	// greeted are nodes that others named.
 	greeted zonecast.Greetings
-	// relayed are the zones that were told through relays in the last round.
-	relayed map[flow.Tag]int
+	// rounds plans how other zones are told.
+	rounds zonecast.Planner
 }
 
-func newRelays(self flow.IPv4) relays {
+func newRelays(opts Options, report func(zone flow.Tag, balancers int, relayed bool)) relays {
+	self := opts.Self
 	return relays{
 		forBalancers: zonecast.Held{Pause: zonecast.FlushPeriod, Self: self},
 		forAgents:    zonecast.Held{Pause: zonecast.AgentFlushPeriod, Self: self},
 		greeted:      zonecast.Greetings{Max: maxGreeted},
+		rounds:       zonecast.Planner{Self: self, Zone: opts.Zone, From: opts.RelayFrom, Within: relayWithin, Report: report},
 	}
 }
 
-// farPlan is how this round reaches the balancers of other zones.
-func (c *Core) farPlan(now time.Time) zonecast.Plan {
-	known, recent := c.view.FarBalancers(now, c.opts.Zone, relayWithin)
-	plan := zonecast.Make(known, recent, c.opts.RelayFrom, c.opts.Self, zonecast.Slot(now, c.opts.Self), c.farRounds)
-	plan.Changes(c.relays.relayed, recent, c.events.ZoneRelayed)
-	c.relays.relayed = plan.Relayed
-	return plan
-}
-
 // sendFarBeacons tells the nodes of other zones: agents less often, and only where no
 // relay does.
 func (c *Core) sendFarBeacons(now time.Time) {
-	c.farRounds++
-	plan := c.farPlan(now)
+	round := c.relays.rounds.Begin()
+	plan := c.relays.rounds.Plan(now, c.view)
 	c.farPeriod = plan.Period
 	c.nextFar = fleet.NextRound(now, c.farPeriod, c.opts.Self)
 	c.sendBeacons(now, plan.Direct)
 	c.beaconThrough(now, plan.Relays)
-	if c.farRounds%agentBeacons == 0 {
+	if round%agentBeacons == 0 {
 		c.sendBeacons(now, c.directAgents(c.opts.Zone))
 	}
 }
@@ -71,7 +64,7 @@
 	var out []flow.IPv4
 	for _, ip := range c.view.Targets() {
 		h, _ := c.view.Target(ip)
-		if _, relayed := c.relays.relayed[h.Zone]; !relayed && !slices.Contains(except, h.Zone) {
+		if !c.relays.rounds.Relays(h.Zone) && !slices.Contains(except, h.Zone) {
 			out = append(out, ip)
 		}
 	}
