A shared reading is out of date as soon as it would be for who has read it

The pause counts from when the reading began; one that is under way is asked for again after 0.4 s. Test: 320 flows that are over, one each 25 ms after the return of everybody, each told within 0.4 s (red without).

--- a/balancer/packetfront/followregistry.go
+++ b/balancer/packetfront/followregistry.go
@@ -104,6 +104,7 @@
 		case errors.Is(err, surveycopy.ErrPending):
 			// It will have read when the core wants to know again.
 			f.log.Debug("registry is being read", zap.Stringer(telemetry.FieldPeer, ip))
+			f.locked(func(time.Time) { f.core.SurveyPending() })
 			return
 		}
 		f.log.Info("no reading of the registry from a balancer", zap.Stringer(telemetry.FieldPeer, ip), zap.Error(err))
--- a/balancer/packetfront/survey.go
+++ b/balancer/packetfront/survey.go
@@ -68,6 +68,9 @@
 	c.surveys.shunned[from] = now.Add(shunTime)
 }
 
+// SurveyPending notes that a balancer that was asked is reading the registry.
+func (c *Core) SurveyPending() { c.proof.SurveyPending() }
+
 // Surveyed takes a reading of the agents' registry. Flows that waited for it are looked at
 // again.
 func (c *Core) Surveyed(now time.Time, s fleet.Survey) {
--- a/balancer/search/proof.go
+++ b/balancer/search/proof.go
@@ -206,6 +206,10 @@
 	return p.survey.pace.Begin(now)
 }
 
+// SurveyPending notes that another balancer is reading the registry: it is to be asked again
+// soon.
+func (p *Proof) SurveyPending() { p.survey.pace.Pending() }
+
 // Surveyed takes a reading of the agents' registry, and tells whether it is not older
 // than the last one: an agent that has registered since must not get lost.
 func (p *Proof) Surveyed(now time.Time, s fleet.Survey) bool {
@@ -215,6 +219,7 @@
 	p.survey.Take(s.Latest, s.Agents, p.view.KnowsTarget)
 	p.view.List(now, s.Latest, s.Agents)
 	p.survey.revision, p.survey.wanted = s.Revision, false
+	p.survey.pace.Got(s.Earliest)
 	if s.Earliest.After(p.survey.earliest) {
 		p.survey.earliest = s.Earliest
 	}
--- a/e2e/packets/registry_test.go
+++ b/e2e/packets/registry_test.go
@@ -58,3 +58,35 @@
 		require.LessOrEqual(t, calls[sim.CallTargets], 2*balancers, "%d balancers", balancers)
 	}
 }
+
+// TestFlowsThatAreOverAreToldSoonHoweverLongDoubtLasts: long flows speak one after the other for
+// seconds after the return of everybody, and each needs a reading that is young enough. A
+// balancer that is given one that is older than its question asks again sooner.
+func TestFlowsThatAreOverAreToldSoonHoweverLongDoubtLasts(t *testing.T) {
+	const clients, pause, within = 320, 25 * time.Millisecond, 400 * time.Millisecond
+	w := newWorld(5)
+	for i := range 24 {
+		w.AddBalancer(meshZone(i))
+	}
+	for i := range 6 {
+		w.addAgent(meshZone(i), serviceA)
+	}
+	w.Run(3 * time.Second)
+	for i := range clients {
+		w.addClient(meshZone(i), frontA)
+	}
+	w.Run(time.Second)
+	blackout(w, darkTime, darkTime)
+	w.Run(darkTime + startSpread + learnTime + resetWithin)
+	for i, c := range w.clients {
+		c.request()
+		w.After(within, func() {
+			if c.state != refused {
+				t.Errorf("flow %v, client %d: not told within %v", c.key, i, within)
+			}
+		})
+		w.Run(pause)
+	}
+	w.Run(within)
+	require.Empty(t, w.violations)
+}
--- a/fleet/survey.go
+++ b/fleet/survey.go
@@ -32,6 +32,17 @@
 	pause   time.Duration
 }
 
+// Got notes when the reading began that was got: one that another node had read before it was
+// asked for is out of date sooner.
+func (p *SurveyPace) Got(began time.Time) {
+	if began.Before(p.beganAt) {
+		p.beganAt = began
+	}
+}
+
+// Pending notes that the reading that was asked for is not there yet.
+func (p *SurveyPace) Pending() { p.pause = leastSurveyPause }
+
 // Begin tells whether a reading may begin now, and notes that it does.
 func (p *SurveyPace) Begin(now time.Time) bool {
 	since := now.Sub(p.beganAt)
