--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 export CGO_ENABLED = 1
 
-.PHONY: trial soak test fuzz build lint model ablation capacity ejection choice overload costs fleet relay packets startup bench experiments modules mutants
+.PHONY: trial soak test fuzz build lint model ablation capacity ejection choice overload costs fleet mesh relay packets startup bench experiments modules mutants
 
 # The QUIC front in one process, then the packet front as processes under a few faults.
 trial: build
@@ -58,7 +58,7 @@
 	go test ./balancer/packetfront -run '^$$' -fuzz FuzzHandleNode -fuzztime 20s
 
 # The measurements that docs/ quotes.
-choice ejection overload capacity costs fleet relay packets startup model: build
+choice ejection overload capacity costs fleet mesh relay packets startup model: build
 	bin/poppywall-measure $@
 
 # What each mechanism of the packet front is worth to callers, in the model.
--- a/binaries/poppywall-measure/main.go
+++ b/binaries/poppywall-measure/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/poppywall/poppywall/binaries/internal/process"
 	"github.com/poppywall/poppywall/measure"
+	"github.com/poppywall/poppywall/model"
 )
 
 func main() {
@@ -32,6 +33,7 @@
 	binary := "bin/poppywall-balancer"
 	startup := add("startup", "Time and processor time of a packet front's start.", func(w io.Writer) error { return measure.PrintStartup(w, binary) })
 	startup.String(&binary, "b", "binary", "The balancer's binary.")
+	add("mesh", "Cost of the packet front's control over the size of the fleet, in the model.", model.PrintMesh)
 	fleet := add("fleet", "Cost of control and time to agree of real balancers (part of capacity).", measure.PrintFleet)
 	var flags modelFlags
 	flags.attach(add("model", "Load and faults on a simulated deployment: what callers get.", flags.run))
--- a/model/model_test.go
+++ b/model/model_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/poppywall/poppywall/model/sim"
 )
 
 // play plays a pattern on the default deployment with some seeds.
@@ -95,3 +97,16 @@
 	require.Greater(t, sum.All.Lost, 500, "%+v", sum.All)
 	require.Zero(t, sum.ForNobody, "%+v", sum.All)
 }
+
+// TestCallsAtAStartGrowWithTheZones: a common start of everybody costs each agent its entry, each
+// balancer the first targets at the most, and a zone a few entries and readings.
+func TestCallsAtAStartGrowWithTheZones(t *testing.T) {
+	for _, nodes := range []int{100, 300} {
+		balancers := nodes * meshBalancers / meshNodes
+		c := Mesh(nodes)
+		t.Logf("%d nodes: %v", nodes, c.Calls)
+		require.Equal(t, nodes-balancers, c.Calls[sim.CallRegister])
+		require.LessOrEqual(t, c.Calls[sim.CallTargets], 2*balancers)
+		require.LessOrEqual(t, c.Calls[sim.CallSurvey], 4*meshZones)
+	}
+}
--- a/model/sim/nodes.go
+++ b/model/sim/nodes.go
@@ -248,7 +248,9 @@
 		return true
 	})
 	w.Every(fleet.Forget, func() bool {
-		done = fleet.PresenceUnknown
+		if _, listed := w.Registry[a.IP]; !listed {
+			done = fleet.PresenceUnknown
+		}
 		return a.Life == life
 	})
 }
