Registry readings: what was kept or worked out twice stands once

From the re-read of the change: whether a target counts in the view's digest follows from its state; when the store answered last stands in the operator's State already; the rank of a balancer in its zone was counted in Feeds and in Registers; a reading's entries were encoded once for their sum and again for the answer; readings of a role were listed and noted in two ways. Behaviour as before, no test changed.

--- a/balancer/operator/source.go
+++ b/balancer/operator/source.go
@@ -84,8 +84,6 @@
 	transfer time.Duration
 	// emptied are the zones that the store empties, as of the last answer.
 	emptied map[string]bool
-	// answeredAt is when the store answered last.
-	answeredAt time.Time
 	// lost tells that the store does not answer.
 	lost bool
 }
@@ -110,7 +108,6 @@
 			return nil
 		case err == nil:
 			s.Locked(s.State.Fed)
-			s.answeredAt = time.Now()
 			revision = next
 			s.noteStore(nil)
 			if duty == DutyWatch {
@@ -141,7 +138,9 @@
 	if revision == 0 {
 		return s.read(ctx)
 	}
-	changes, err := s.Store.Watch(ctx, platform.OperatorPrefix, revision, watchWait(s.CatchUp, s.transfer, time.Since(s.answeredAt)))
+	var sinceAnswer time.Duration
+	s.Locked(func(now time.Time) { sinceAnswer = s.State.SinceFed(now) })
+	changes, err := s.Store.Watch(ctx, platform.OperatorPrefix, revision, watchWait(s.CatchUp, s.transfer, sinceAnswer))
 	if err != nil {
 		return 0, err
 	}
--- a/balancer/operator/state.go
+++ b/balancer/operator/state.go
@@ -121,7 +121,10 @@
 // Fed notes that the store answered.
 func (s *State) Fed(now time.Time) { s.fedAt = now }
 
+// SinceFed returns how long ago the store answered last.
+func (s *State) SinceFed(now time.Time) time.Duration { return now.Sub(s.fedAt) }
+
 // Feeding tells whether a new configuration would come from here.
 func (s *State) Feeding(now time.Time) bool {
-	return now.Sub(s.fedAt) <= s.opts.FeedTime && s.Feeds(now)
+	return s.SinceFed(now) <= s.opts.FeedTime && s.Feeds(now)
 }
--- a/balancer/packetfront/followregistry.go
+++ b/balancer/packetfront/followregistry.go
@@ -51,8 +51,8 @@
 }
 
 func (f *Front) findBalancers(ctx context.Context) {
-	balancers, ok := f.list(ctx, fleet.RoleBalancer)
-	if !ok {
+	balancers, err := f.list(ctx, fleet.RoleBalancer)
+	if err != nil {
 		return
 	}
 	f.locked(func(now time.Time) { f.core.Greet(now, fleet.Addresses(balancers.Entries), nil) })
@@ -67,8 +67,8 @@
 	if !wanted {
 		return
 	}
-	page, err := registry.Page(ctx, f.registry, fleet.RoleAgent, 0)
-	if !f.read(fleet.RoleAgent, page, err) {
+	page, err := f.page(ctx, 0)
+	if err != nil {
 		return
 	}
 	if !page.More {
@@ -76,12 +76,18 @@
 		return
 	}
 	f.locked(func(now time.Time) { f.core.Greet(now, nil, fleet.Addresses(page.Entries)) })
-	page, err = registry.Page(ctx, f.registry, fleet.RoleAgent, f.self)
-	if f.read(fleet.RoleAgent, page, err) {
+	if page, err = f.page(ctx, f.self); err == nil {
 		f.locked(func(now time.Time) { f.core.Greet(now, nil, fleet.Addresses(page.Entries)) })
 	}
 }
 
+// page reads the agents of one call, those behind an address.
+func (f *Front) page(ctx context.Context, behind flow.IPv4) (registry.Listed, error) {
+	page, err := registry.Page(ctx, f.registry, fleet.RoleAgent, behind)
+	f.noteListed(fleet.RoleAgent, page, err)
+	return page, err
+}
+
 func surveyOf(began, ended time.Time, l registry.Listed) fleet.Survey {
 	return fleet.Survey{Earliest: began, Latest: ended, Revision: l.Revision, Agents: l.Entries}
 }
@@ -125,19 +131,19 @@
 
 // readAgents implements surveycopy.Read.
 func (f *Front) readAgents(ctx context.Context) ([]fleet.Entry, int64, error) {
-	listed, err := registry.List(ctx, f.registry, fleet.RoleAgent)
-	f.read(fleet.RoleAgent, listed, err)
+	listed, err := f.list(ctx, fleet.RoleAgent)
 	return listed.Entries, listed.Revision, err
 }
 
 // list reads the entries of a role.
-func (f *Front) list(ctx context.Context, role fleet.Role) (registry.Listed, bool) {
+func (f *Front) list(ctx context.Context, role fleet.Role) (registry.Listed, error) {
 	listed, err := registry.List(ctx, f.registry, role)
-	return listed, f.read(role, listed, err)
+	f.noteListed(role, listed, err)
+	return listed, err
 }
 
-// read notes a reading and tells whether it came.
-func (f *Front) read(role fleet.Role, listed registry.Listed, err error) bool {
+// noteListed logs what is wrong with a reading.
+func (f *Front) noteListed(role fleet.Role, listed registry.Listed, err error) {
 	if err != nil {
 		f.log.Warn("registry not read", zap.String("role", string(role)), zap.Error(err))
 	}
@@ -145,7 +151,6 @@
 		f.foreign.Add(float64(listed.Passed))
 		f.log.Warn("invalid registry entries", zap.String("role", string(role)), zap.Int("entries", listed.Passed))
 	}
-	return err == nil
 }
 
 // takeOut takes dead nodes out of the registry; what is left when the store fails
@@ -175,9 +180,9 @@
 	if !wanted {
 		return
 	}
-	balancers, ok := f.list(ctx, fleet.RoleBalancer)
-	agents, ok2 := f.list(ctx, fleet.RoleAgent)
-	if ok && ok2 {
+	balancers, err := f.list(ctx, fleet.RoleBalancer)
+	agents, err2 := f.list(ctx, fleet.RoleAgent)
+	if err == nil && err2 == nil {
 		f.locked(func(now time.Time) { f.core.Roster(now, began, balancers.Entries, surveyOf(began, now, agents)) })
 	}
 }
--- a/fleet/feeders.go
+++ b/fleet/feeders.go
@@ -36,29 +36,32 @@
 // Registers tells whether the registry has to name the balancer self: it is one of the
 // first of its zone by address of those heard lately.
 func (v *View) Registers(now time.Time, self flow.IPv4, zone flow.Tag) bool {
+	return v.rank(now, self, zone) < RegisteredPerZone
+}
+
+// rank returns how many balancers of a zone that others may rely on come before self by
+// address.
+func (v *View) rank(now time.Time, self flow.IPv4, zone flow.Tag) int {
 	before := 0
-	for _, p := range v.ZonePeers(now, zone) {
-		if p.IP < self {
+	for ip, p := range v.peers {
+		if ip < self && p.Zone == zone && p.onDuty(now) {
 			before++
 		}
 	}
-	return before < RegisteredPerZone
+	return before
 }
 
 // Feeds tells whether the balancer self has to watch the store: it is one of the
 // first of its zone by address, or too few that feed were heard lately.
 func (v *View) Feeds(now time.Time, self flow.IPv4, zone flow.Tag) bool {
-	before, feeding := 0, 0
-	for ip, p := range v.peers {
-		if !p.onDuty(now) {
-			continue
-		}
-		if p.Zone == zone && ip < self {
-			before++
-		}
-		if p.Feeding {
+	if v.rank(now, self, zone) < FeedersPerZone {
+		return true
+	}
+	feeding := 0
+	for _, p := range v.peers {
+		if p.Feeding && p.onDuty(now) {
 			feeding++
 		}
 	}
-	return before < FeedersPerZone || feeding < enoughFeeders
+	return feeding < enoughFeeders
 }
--- a/fleet/surveycopy/wire.go
+++ b/fleet/surveycopy/wire.go
@@ -22,7 +22,7 @@
 	wireVersion = 1
 	headLen     = 29
 	entryLen    = 12
-	// MostAgents bounds the entries of a reading.
+	// mostAgents bounds the entries of a reading.
 	mostAgents = 1 << 17
 	most       = headLen + mostAgents*entryLen
 	// ageUnit is what an age on the wire may lack.
@@ -32,10 +32,13 @@
 )
 
 // sum tells lists of entries apart, in their order.
-func sum(agents []fleet.Entry) uint64 {
+func sum(agents []fleet.Entry) uint64 { return sumOf(appendEntries(nil, agents)) }
+
+// sumOf is sum for encoded entries.
+func sumOf(entries []byte) uint64 {
 	h := fnv.New64a()
 	// A hash takes all that is written.
-	_, _ = h.Write(appendEntries(nil, agents))
+	_, _ = h.Write(entries)
 	return h.Sum64()
 }
 
@@ -50,8 +53,9 @@
 // encode returns a reading as it is told at a moment to one that has entries of the given
 // sum, zero for none.
 func encode(now time.Time, s fleet.Survey, has uint64) []byte {
-	own := sum(s.Agents)
-	b := append(make([]byte, 0, headLen+len(s.Agents)*entryLen), wireVersion)
+	entries := appendEntries(nil, s.Agents)
+	own := sumOf(entries)
+	b := append(make([]byte, 0, headLen+len(entries)), wireVersion)
 	b = binary.BigEndian.AppendUint32(b, uint32(min(now.Sub(s.Earliest), mostAge).Milliseconds()))
 	b = binary.BigEndian.AppendUint32(b, uint32(min(now.Sub(s.Latest), mostAge).Milliseconds()))
 	b = binary.BigEndian.AppendUint64(b, uint64(s.Revision))
@@ -60,7 +64,7 @@
 	if own == has {
 		return b
 	}
-	return appendEntries(b, s.Agents)
+	return append(b, entries...)
 }
 
 // decode reads what was asked for at one moment and had come at another one. known are
--- a/fleet/target.go
+++ b/fleet/target.go
@@ -53,8 +53,6 @@
 	// ListingAt is when the agent was heard first to say of its entry what it says
 	// now.
 	ListingAt time.Time
-	// counted tells that the target is a member of the view's digest.
-	counted bool
 	// Since is the generation of the view from which on the target may hold flows.
 	Since uint32
 	order order
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -177,26 +177,24 @@
 	return sum
 }
 
-// recount keeps the digest when a target has come, has gone, or is back.
-func (v *View) recount(h *Target) {
-	_, gone := v.gone[h.IP]
-	switch {
-	case h.State == Gone && !gone:
-		v.gone[h.IP] = h
-		if h.counted {
-			v.members ^= member(h.IP, false)
-		}
-	case h.State != Gone && (gone || !h.counted):
-		delete(v.gone, h.IP)
+// recount keeps the digest when a target has come, has gone, or is back; was tells whether
+// it was known and not gone.
+func (v *View) recount(h *Target, was bool) {
+	is := h.State != Gone
+	if is != was {
 		v.members ^= member(h.IP, false)
 	}
-	h.counted = h.State != Gone
+	if is {
+		delete(v.gone, h.IP)
+	} else {
+		v.gone[h.IP] = h
+	}
 }
 
 // uncount takes a target that is forgotten out of the digest.
 func (v *View) uncount(h *Target) {
 	delete(v.gone, h.IP)
-	if h.counted {
+	if h.State != Gone {
 		v.members ^= member(h.IP, false)
 	}
 }
@@ -242,7 +240,7 @@
 		a.State = Draining
 	}
 	h.Announcement, h.HeardAt, h.Sent = a, now, 0
-	v.recount(h)
+	v.recount(h, known && former.State != Gone)
 	v.heardZone(now, a.Zone)
 	h.heard()
 	if !known || former.Epoch != a.Epoch || former.Listing != a.Listing {
