Model: a caller whose flow is refused tries again at once, as on the platform

What the model got wrong: a caller that was refused before its flow opened waited for 0.1 to 0.2 s before its next try.

--- a/model/caller.go
+++ b/model/caller.go
@@ -19,6 +19,9 @@
 	mostRepeats = 8
 	// A failed try is followed by the next one after leastPause to backlog.RetryPause.
 	leastPause = 100 * time.Millisecond
+	// refusedRetries is how many tries more a caller makes whose flow is refused before it
+	// opens: nothing was sent yet, so these follow at once.
+	refusedRetries = 1
 	// clientsAZone is how many client addresses there are in each zone where the
 	// deployment does not say.
 	clientsAZone = 32
@@ -179,8 +182,7 @@
 		a.finish(Lost)
 		return
 	}
-	if a.tries <= a.class.Retries {
-		pause := leastPause + a.run.world.Jitter(backlog.RetryPause-leastPause)
+	if retries, pause := a.retries(told && !a.open); a.tries <= retries {
 		a.run.world.After(pause, func() {
 			if a.outcome == Pending {
 				a.try()
@@ -195,6 +197,15 @@
 	a.finish(Lost)
 }
 
+// retries returns how often a caller tries again after a failure, and after which pause.
+// refused tells that the flow was refused before it opened.
+func (a *attempt) retries(refused bool) (int, time.Duration) {
+	if refused {
+		return a.class.Retries + refusedRetries, 0
+	}
+	return a.class.Retries, leastPause + a.run.world.Jitter(backlog.RetryPause-leastPause)
+}
+
 // send hands a packet to the balancer that the routers choose.
 func (a *attempt) send(flags flow.Flags, seq, ack uint32, data []byte) {
 	b := a.run.routers.pick(a.zone, a.key)
