Agents count a new flow where its way ends, not where it is offered first

Callers saw: under an overload by one zone's clients everybody was late or lost for two seconds and more, those of other zones too. Cause: an agent counted flows that it passed on, and did not count those that others passed on to it. The loaded zone's agents told an overload after 0.6 s, the others' after 2.8 s with as many requests waiting; a service counts as overloaded when more than half of its slots say so. Why it works: each flow is counted once, at the target that has to answer it or at the last that refuses it, so arrivals over answers tell the same at all targets.

Both new tests were red before.

--- a/agent/packetfront/admission.go
+++ b/agent/packetfront/admission.go
@@ -121,9 +121,8 @@
 		if c.meetsObjective(wait, h) {
 			return true
 		}
-		c.events.PassedOn(key, "target overloaded", int(c.env.Hops))
 		c.settleElsewhere()
-		c.passOn(packet, true)
+		c.declines(now, key, h, packet, "target overloaded")
 		return false
 	}
 	if c.env.Flags&envelope.Settle == 0 {
@@ -132,17 +131,16 @@
 		}
 		c.settleElsewhere()
 		if c.env.Count > 0 {
-			c.events.PassedOn(key, "target at its limit", int(c.env.Hops))
-			c.passOn(packet, true)
+			c.declines(now, key, h, packet, "target at its limit")
 			return false
 		}
 	}
 	if !c.servable(wait, h) {
-		c.events.PassedOn(key, "no target can serve it in time", int(c.env.Hops))
-		c.passOn(packet, true)
+		c.declines(now, key, h, packet, "no target can serve it in time")
 		return false
 	}
 	if canComeAgain(wait, h) && !c.held.GoesFirst(now, c.termsOf(now, h).next(now), c.pace) {
+		c.arrives(now, h)
 		c.events.Postponed(key, wait)
 		return false
 	}
--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -187,7 +187,6 @@
 // deliverOpening gives a SYN to the target, or to the next candidate.
 func (c *Core) deliverOpening(now time.Time, h *flow.Header, packet []byte) {
 	key := h.FromClient()
-	c.arrives(now, key, h)
 	reason, ok := c.refusal()
 	if ok && c.health.ejected && c.env.Count > 0 {
 		reason, ok = "target ejected", false
@@ -217,6 +216,7 @@
 		r := c.flows.ensure(now, key)
 		r.stage = offered
 		r.request = c.termsOf(now, h)
+		c.arrives(now, h)
 		c.countOpening(now, key, r)
 		if c.env.Hops > 0 {
 			r.balancer = c.env.Balancer
--- a/agent/packetfront/overload.go
+++ b/agent/packetfront/overload.go
@@ -28,14 +28,23 @@
 	tellFarPeriod = time.Second
 )
 
-// arrives notes a new flow that the target is the first to be offered. One that a
-// balancer sends again is the same arrival.
-func (c *Core) arrives(now time.Time, key flow.Key, h *flow.Header) {
-	repeated := c.env.Flags&envelope.Repeated != 0
-	if repeated || c.env.Hops > 0 || c.env.Service != c.opts.Service || c.flows.get(key) != nil {
-		return
+// arrives notes a new flow where its way ends: at the target that takes it or leaves it to
+// its client's next packet, or else at the last one that it is offered to. A target that
+// others pass their flows on to has these to answer, not those that pass them on. A flow
+// that a balancer sends again is the same arrival.
+func (c *Core) arrives(now time.Time, h *flow.Header) {
+	if c.env.Flags&envelope.Repeated == 0 {
+		c.overload.Arrived(now, c.env.Deadline, h.Ack > 0)
+	}
+}
+
+// declines passes a new flow on for which the target has no room.
+func (c *Core) declines(now time.Time, key flow.Key, h *flow.Header, packet []byte, reason string) {
+	c.events.PassedOn(key, reason, int(c.env.Hops))
+	if c.env.Count == 0 {
+		c.arrives(now, h)
 	}
-	c.overload.Arrived(now, c.env.Deadline, h.Ack > 0)
+	c.passOn(packet, true)
 }
 
 // arrivesLater notes a later request of a flow. Its first one was noted with its opening
--- a/agent/packetfront/overload_test.go
+++ b/agent/packetfront/overload_test.go
@@ -21,6 +21,9 @@
 	// each is how many requests a flow has, one if zero; answered counts those of a client.
 	each     int
 	answered map[int]int
+	// hops is how many targets have passed each flow on, others the candidates behind this one.
+	hops   uint8
+	others []flow.Candidate
 	// sentAt is when each client sent its opening packet.
 	sentAt map[int]time.Time
 	// offered, returned and postponed count flows; inTime and late answers.
@@ -52,7 +55,10 @@
 	c.client++
 	c.offered++
 	before := len(c.port.Nodes)
-	c.opens(c.client, load(2), 0)
+	env := load(2)
+	env.Hops = c.hops
+	env.SetCandidates(c.others)
+	c.opens(c.client, env, 0)
 	switch {
 	case c.flows.get(keyOf(c.client)) != nil:
 		c.sentAt[c.client] = c.now
@@ -114,6 +120,29 @@
 	require.Zero(t, c.returned+c.postponed+c.late)
 }
 
+// TestFlowsThatOthersPassOnMakeAnOverload: a target whose only flows come from full ones has
+// as much to do as one that balancers choose.
+func TestFlowsThatOthersPassOnMakeAnOverload(t *testing.T) {
+	c := newCrowd(longThere(), 30*time.Millisecond)
+	c.hops = 1
+	const capacity = 4 / 0.030
+	c.play(3*time.Second, 0.5*capacity)
+	require.False(t, c.overload.stands)
+	c.play(1500*time.Millisecond, 2.4*capacity)
+	require.True(t, c.overload.stands)
+}
+
+// TestFlowsThatOthersTakeMakeNoOverload: a target that is chosen first by more than it can
+// answer is full, and others have what it passes on.
+func TestFlowsThatOthersTakeMakeNoOverload(t *testing.T) {
+	c := newCrowd(longThere(), 30*time.Millisecond)
+	c.others = []flow.Candidate{{Target: nextIP, Service: service}}
+	const capacity = 4 / 0.030
+	c.play(4*time.Second, 2.4*capacity)
+	require.NotZero(t, c.returned)
+	require.Zero(t, c.tally.overloads)
+}
+
 // TestBalancersHearOfAnOverloadAtOnce, of both zones, and of its end: one deadline later
 // whoever came before it was told has been answered or has gone.
 func TestBalancersHearOfAnOverloadAtOnce(t *testing.T) {
