An overload is told by how far a target is behind, not by the growth of a window or a queue that is never empty

Cause: arrivals over answers of 0.3 s are some twenty over twenty, chance spreads them by a third; and a backlog of chance outlives two deadlines while somebody waits. Why it works: what has arrived since the slots filled and is not answered is a cumulative sum; chance takes it to a third of the deadline exponentially seldom, a real overload by its excess each second. Without growth requests have to wait for an eighth of the deadline unbroken.

--- a/backlog/doc.go
+++ b/backlog/doc.go
@@ -23,14 +23,16 @@
 //
 // An overload is another matter: more requests come than are answered, and everybody would
 // wait as long as they can bear. Overload tells the two apart by what arrives and what is
-// answered within OverloadWindow, not by the length of the queue, which an outage leaves
-// as well. A backlog counts as an overload that stands
+// answered, not by the length of the queue, which an outage leaves as well. A backlog counts
+// as an overload that stands
 //
-//   - after a quarter of the deadline, if at this growth callers that come a deadline from
-//     now would wait for longer than they can bear, and no outage can have sent what arrives:
-//     its signs are copies of opening packets that met nobody and a target or an agent that
-//     has just started, its callers have all come again 1.9 s later;
-//   - after two deadlines, if requests wait.
+//   - after a quarter of the deadline, if the target needs a third of the deadline for what
+//     has arrived since and is not answered, and no outage can have sent it: its signs are
+//     copies of opening packets that met nobody and a target or an agent that has just
+//     started, its callers have all come again 1.9 s later. This is a cumulative sum test
+//     (Page, 1954): chance alone takes a target below its capacity that far behind
+//     exponentially seldom;
+//   - if requests have waited for an eighth of the deadline at least for two deadlines.
 //
 // It ends with the backlog, as soon as a slot has been free for a fifth of the time. While
 // it stands NextInTime serves those that can meet their objective, the earliest first, and
--- a/backlog/overload.go
+++ b/backlog/overload.go
@@ -21,6 +21,13 @@
 	// a target at 0.7 of its capacity needs one more.
 	standsAfter  = 0.25
 	standsAnyhow = 2.0
+	// standsBehind is the share of a deadline that the target needs for what has arrived
+	// since the backlog began and is not answered: a target below its capacity is not that
+	// far behind by chance.
+	standsBehind = 1.0 / 3
+	// waitsAnyhow is the share of a deadline that requests wait at least, without a break,
+	// in a backlog that stands though it does not grow.
+	waitsAnyhow = 1.0 / 8
 	// lostShare is the share of opening packets that are copies of lost ones from which
 	// on an outage is taken for the cause of a backlog.
 	lostShare = 0.2
@@ -42,8 +49,12 @@
 	// noSlot tells whether there is no free slot at the moment, noSlotAt since when.
 	noSlot   bool
 	noSlotAt time.Time
-	// since is when the backlog began, zero without one.
-	since time.Time
+	// since is when the backlog began, zero without one, and behind the requests that
+	// arrived since the slots filled and were not answered.
+	since  time.Time
+	behind float64
+	// waitsSince is when requests last waited for less than waitsAnyhow.
+	waitsSince time.Time
 	// outageAt is when there was a sign of an outage last.
 	outageAt time.Time
 	// deadline is the shortest one of the requests that arrived in this window or the
@@ -71,6 +82,7 @@
 func (o *Overload) ArrivedLater(now time.Time, deadline time.Duration) {
 	o.advance(now)
 	o.arrived++
+	o.behind++
 	if deadline > 0 && (o.nextDeadline == 0 || deadline < o.nextDeadline) {
 		o.nextDeadline = deadline
 	}
@@ -83,6 +95,7 @@
 func (o *Overload) Answered(now time.Time) {
 	o.advance(now)
 	o.answered++
+	o.behind = max(o.behind-1, 0)
 }
 
 // Slots notes whether the target has a free slot from now on.
@@ -102,29 +115,37 @@
 // not pass. wait is how long a request that comes now would wait for a slot.
 func (o *Overload) Stands(now time.Time, wait time.Duration) bool {
 	o.advance(now)
-	switch lasted := now.Sub(o.since); {
+	outage := now.Sub(o.outageAt) <= outageEcho
+	if outage {
+		o.behind = 0
+	}
+	if o.since.IsZero() || wait < scale(o.deadline, waitsAnyhow) {
+		o.waitsSince = now
+	}
+	switch {
 	case o.since.IsZero():
 		o.stands = false
 	case o.stands || o.deadline == 0:
-	case lasted > scale(o.deadline, standsAnyhow):
-		o.stands = wait > 0
+	case now.Sub(o.waitsSince) > scale(o.deadline, standsAnyhow):
+		o.stands = true
 	default:
-		outage := now.Sub(o.outageAt) <= outageEcho
-		o.stands = !outage && lasted > scale(o.deadline, standsAfter) && wait+o.growth() > o.deadline
+		lasted := now.Sub(o.since)
+		o.stands = !outage && lasted > scale(o.deadline, standsAfter) && o.behindTime() > scale(o.deadline, standsBehind)
 	}
 	return o.stands
 }
 
-// growth is how much longer a request will wait that comes a deadline from now, as
-// things go.
-func (o *Overload) growth() time.Duration {
-	return scale(o.deadline, o.arrived/max(o.answered, 1)-1)
+// behindTime is how long the target needs for what it is behind with.
+func (o *Overload) behindTime() time.Duration {
+	return scale(OverloadWindow, o.behind/max(o.answered, 1))
 }
 
 // Load says what the judgement rests on, for logs.
 func (o *Overload) Load(now time.Time) Load {
 	o.advance(now)
-	l := Load{Arrived: o.arrived / OverloadWindow.Seconds(), Answered: o.answered / OverloadWindow.Seconds(), Full: o.full}
+	l := Load{
+		Arrived: o.arrived / OverloadWindow.Seconds(), Answered: o.answered / OverloadWindow.Seconds(), Full: o.full, Behind: o.behindTime(),
+	}
 	if !o.since.IsZero() {
 		l.Lasted = now.Sub(o.since)
 	}
@@ -137,6 +158,9 @@
 	Arrived, Answered float64
 	// Full is the share of time without a free slot, up to 1.
 	Full float64
+	// Behind is how long the target needs for what arrived since the slots filled and is
+	// not answered.
+	Behind time.Duration
 	// Lasted is how long the backlog lasts, zero without one.
 	Lasted time.Duration
 }
@@ -167,6 +191,9 @@
 		}
 		o.nextDeadline = 0
 	}
+	if o.full < backlogEnds {
+		o.behind = 0
+	}
 	switch {
 	case o.since.IsZero() && o.full > backlogBegins:
 		// It began when the last slot was taken.
--- a/backlog/overload_test.go
+++ b/backlog/overload_test.go
@@ -228,6 +228,16 @@
 	}
 }
 
+// TestChanceSeldomLooksLikeAnOverload at 0.85 of the capacity, over an hour of chance.
+func TestChanceSeldomLooksLikeAnOverload(t *testing.T) {
+	stood := time.Duration(0)
+	for seed := range uint64(60) {
+		c := &chanceful{now: start, rnd: rand.New(rand.NewPCG(seed, 1)), slots: 2, work: 24 * time.Millisecond}
+		stood += c.play(time.Minute, 0.85, 1200*time.Millisecond)
+	}
+	require.Less(t, stood, time.Hour/500)
+}
+
 // TestATargetAtHalfItsCapacityIsNotOverloaded, and one that gets 2.4 times as much as it can
 // answer is.
 func TestATargetAtHalfItsCapacityIsNotOverloaded(t *testing.T) {
