--- a/backlog/overload.go
+++ b/backlog/overload.go
@@ -21,9 +21,9 @@
 	// a target at 0.7 of its capacity needs one more.
 	standsAfter  = 0.25
 	standsAnyhow = 2.0
-	// standsBehind is the share of a deadline that the target needs for what has arrived
-	// since the backlog began and is not answered: a target below its capacity is not that
-	// far behind by chance.
+	// standsBehind is the share of a deadline that the target needs for what waits, or for
+	// what has arrived since the slots filled and is not answered: a target below its
+	// capacity is not that far behind by chance.
 	standsBehind = 1.0 / 3
 	// waitsAnyhow is the share of a deadline that requests wait at least, without a break,
 	// in a backlog that stands though it does not grow.
@@ -129,13 +129,15 @@
 	case now.Sub(o.waitsSince) > scale(o.deadline, standsAnyhow):
 		o.stands = true
 	default:
-		lasted := now.Sub(o.since)
-		o.stands = !outage && lasted > scale(o.deadline, standsAfter) && o.behindTime() > scale(o.deadline, standsBehind)
+		lasts := now.Sub(o.since) > scale(o.deadline, standsAfter)
+		behind := max(o.behindTime(), wait) > scale(o.deadline, standsBehind)
+		o.stands = lasts && behind && !outage
 	}
 	return o.stands
 }
 
-// behindTime is how long the target needs for what it is behind with.
+// behindTime is how long the target needs for what has arrived since the slots filled and is
+// not answered. It tells what wait does not: flows that are left to their next packets.
 func (o *Overload) behindTime() time.Duration {
 	return scale(OverloadWindow, o.behind/max(o.answered, 1))
 }
