Lost opening packets excuse a backlog only at a target that was idle

Cause: a third of the new flows went to dead targets first; their copies were a sign of an outage at the agents that lived, which then told no overload for 1.9 s after the last of them. Why it works: an outage that everybody's callers come back from leaves its targets idle before; a target that was busy has its own callers, and those of the lost ones stay.

TestOthersThatAreLostAreNoOutage was red before.

--- a/backlog/doc.go
+++ b/backlog/doc.go
@@ -28,10 +28,10 @@
 //
 //   - after a quarter of the deadline, if the target needs a third of the deadline for what
 //     waits or has arrived since and is not answered, and no outage can have sent it: its
-//     signs are copies of opening packets that met nobody and a target or an agent that has
-//     just started, its callers have all come again 1.9 s later. This is a cumulative sum
-//     test (Page, 1954): chance alone takes a target below its capacity that far behind
-//     exponentially seldom;
+//     signs are a target or an agent that has just started, and, at a target that was idle,
+//     copies of opening packets that met nobody; its callers have all come again 1.9 s
+//     later. This is a cumulative sum test (Page, 1954): chance alone takes a target below
+//     its capacity that far behind exponentially seldom;
 //   - if requests have waited for an eighth of the deadline at least for two deadlines.
 //
 // It ends with the backlog, as soon as a slot has been free for a fifth of the time. While
--- a/backlog/overload.go
+++ b/backlog/overload.go
@@ -31,6 +31,9 @@
 	// lostShare is the share of opening packets that are copies of lost ones from which
 	// on an outage is taken for the cause of a backlog.
 	lostShare = 0.2
+	// idleFull is the share of time without a free slot below which a target was idle: its
+	// callers met nobody. One that was busy had its own, and gets those of others that are lost.
+	idleFull = 0.5
 	// outageEcho is how long after a sign of an outage its callers still come: those of
 	// its last moment try once more by then, and what arrives tells again a window later.
 	outageEcho = TryTime + RetryPause + OverloadWindow
@@ -66,14 +69,14 @@
 
 // Arrived notes a new flow that this target is the first to be offered, and the
 // deadline of its requests, zero where none is stated. lost tells that its first
-// opening packet met nobody.
+// opening packet met nobody: a sign of an outage at a target that was idle until now.
 func (o *Overload) Arrived(now time.Time, deadline time.Duration, lost bool) {
 	o.ArrivedLater(now, deadline)
 	o.opened++
 	if lost {
 		o.lost++
 	}
-	if o.lost >= lostShare*o.opened && o.lost >= 1 {
+	if o.lost >= max(lostShare*o.opened, 1) && o.full < idleFull {
 		o.Outage(now)
 	}
 }
--- a/backlog/overload_test.go
+++ b/backlog/overload_test.go
@@ -91,6 +91,17 @@
 	require.NotZero(t, f.play(2*time.Second, 65, 80, never), "longer than the callers of an outage wait")
 }
 
+// TestOthersThatAreLostAreNoOutage: a target that was busy gets the callers of targets that
+// are lost, at 1.6 times what it can answer, a third of them by copies of packets that met nobody.
+func TestOthersThatAreLostAreNoOutage(t *testing.T) {
+	f := newFlood(1200 * time.Millisecond)
+	require.Zero(t, f.play(3*time.Second, 70, 70, func(i int) bool { return i%10 < 3 }))
+	f.lostShare = 0.33
+	stood := f.play(3*time.Second, 128, 80, never)
+	require.NotZero(t, stood)
+	require.Less(t, stood, 1500*time.Millisecond)
+}
+
 // TestAFullTargetThatKeepsUpIsNotOverloaded while nobody waits; where a backlog waits that
 // does not go away it is, after two deadlines.
 func TestAFullTargetThatKeepsUpIsNotOverloaded(t *testing.T) {
