Revert "A kind of requests that has had its part of an overloaded target is not taken by its longer objective"

There the other kind comes in long flows: its later requests ask and are served without being taken anew, so orders seemed to have more than their part.

--- a/agent/packetfront/admission.go
+++ b/agent/packetfront/admission.go
@@ -118,7 +118,7 @@
 func (c *Core) settles(now time.Time, key flow.Key, h *flow.Header, packet []byte) bool {
 	wait := c.wait(now)
 	if c.overload.stands {
-		if c.meetsObjective(now, wait, h) {
+		if c.meetsObjective(wait, h) {
 			return true
 		}
 		c.settleElsewhere()
--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -217,7 +217,6 @@
 		r.stage = offered
 		r.request = c.termsOf(now, h)
 		c.arrives(now, h)
-		c.overload.parts.Taken(now, c.env.Priority)
 		c.countOpening(now, key, r)
 		if c.env.Hops > 0 {
 			r.balancer = c.env.Balancer
--- a/agent/packetfront/overload.go
+++ b/agent/packetfront/overload.go
@@ -15,8 +15,6 @@
 	stands bool
 	// changedAt is when the judgement changed last.
 	changedAt time.Time
-	// parts are what kinds of requests, told apart by priority, got lately.
-	parts backlog.Parts
 }
 
 // Times of the judgement.
@@ -37,7 +35,6 @@
 func (c *Core) arrives(now time.Time, h *flow.Header) {
 	if c.env.Flags&envelope.Repeated == 0 {
 		c.overload.Arrived(now, c.env.Deadline, h.Ack > 0)
-		c.overload.parts.Asked(now, c.env.Priority, c.env.Objective)
 	}
 }
 
@@ -88,12 +85,11 @@
 
 // meetsObjective tells whether a new flow's request can be answered within its
 // objective after a wait, where it states one, and else before its deadline.
-func (c *Core) meetsObjective(now time.Time, wait time.Duration, h *flow.Header) bool {
+func (c *Core) meetsObjective(wait time.Duration, h *flow.Header) bool {
 	if c.env.Objective == 0 {
 		return c.servable(wait, h)
 	}
-	objective := c.overload.parts.Objective(now, c.env.Priority, c.env.Objective)
-	return c.held.Len() < maxHeld && backlog.Age(h.Ack)+wait+spareTook*c.pace.Took() <= objective
+	return c.held.Len() < maxHeld && backlog.Age(h.Ack)+wait+spareTook*c.pace.Took() <= c.env.Objective
 }
 
 // nextHeld takes out the request that gets the next slot.
