A refused flow of an overloaded service visits at most two agents, and no second one that would refuse

Callers saw: a refused flow visited up to eight agents, 2.00 to 2.38 in the mean where 2 is the bound; each visit costs those that are served, and on some platforms bytes between zones. Cause: before a balancer hears of an overload, and while announcements are lost, it offers a flow to eight; afterwards always to two, so that the mean could not be less. Why it works: an overloaded agent ends the way of a flow that another one has passed on; a balancer leaves out a second target whose announcement says that its wait leaves no time for the objective. The judgement is that of the agent, and stands once, at fleet.Readings.

With it: requests that go last while an overload stands are not counted as ahead of a new one (queue.InTime and NextInTime agree again).

New tests red before: TestNoSecondTargetThatWouldRefuse, TestTwoFullTargetsEndAFlowsWay.

--- a/agent/packetfront/admission.go
+++ b/agent/packetfront/admission.go
@@ -121,6 +121,11 @@
 		if c.meetsObjective(wait, h) {
 			return true
 		}
+		if c.env.Hops > 0 {
+			// Another one was full as well: the next ones are no better, and each visit
+			// costs those that are served.
+			c.env.SetCandidates(nil)
+		}
 		c.settleElsewhere()
 		c.declines(now, key, h, packet, "target overloaded")
 		return false
--- a/agent/packetfront/overload.go
+++ b/agent/packetfront/overload.go
@@ -19,10 +19,6 @@
 
 // Times of the judgement.
 const (
-	// spareTook is how many times the mean time to an answer has to be left before the
-	// objective: with work that is spread by half of its mean one request of twenty
-	// takes as long.
-	spareTook = 2
 	// tellFarPeriod is how long after one change of the judgement other zones hear of
 	// the next one at the earliest: a service's targets change it together.
 	tellFarPeriod = time.Second
@@ -89,7 +85,8 @@
 	if c.env.Objective == 0 {
 		return c.servable(wait, h)
 	}
-	return c.held.Len() < maxHeld && backlog.Age(h.Ack)+wait+spareTook*c.pace.Took() <= c.env.Objective
+	expected := fleet.Readings{Wait: wait, Took: c.pace.Took()}
+	return c.held.Len() < maxHeld && expected.InTime(backlog.Age(h.Ack), c.env.Objective)
 }
 
 // nextHeld takes out the request that gets the next slot.
--- a/agent/packetfront/overload_test.go
+++ b/agent/packetfront/overload_test.go
@@ -143,6 +143,25 @@
 	require.Zero(t, c.tally.overloads)
 }
 
+// TestTwoFullTargetsEndAFlowsWay: an overloaded target passes a flow on, but not one that
+// another has passed on to it.
+func TestTwoFullTargetsEndAFlowsWay(t *testing.T) {
+	c := newCrowd(longThere(), 30*time.Millisecond)
+	const capacity = 4 / 0.030
+	c.play(3*time.Second, 0.5*capacity)
+	c.play(1500*time.Millisecond, 2.4*capacity)
+	require.True(t, c.overload.stands)
+	for hops, to := range []flow.IPv4{nextIP, balancerIP} {
+		env := load(2)
+		env.Balancer, env.Hops = balancerIP, uint8(hops)
+		env.SetCandidates([]flow.Candidate{{Target: nextIP, Service: service}})
+		for c.deliver(env, packet(keyOf(c.client), flow.SYN, 0, "")); c.flows.get(keyOf(c.client)) != nil; c.deliver(env, packet(keyOf(c.client), flow.SYN, 0, "")) {
+			c.client++
+		}
+		require.Equal(t, to, c.port.Last().To, "hops %d", hops)
+	}
+}
+
 // TestBalancersHearOfAnOverloadAtOnce, of both zones, and of its end: one deadline later
 // whoever came before it was told has been answered or has gone.
 func TestBalancersHearOfAnOverloadAtOnce(t *testing.T) {
--- a/backlog/queue.go
+++ b/backlog/queue.go
@@ -150,9 +150,9 @@
 	return q.take(best), true
 }
 
-// InTime returns how many requests can still meet their objective.
+// InTime returns how many requests go before one that comes now while an overload stands.
 func (q *Queue[K]) InTime(now time.Time, pace Pace) int {
-	done, count := now.Add(pace.Took()), 0
+	done, count := now.Add(scale(pace.Took(), spareInTime)), 0
 	for i := range q.items {
 		if q.items[i].fresh(done) {
 			count++
--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -250,6 +250,9 @@
 		candidates = toFront(candidates, remembered)
 	}
 	candidates = candidates[:min(len(candidates), service.openTries())]
+	if service.Overloaded {
+		candidates = c.withoutRefusing(now, candidates, route.Objective)
+	}
 	chosen := candidates[0]
 	if h.Ack == 0 {
 		c.table.Opened(now, key, chosen.Target)
--- a/balancer/packetfront/overload.go
+++ b/balancer/packetfront/overload.go
@@ -132,6 +132,20 @@
 	}
 }
 
+// withoutRefusing leaves out those behind the first that would refuse a flow, by what they
+// announced last.
+func (c *Core) withoutRefusing(now time.Time, candidates []flow.Candidate, objective time.Duration) []flow.Candidate {
+	kept := candidates[:1]
+	for _, item := range candidates[1:] {
+		h, known := c.view.Target(item.Target)
+		refuses := known && h.Overloaded && !h.Quiet(now) && objective > 0 && !h.InTime(0, objective)
+		if !refuses {
+			kept = append(kept, item)
+		}
+	}
+	return kept
+}
+
 // openTries is how many targets a new flow may be offered to.
 func (l *serviceLoad) openTries() int {
 	if l.Overloaded {
--- a/balancer/packetfront/overload_test.go
+++ b/balancer/packetfront/overload_test.go
@@ -174,6 +174,21 @@
 	require.Empty(t, f.port.Resets, "what agents refuse is theirs to decide")
 }
 
+// TestNoSecondTargetThatWouldRefuse: an objective of 200 ms, two times 24 ms of work; the
+// first one is asked in any case, for it may have room by now.
+func TestNoSecondTargetThatWouldRefuse(t *testing.T) {
+	for wait, others := range map[time.Duration]int{140 * time.Millisecond: 1, 160 * time.Millisecond: 0} {
+		f := newOverloadFixture()
+		f.operator.Config().Routes[front].Objective = 200 * time.Millisecond
+		for i := range overloadTargets {
+			f.tell(i, fleet.Announcement{State: fleet.Ready, Readings: fleet.Readings{Overloaded: true, Wait: wait, Took: 24 * time.Millisecond}})
+		}
+		f.open(front.Port)
+		require.Equal(t, others, f.port.Last().Env.Count, wait)
+		require.Empty(t, f.port.Resets)
+	}
+}
+
 // TestAFalseOverloadEndsWithOneAnnouncement.
 func TestAFalseOverloadEndsWithOneAnnouncement(t *testing.T) {
 	f := newOverloadFixture()
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -151,6 +151,17 @@
 	Overloaded bool
 }
 
+// spareTook is how many times the mean time to an answer has to be left before the
+// objective: with work that is spread by half of its mean one request of twenty
+// takes as long.
+const spareTook = 2
+
+// InTime tells whether a request that began so long ago and waits for Wait would be answered
+// within its objective.
+func (r Readings) InTime(age, objective time.Duration) bool {
+	return age+r.Wait+spareTook*r.Took <= objective
+}
+
 // readingsWire is the layout of readings. It follows its own length, so that a node
 // passes over what later versions append to it.
 type readingsWire struct {
