A withheld request stays withheld when its client repeats it; checks that did not see the fault that they name

Target saw: a request whose deadline had passed, 0.7 s and more after it was withheld. Cause: a packet that comes so late after the one before was taken for the first of a client that opened its flow ahead. Why it works: what was withheld is known not to be new. TestAWithheldRequestThatComesAgainIsWithheld was red before.

TestAnAgentUnderRandomLoad looked for requests that wait beside room only after a tick; now after each packet of the target as well.

--- a/agent/packetfront/admission_test.go
+++ b/agent/packetfront/admission_test.go
@@ -397,14 +397,17 @@
 		"the target did not answer": func(f *fixture) { f.deliver(load(2), packet(keyOf(100), flow.SYN, 0, "")) },
 		"another target took it":    func(f *fixture) { f.opens(100, load(2), 0) },
 	} {
-		f := newFixture()
-		before(f)
-		f.pass(2 * time.Second)
-		f.deliver(load(2), packet(keyOf(100), flow.SYN, 0, ""))
-		f.targetSends(100, flow.SYN|flow.ACK, 1_000_000, 0)
-		f.pass(time.Second)
-		f.deliver(envelope.Envelope{}, packet(keyOf(100), flow.ACK, 1_000_000, "request"))
-		require.Contains(t, f.atTarget(), 100, name)
+		// Its request comes at once, within the time of a prompt one, and after it.
+		for _, pause := range []time.Duration{0, 600 * time.Millisecond, time.Second} {
+			f := newFixture()
+			before(f)
+			f.pass(2 * time.Second)
+			f.deliver(load(2), packet(keyOf(100), flow.SYN, 0, ""))
+			f.targetSends(100, flow.SYN|flow.ACK, 1_000_000, 0)
+			f.pass(pause)
+			f.deliver(envelope.Envelope{}, packet(keyOf(100), flow.ACK, 1_000_000, "request"))
+			require.Contains(t, f.atTarget(), 100, "%s, after %s", name, pause)
+		}
 	}
 }
 
--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -310,7 +310,7 @@
 
 // noteClient keeps what a client's packet says of its flow.
 func (c *Core) noteClient(now time.Time, r *record, h *flow.Header) {
-	if h.Len > 0 && r.held == nil && now.Sub(r.usedAt) > promptTime {
+	if h.Len > 0 && r.held == nil && !r.withheld && now.Sub(r.usedAt) > promptTime {
 		r.request.began = time.Time{}
 	}
 	r.usedAt = now
--- a/agent/packetfront/load_test.go
+++ b/agent/packetfront/load_test.go
@@ -51,6 +51,9 @@
 	seen  int
 	slots int
 	life  int64
+	// waitsBesideRoom is set once a request waited beside room for it after a packet of the
+	// target.
+	waitsBesideRoom bool
 }
 
 func newRandomLoad(slots int) *randomLoad {
@@ -129,6 +132,7 @@
 	k := c.key
 	h := flow.Header{Src: k.FrontIP, SrcPort: k.FrontPort, Dst: k.ClientIP, DstPort: k.ClientPort, Flags: flags, Seq: seq, Len: length}
 	l.HandleTarget(l.now, &h, make([]byte, platform.HeadLen+length))
+	l.waitsBesideRoom = l.waitsBesideRoom || (l.held.Len() > 0 && l.flows.running < l.limit())
 }
 
 // check looks at what the target got since the last look, and at the agent's counts.
@@ -141,6 +145,7 @@
 		}
 	}
 	l.checkCounts(t)
+	require.False(t, l.waitsBesideRoom, "an answer lets in what waits")
 	for _, key := range l.port.Resets {
 		require.True(t, l.byKey[key].over, "a flow that lives is reset")
 	}
--- a/agent/packetfront/overload_test.go
+++ b/agent/packetfront/overload_test.go
@@ -130,6 +130,7 @@
 	require.False(t, c.overload.stands)
 	c.play(1500*time.Millisecond, 2.4*capacity)
 	require.True(t, c.overload.stands)
+	require.InEpsilon(t, 2.4*capacity, c.overload.Load(c.now).Arrived, 0.1)
 }
 
 // TestFlowsThatOthersTakeMakeNoOverload: a target that is chosen first by more than it can
--- a/agent/packetfront/withheld_test.go
+++ b/agent/packetfront/withheld_test.go
@@ -49,6 +49,21 @@
 	require.Equal(t, 1, f.tally.withheld)
 }
 
+// TestAWithheldRequestThatComesAgainIsWithheld, however long after: its client did not open
+// the flow ahead of it.
+func TestAWithheldRequestThatComesAgainIsWithheld(t *testing.T) {
+	f := newFixture()
+	e := load(2)
+	e.Deadline = 500 * time.Millisecond
+	f.opens(100, e, 2)
+	for range 3 {
+		f.asks(100)
+		f.pass(promptTime + 100*time.Millisecond)
+	}
+	require.NotContains(t, f.atTarget(), 100)
+	require.Equal(t, 1, f.tally.withheld)
+}
+
 // TestTheRestOfARequestIsNotGivenToTheTargetOnceItsClientHasLeft: the target would run it
 // when it is whole.
 func TestTheRestOfARequestIsNotGivenToTheTargetOnceItsClientHasLeft(t *testing.T) {
