Failing test: a target's repeated answer answers a request that came since

A target sends its last answer again when it has the next request already; the agent takes that for the answer, frees the slot, and when the request comes again counts it as running until it forgets it after 10 s. Seldom: the target has to repeat within the moment in which the request crosses it.

Tried and taken back: packets of an open flow whose sequence number was sent before answer nothing. The crowd of overload_test.go numbers its answers as targets do.

--- a/agent/packetfront/admission_test.go
+++ b/agent/packetfront/admission_test.go
@@ -390,6 +390,22 @@
 	require.Equal(t, 1, f.held.Len())
 }
 
+// TestARepeatedAnswerAnswersNoLaterRequest: the target sends its last answer once more when it
+// has the next request already.
+func TestARepeatedAnswerAnswersNoLaterRequest(t *testing.T) {
+	f := newFixture()
+	f.opens(100, load(2), 0)
+	f.asks(100)
+	f.answers(100)
+	require.Zero(t, f.Busy())
+	f.deliver(envelope.Envelope{}, packet(keyOf(100), flow.ACK, 511, "another"))
+	f.answers(100)
+	require.Equal(t, 1, f.Busy())
+	require.Equal(t, 1, f.flows.running)
+	f.targetSends(100, flow.ACK, 511, 10)
+	require.Zero(t, f.Busy())
+}
+
 // TestALaterFlowBetweenTheSamePortsHasItsOwnAge, also when the one before never opened: it
 // would be given up by the other one's deadline.
 func TestALaterFlowBetweenTheSamePortsHasItsOwnAge(t *testing.T) {
--- a/agent/packetfront/overload_test.go
+++ b/agent/packetfront/overload_test.go
@@ -84,7 +84,7 @@
 		} else {
 			c.late++
 		}
-		c.answers(client)
+		c.targetSends(client, flow.ACK, uint32(501+10*c.answered[client]), 10)
 		if c.answered[client]++; c.answered[client] < c.each {
 			c.sentAt[client] = c.now
 			c.asks(client)
