--- a/backlog/queue.go
+++ b/backlog/queue.go
@@ -133,9 +133,9 @@
 }
 
 // NextInTime is Next while an overload stands: the request whose objective ends first,
-// of those that leave time for more than the mean work. The others wait, for in an overload the
-// oldest first makes everybody late, and one that only the mean work would answer in time is
-// late as often as not, in a slot that another could have been answered in.
+// of those that leave time for more than the mean work. The others wait: in an overload the
+// oldest first makes everybody late, and one that only the mean work is left to is often
+// late, in a slot that another could have been answered in.
 func (q *Queue[K]) NextInTime(now time.Time, pace Pace) (K, bool) {
 	done := now.Add(scale(pace.Took(), spareInTime))
 	best := nobody
