--- a/agent/packetfront/overload.go
+++ b/agent/packetfront/overload.go
@@ -17,12 +17,9 @@
 	changedAt time.Time
 }
 
-// Times of the judgement.
-const (
-	// tellFarPeriod is how long after one change of the judgement other zones hear of
-	// the next one at the earliest: a service's targets change it together.
-	tellFarPeriod = time.Second
-)
+// tellFarPeriod is how long after one change of the judgement other zones hear of the next
+// one at the earliest: a service's targets change it together.
+const tellFarPeriod = time.Second
 
 // arrives notes a new flow where its way ends: at the target that takes it or leaves it to
 // its client's next packet, or else at the last one that it is offered to. A target that
--- a/backlog/overload.go
+++ b/backlog/overload.go
@@ -67,7 +67,7 @@
 	stands                 bool
 }
 
-// Arrived notes a new flow that this target is the first to be offered, and the
+// Arrived notes a new flow that this target takes or is the last to refuse, and the
 // deadline of its requests, zero where none is stated. lost tells that its first
 // opening packet met nobody: a sign of an outage at a target that was idle until now.
 func (o *Overload) Arrived(now time.Time, deadline time.Duration, lost bool) {
--- a/backlog/queue.go
+++ b/backlog/queue.go
@@ -46,6 +46,12 @@
 // fresh tells whether an answer sent by a time meets the objective.
 func (r Request) fresh(by time.Time) bool { return r.Objective > 0 && !by.After(r.aim()) }
 
+// inTime tells whether a request goes before the others while an overload stands: it leaves
+// time for more than the mean work before its objective.
+func (r Request) inTime(now time.Time, pace Pace) bool {
+	return r.fresh(now.Add(scale(pace.Took(), spareInTime)))
+}
+
 // Queue holds requests in no order; Next chooses. K names them.
 type Queue[K comparable] struct {
 	items []item[K]
@@ -132,15 +138,14 @@
 	return q.take(q.lastExpiring()), true
 }
 
-// NextInTime is Next while an overload stands: the request whose objective ends first,
-// of those that leave time for more than the mean work. The others wait: in an overload the
+// NextInTime is Next while an overload stands: the request whose objective ends first, of
+// those that are in time. The others wait: in an overload the
 // oldest first makes everybody late, and one that only the mean work is left to is often
 // late, in a slot that another could have been answered in.
 func (q *Queue[K]) NextInTime(now time.Time, pace Pace) (K, bool) {
-	done := now.Add(scale(pace.Took(), spareInTime))
 	best := nobody
 	for i := range q.items {
-		if q.items[i].fresh(done) && (best == nobody || q.items[i].aim().Before(q.items[best].aim())) {
+		if q.items[i].inTime(now, pace) && (best == nobody || q.items[i].aim().Before(q.items[best].aim())) {
 			best = i
 		}
 	}
@@ -152,9 +157,9 @@
 
 // InTime returns how many requests go before one that comes now while an overload stands.
 func (q *Queue[K]) InTime(now time.Time, pace Pace) int {
-	done, count := now.Add(scale(pace.Took(), spareInTime)), 0
+	count := 0
 	for i := range q.items {
-		if q.items[i].fresh(done) {
+		if q.items[i].inTime(now, pace) {
 			count++
 		}
 	}
