--- a/review/lab/site.go
+++ b/review/lab/site.go
@@ -73,16 +73,15 @@
 
 // machine is an edge or side machine with the project's process.
 type machine struct {
-	lab            *lab
-	name, zone     string
-	program        string
-	addr           netip.Addr
-	service        string
-	settings       map[string]any
-	cmd            *exec.Cmd
-	exited         chan struct{}
-	stopRequested  bool
-	unexpectedExit bool
+	lab           *lab
+	name, zone    string
+	program       string
+	addr          netip.Addr
+	service       string
+	settings      map[string]any
+	cmd           *exec.Cmd
+	exited        chan struct{}
+	stopRequested bool
 }
 
 // Kinds of machine in an address.
