Agents log the records that their age removes, and which record a denied packet did not match

"flow record expired" (stage, idle time; 20 lines a second) and the field record of "open flow denied"; counter expired_flows_total by stage, gauge flow_records.

--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -129,7 +129,7 @@
 		estimate: backlog.NewServiceEstimate(defaultServiceTime, defaultSlots),
 		buf:      make([]byte, 0, 2048), relays: newRelayState(opts, events.ZoneRelayed),
 	}
-	c.flows = newFlows(func(r *queuedRequest) { c.queue.Remove(r.key) })
+	c.flows = newFlows(func(r *queuedRequest) { c.queue.Remove(r.key) }, c.reportExpired)
 	c.cold.window.AssumeFull(now)
 	c.overload.NoteOutage(now)
 	return c
@@ -352,7 +352,7 @@
 
 // denyFlow passes on a packet of an open flow that the target does not hold.
 func (c *Core) denyFlow(now time.Time, key flow.Key, packet []byte, certain bool) {
-	c.events.FlowDenied(key, certain, int(c.env.Hops), c.target.evidence(now))
+	c.events.FlowDenied(key, c.flows.describe(key), certain, int(c.env.Hops), c.target.evidence(now))
 	c.passToNextCandidate(packet, certain)
 }
 
--- a/agent/packetfront/core_test.go
+++ b/agent/packetfront/core_test.go
@@ -45,7 +45,9 @@
 func (discardEvents) PassedOn(flow.Key, string, int)                         {}
 func (discardEvents) Bounced(flow.Key, bool)                                 {}
 func (discardEvents) Reset(flow.Key, string, TargetEvidence)                 {}
-func (discardEvents) FlowDenied(flow.Key, bool, int, TargetEvidence)         {}
+func (discardEvents) FlowDenied(flow.Key, string, bool, int, TargetEvidence) {}
+func (discardEvents) FlowExpired(flow.Key, string, time.Duration)            {}
+func (discardEvents) FlowsRecorded(int)                                      {}
 func (discardEvents) SentAfterRefusal(flow.Key, bool, TargetEvidence)        {}
 func (discardEvents) Dropped(DropReason)                                     {}
 func (discardEvents) TargetReport(string, fleet.Heartbeat)                   {}
--- a/agent/packetfront/events.go
+++ b/agent/packetfront/events.go
@@ -81,9 +81,15 @@
 	// Reset reports a flow that was reset at its client.
 	Reset(key flow.Key, reason string, e TargetEvidence)
 	// FlowDenied reports a packet of an open flow that was passed on or returned without being
-	// delivered. certain is set if the target certainly does not hold the flow; hops is how often
-	// the packet was passed on before.
-	FlowDenied(key flow.Key, certain bool, hops int, e TargetEvidence)
+	// delivered. record is the stage of the record between the same ports that the packet does not
+	// match, or "none". certain is set if the target certainly does not hold the flow; hops is how
+	// often the packet was passed on before.
+	FlowDenied(key flow.Key, record string, certain bool, hops int, e TargetEvidence)
+	// FlowExpired reports a record that was removed after the given idle time in a stage in which
+	// the target may hold the flow.
+	FlowExpired(key flow.Key, stage string, idle time.Duration)
+	// FlowsRecorded reports the number of records, about once per second.
+	FlowsRecorded(records int)
 	// SentAfterRefusal reports a packet of the target that followed a refused target probe; bounced
 	// is set if the target returned it because it does not hold the flow.
 	SentAfterRefusal(key flow.Key, bounced bool, e TargetEvidence)
--- a/agent/packetfront/flows.go
+++ b/agent/packetfront/flows.go
@@ -25,6 +25,14 @@
 	dead
 )
 
+// String returns the name of the stage for logs.
+func (s stage) String() string {
+	return [...]string{"offered", "half-open", "open", "closed", "dead"}[s]
+}
+
+// mayBeHeld reports whether the target may hold a flow in this stage.
+func (s stage) mayBeHeld() bool { return s != closed && s != dead }
+
 // How long a record is kept in each stage, and the limit of the table.
 const (
 	// openingTTL is longer than a client tries to open a flow (1.4 s).
@@ -107,17 +115,28 @@
 	overflowed bool
 	// onDequeue is called when a queued request is dropped.
 	onDequeue func(*queuedRequest)
+	// onExpire is called when a record is removed because of its age.
+	onExpire func(now time.Time, key flow.Key, r *record)
 	// busy counts the flows that wait for an answer or soon will, announced as Outstanding;
 	// running counts those whose request was delivered to the target, open those in stage open.
 	busy, running, open int
 }
 
-func newFlows(onDequeue func(*queuedRequest)) *flows {
-	return &flows{byKey: map[flow.Key]*record{}, onDequeue: onDequeue}
+func newFlows(onDequeue func(*queuedRequest), onExpire func(now time.Time, key flow.Key, r *record)) *flows {
+	return &flows{byKey: map[flow.Key]*record{}, onDequeue: onDequeue, onExpire: onExpire}
 }
 
 func (f *flows) get(key flow.Key) *record { return f.byKey[key] }
 
+// describe returns the stage of the flow's record for logs, or that there is none.
+func (f *flows) describe(key flow.Key) string {
+	r, ok := f.byKey[key]
+	if !ok {
+		return "none"
+	}
+	return r.stage.String()
+}
+
 // ensure returns the flow's record and marks it as used; it creates one if there is none.
 func (f *flows) ensure(now time.Time, key flow.Key) *record {
 	r, ok := f.byKey[key]
@@ -200,6 +219,7 @@
 			limit = closedTTL
 		}
 		if now.Sub(r.usedAt) > limit {
+			f.onExpire(now, key, r)
 			f.remove(key, r)
 			continue
 		}
--- a/agent/packetfront/nodes.go
+++ b/agent/packetfront/nodes.go
@@ -100,6 +100,7 @@
 	c.nextExpire = now.Add(time.Second)
 	c.probeOverdue(now)
 	c.flows.expire(now, c.opts.FlowTTL)
+	c.events.FlowsRecorded(len(c.flows.byKey))
 	_, balancers := c.view.Expire(now)
 	for _, e := range balancers {
 		c.acks.remove(e.IP)
@@ -107,6 +108,14 @@
 	}
 }
 
+// reportExpired reports a record that was removed because of its age although the target may hold
+// the flow.
+func (c *Core) reportExpired(now time.Time, key flow.Key, r *record) {
+	if r.stage.mayBeHeld() {
+		c.events.FlowExpired(key, r.stage.String(), now.Sub(r.usedAt))
+	}
+}
+
 // join announces the target to the seeds while no balancer is known. It also does so while the
 // target is not in the registry: without an entry, balancers that start can learn of the target
 // only from other balancers.
--- a/agent/packetfront/observer.go
+++ b/agent/packetfront/observer.go
@@ -24,6 +24,8 @@
 	fieldTargetID = "target_id"
 	fieldState    = "state"
 	fieldCertain  = "certain"
+	fieldRecord   = "record"
+	fieldStage    = "stage"
 )
 
 // Maximum log lines per second of each kind. Further lines are only counted; the next line of
@@ -40,13 +42,16 @@
 	// reaches many agents at the same time.
 	deniedLinesPerSecond = 20
 	sentLinesPerSecond   = 20
+	// expiredLinesPerSecond has a budget of its own, because records that were created together
+	// expire together.
+	expiredLinesPerSecond = 20
 )
 
 // observer logs and counts the events of a Core. It is called with the front's lock held.
 type observer struct {
 	telemetry.RateLimitedLog
 
-	requests, admissions, reports, other, abandoned, denied, sent telemetry.RateLimit
+	requests, admissions, reports, other, abandoned, denied, sent, expired telemetry.RateLimit
 
 	delivered, requested, queued, postponed, abandonedInQueue, abandonedAtTarget, passedOn, bounced, resets prometheus.Counter
 	failed, ejections, probations, probed, deniedFlows, sentAfterRefusal                                    prometheus.Counter
@@ -55,6 +60,8 @@
 	withheld                                                                                                map[AbandonReason]prometheus.Counter
 	load                                                                                                    prometheus.Histogram
 	evacuatedZones                                                                                          *telemetry.ZoneGauges
+	expiredFlows                                                                                            *prometheus.CounterVec
+	flowRecords                                                                                             prometheus.Gauge
 	overloads                                                                                               prometheus.Counter
 	overloaded                                                                                              prometheus.Gauge
 }
@@ -70,6 +77,7 @@
 		abandoned:        telemetry.RateLimit{PerSecond: abandonedLinesPerSecond},
 		denied:           telemetry.RateLimit{PerSecond: deniedLinesPerSecond},
 		sent:             telemetry.RateLimit{PerSecond: sentLinesPerSecond},
+		expired:          telemetry.RateLimit{PerSecond: expiredLinesPerSecond},
 		delivered:        c.Counter("delivered_packets_total", "Packets handed to the target."),
 		requested:        c.Counter("requests_total", "Requests whose first packet was handed to the target."),
 		queued:           c.Counter("waiting_requests_total", "Requests that waited for a slot of the target."),
@@ -94,6 +102,8 @@
 			"Requests that the target works on or has queued when another one comes.", []float64{0, 1, 2, 4, 8, 16, 32, 64}),
 	}
 	o.overloaded = c.Gauge("overloaded", "1 while an overload of the target stands: it takes only what can meet its objective.")
+	o.flowRecords = c.Gauge("flow_records", "Records of flows at the agent.")
+	o.expiredFlows = c.CounterVector("expired_flows_total", "Records that were removed because of their age although the target may hold the flow, by stage.", fieldStage)
 	o.refusedReports = c.CounterVector("refused_reports_total", "Invalid reports, by the field at fault.", "field")
 	return o
 }
@@ -166,11 +176,20 @@
 }
 
 // FlowDenied implements Events.
-func (o *observer) FlowDenied(key flow.Key, certain bool, hops int, e TargetEvidence) {
+func (o *observer) FlowDenied(key flow.Key, record string, certain bool, hops int, e TargetEvidence) {
 	o.deniedFlows.Inc()
-	o.Write(&o.denied, "open flow denied", zap.Stringer(fieldFlow, key), zap.Bool(fieldCertain, certain), zap.Int(fieldHops, hops), zap.Inline(e))
+	o.Write(&o.denied, "open flow denied", zap.Stringer(fieldFlow, key), zap.String(fieldRecord, record), zap.Bool(fieldCertain, certain), zap.Int(fieldHops, hops), zap.Inline(e))
 }
 
+// FlowExpired implements Events.
+func (o *observer) FlowExpired(key flow.Key, stage string, idle time.Duration) {
+	o.expiredFlows.WithLabelValues(stage).Inc()
+	o.Write(&o.expired, "flow record expired", zap.Stringer(fieldFlow, key), zap.String(fieldStage, stage), zap.Duration("idle", idle))
+}
+
+// FlowsRecorded implements Events.
+func (o *observer) FlowsRecorded(records int) { o.flowRecords.Set(float64(records)) }
+
 // SentAfterRefusal implements Events.
 func (o *observer) SentAfterRefusal(key flow.Key, bounced bool, e TargetEvidence) {
 	o.sentAfterRefusal.Inc()
