A flow that pauses before its first request keeps its record at the agent

Cause: a record stays half-open until the target sends something after its SYN+ACK. A target does not answer the end of the handshake, so until the first request nothing moves the record, and a TTL meant for handshakes (5 s) removed it. The agent has seen its target start and takes a flow without a record for one that its target certainly does not hold; with that denial the balancer's proof is complete.

The TTL of handshakes now applies to offered SYNs only, which the target has not answered: if it answers later, its SYN+ACK passes the agent and creates the record anew. A half-open record is kept as long as an open one, FlowTTL. So no timer removes a record while the target may hold the flow, whether or not the end of the handshake was seen. A target bounces SYNs beyond its connections, so half-open records are bounded by these.

New tests, red before: TestFlowThatPausesBeforeItsFirstRequestIsServed (no request delivered after 7 s), TestRecordOutlivesTheFlowAtItsTarget (half-open), TestFlowThatPausesIsServedAcrossChanges (record gone after 8 s). TestSlotOfAnExpiredRequestIsReusedAtOnce relied on the removal of half-open records after 5 s; a request without an answer expires after busyTTL like all others, and the test waits for that: it checks the same, that one tick expires and dispatches.

--- a/agent/packetfront/admission_test.go
+++ b/agent/packetfront/admission_test.go
@@ -423,7 +423,7 @@
 	patient.Deadline = time.Minute
 	f.openFlow(100, patient, 0)
 	f.sendRequest(100)
-	f.advance(openingTTL + time.Second)
+	f.advance(busyTTL + time.Second)
 	require.Zero(t, f.queue.Len())
 	require.Equal(t, 1, countOf(f.deliveredRequests(), 100))
 }
--- a/agent/packetfront/core_test.go
+++ b/agent/packetfront/core_test.go
@@ -249,8 +249,8 @@
 }
 
 // TestRetransmittedSYNKeepsAnOpenFlowOpen: the target answers a late retransmission of the
-// SYN again, which must not set an open flow back to half open, or its record would
-// expire early.
+// SYN again, which must not set an open flow back to half open: its client would not be told of
+// the target's end.
 func TestRetransmittedSYNKeepsAnOpenFlowOpen(t *testing.T) {
 	f := newFixture()
 	f.syn(1, 0, 0)
@@ -258,7 +258,7 @@
 	f.targetSends(1, flow.ACK, 500, 100)
 	f.syn(1, 1, 0)
 	f.targetSends(1, flow.SYN|flow.ACK, 500, 0)
-	f.advance(openingTTL + time.Second)
+	f.advance(offeredTTL + time.Second)
 	f.receiveHeartbeat(false)
 	f.advance(time.Second)
 	require.NotNil(t, f.flows.get(keyOf(1)))
--- a/agent/packetfront/flows.go
+++ b/agent/packetfront/flows.go
@@ -33,10 +33,13 @@
 // mayBeHeld reports whether the target may hold a flow in this stage.
 func (s stage) mayBeHeld() bool { return s != closed && s != dead }
 
-// How long a record is kept in each stage, and the limit of the table.
+// How long a record is kept in the stages in which the target does not hold the flow, and the limit
+// of the table. In all other stages the target may hold the flow until it has been idle for
+// Options.FlowTTL.
 const (
-	// openingTTL is longer than a client tries to open a flow (1.4 s).
-	openingTTL = 5 * time.Second
+	// offeredTTL is longer than a client tries to open a flow (1.4 s). A target that answers the
+	// SYN later gets a new record.
+	offeredTTL = 5 * time.Second
 	// closedTTL covers the last retransmissions of both ends.
 	closedTTL = 5 * time.Second
 	// busyTTL is how long a request without an answer counts as load: longer than the
@@ -213,8 +216,8 @@
 		}
 		limit := ttl
 		switch r.stage {
-		case offered, halfOpen:
-			limit = openingTTL
+		case offered:
+			limit = offeredTTL
 		case closed:
 			limit = closedTTL
 		}
--- /dev/null
+++ b/agent/packetfront/pause_test.go
@@ -0,0 +1,98 @@
+package packetfront
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/poppywall/poppywall/flow"
+	"github.com/poppywall/poppywall/flow/envelope"
+)
+
+// acknowledgeHandshake delivers the packet with which a client ends the handshake of a flow that
+// openFlow opened.
+func (f *fixture) acknowledgeHandshake(client int) {
+	f.deliver(envelope.Envelope{}, packet(keyOf(client), flow.ACK, 500, ""))
+}
+
+// advanceInTicks lets time pass with a tick every second.
+func (f *fixture) advanceInTicks(d time.Duration) {
+	for ; d > time.Second; d -= time.Second {
+		f.advance(time.Second)
+	}
+	f.advance(d)
+}
+
+// TestFlowThatPausesBeforeItsFirstRequestIsServed guards against a record that expires before the
+// flow's idle time has passed: the agent would deny a flow that its target holds, and its client
+// would be reset.
+func TestFlowThatPausesBeforeItsFirstRequestIsServed(t *testing.T) {
+	for name, handshake := range map[string]func(f *fixture){
+		"the client has acknowledged the handshake": func(f *fixture) { f.acknowledgeHandshake(1) },
+		// The target holds the flow half open, and the request ends the handshake.
+		"its acknowledgement was lost": func(*fixture) {},
+	} {
+		for _, pause := range []time.Duration{4 * time.Second, 7 * time.Second, 15 * time.Second, 59 * time.Second} {
+			f := newFixture()
+			f.openFlow(1, routeEnvelope(2), 0)
+			handshake(f)
+			f.advanceInTicks(pause)
+			f.sendRequest(1)
+			require.Equal(t, []int{1}, f.deliveredRequests(), "%s, after %v", name, pause)
+			f.sendAnswer(1)
+			f.advanceInTicks(pause)
+			f.sendRequest(1)
+			require.Len(t, f.deliveredRequests(), 2, "%s, between two requests, after %v", name, pause)
+		}
+	}
+}
+
+// TestRecordOutlivesTheFlowAtItsTarget guards against a timer that removes a record while the
+// target may hold the flow, in whichever stage.
+func TestRecordOutlivesTheFlowAtItsTarget(t *testing.T) {
+	stages := map[stage]func(f *fixture){
+		halfOpen: func(*fixture) {},
+		open:     func(f *fixture) { f.targetSends(1, flow.ACK, 501, 0) },
+	}
+	for s, reach := range stages {
+		f := newFixture()
+		f.openFlow(1, routeEnvelope(2), 0)
+		reach(f)
+		require.Equal(t, s, f.flows.get(keyOf(1)).stage)
+		f.advanceInTicks(f.opts.FlowTTL - time.Second)
+		require.NotNil(t, f.flows.get(keyOf(1)), s)
+		f.advanceInTicks(3 * time.Second)
+		require.Nil(t, f.flows.get(keyOf(1)), "%s: the table does not grow without bound", s)
+	}
+}
+
+// TestFlowThatPausesIsServedAcrossChanges guards against conclusions from an absent record: during
+// the pause the agent restarts, its target drains, or other flows fill the table.
+func TestFlowThatPausesIsServedAcrossChanges(t *testing.T) {
+	for name, change := range map[string]func(f *fixture){
+		"the agent restarts":                 func(f *fixture) { f.restartAgent() },
+		"it restarts and has not probed yet": func(f *fixture) { f.Core = New(f.now, f.opts, f.port, f.codec, f.events) },
+		"the target drains":                  func(f *fixture) { f.receiveHeartbeat(true) },
+		"the table overflows": func(f *fixture) {
+			for i := range maxFlows + 1 {
+				f.flows.ensure(f.now, keyOf(100+i))
+			}
+		},
+		"a probe goes unanswered": func(f *fixture) { f.TargetProbed(f.now, ProbeUnanswered) },
+		"the zone is evacuated": func(f *fixture) {
+			f.opts.Zone = flow.TagOf(localZone)
+			f.receiveEvacuations(balancerIP, 1, evacuations(9, localZone))
+		},
+	} {
+		f := newFixture()
+		f.openFlow(1, routeEnvelope(2), 0)
+		f.acknowledgeHandshake(1)
+		f.advanceInTicks(4 * time.Second)
+		change(f)
+		f.advanceInTicks(4 * time.Second)
+		f.port.target = nil
+		f.sendRequest(1)
+		require.Equal(t, []int{1}, f.deliveredRequests(), name)
+	}
+}
