An agent counts a flow as open once its client has acknowledged the handshake

Callers saw: the target of an open flow that had not carried a request yet ended, and the client learned of it only from the reset of its first request, seconds later.

New stage acknowledged: the client has acknowledged this target's SYN+ACK, so no other target holds the flow. It is reset with the open ones when the target ends and counts as open. Until the target has sent something it may still have discarded the half-open flow, so packets are delivered with their candidates and a bounce is passed on, as before. A client's RST does not acknowledge a handshake.

Test, red before: TestFlowThatPausesIsResetWhenItsTargetEnds (no reset). TestBouncedAcknowledgementIsPassedOn holds before and after. The random test of an agent's load counts acknowledged records as open, as the agent now does.

--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -306,7 +306,7 @@
 
 // deliverPacket delivers a packet of a flow that the target holds.
 func (c *Core) deliverPacket(now time.Time, key flow.Key, r *record, packet []byte) {
-	if r.stage == halfOpen {
+	if r.stage.awaitsTarget() {
 		c.deliverRecorded(now, key, packet)
 		return
 	}
@@ -316,13 +316,17 @@
 	c.port.ToTarget(packet)
 }
 
-// recordClientPacket updates the flow's record from a packet of the client.
+// recordClientPacket updates the flow's record from a packet of the client that acknowledges what
+// the target sent.
 func (c *Core) recordClientPacket(now time.Time, r *record, h *flow.Header) {
 	if h.Len > 0 && r.queued == nil && !r.withheld && now.Sub(r.usedAt) > firstRequestWindow {
 		r.request.began = time.Time{}
 	}
 	r.usedAt = now
 	r.clientAck = h.Ack
+	if r.stage == halfOpen && !h.Flags.Has(flow.RST) {
+		c.flows.setStage(r, acknowledged)
+	}
 	if h.Flags.Has(flow.FIN) {
 		r.clientFin = true
 	}
--- a/agent/packetfront/flows.go
+++ b/agent/packetfront/flows.go
@@ -17,6 +17,9 @@
 	offered stage = iota
 	// halfOpen: the target answered the SYN; the client may have chosen another.
 	halfOpen
+	// acknowledged: the client has acknowledged the target's SYN+ACK, so that no other target holds
+	// the flow; the target has sent nothing since.
+	acknowledged
 	// open: the target has sent something after its handshake.
 	open
 	// closed: both ends have sent a FIN, or the target reset the flow.
@@ -27,12 +30,19 @@
 
 // String returns the name of the stage for logs.
 func (s stage) String() string {
-	return [...]string{"offered", "half-open", "open", "closed", "dead"}[s]
+	return [...]string{"offered", "half-open", "acknowledged", "open", "closed", "dead"}[s]
 }
 
+// awaitsTarget reports whether the target has answered the SYN and has sent nothing since, so that
+// it may have discarded the flow.
+func (s stage) awaitsTarget() bool { return s == halfOpen || s == acknowledged }
+
 // mayBeHeld reports whether the target may hold a flow in this stage.
 func (s stage) mayBeHeld() bool { return s != closed && s != dead }
 
+// isOpen reports whether a flow in this stage is open at the target.
+func (s stage) isOpen() bool { return s == acknowledged || s == open }
+
 // How long a record is kept in the stages in which the target does not hold the flow, and the limit
 // of the table. In all other stages the target may hold the flow until it has been idle for
 // Options.FlowTTL.
@@ -121,7 +131,7 @@
 	// onExpire is called when a record is removed because of its age.
 	onExpire func(now time.Time, key flow.Key, r *record)
 	// busy counts the flows that wait for an answer or soon will, announced as Outstanding;
-	// running counts those whose request was delivered to the target, open those in stage open.
+	// running counts those whose request was delivered to the target, open those that are open at it.
 	busy, running, open int
 }
 
@@ -167,10 +177,10 @@
 
 // setStage sets a record's stage and updates the count of open flows.
 func (f *flows) setStage(r *record, s stage) {
-	if r.stage == open {
+	if r.stage.isOpen() {
 		f.open--
 	}
-	if s == open {
+	if s.isOpen() {
 		f.open++
 	}
 	r.stage = s
@@ -240,7 +250,7 @@
 	for _, key := range keys {
 		r := f.byKey[key]
 		f.stopCounting(r)
-		if r.stage == open {
+		if r.stage.isOpen() {
 			onOpen(key, r)
 		}
 		f.setStage(r, dead)
--- a/agent/packetfront/fromtarget.go
+++ b/agent/packetfront/fromtarget.go
@@ -93,7 +93,7 @@
 // recordSYNACK records a SYN+ACK and notifies the balancer if its SYN was passed on. The
 // answer to a late retransmission of the SYN does not reset the stage of an open flow.
 func (c *Core) recordSYNACK(now time.Time, key flow.Key, r *record, h *flow.Header) {
-	if (r.stage == halfOpen || r.stage == open) && flow.WithinSequenceWindow(h.Seq, r.targetSeq) {
+	if (r.stage == halfOpen || r.stage.isOpen()) && flow.WithinSequenceWindow(h.Seq, r.targetSeq) {
 		return
 	}
 	if r.stage != offered {
@@ -148,7 +148,7 @@
 		return
 	}
 	// A target may bounce a retransmission of a SYN whose flow it holds half open.
-	if r != nil && (r.stage == offered || (r.stage == halfOpen && !h.IsOpening())) {
+	if r != nil && (r.stage == offered || (r.stage.awaitsTarget() && !h.IsOpening())) {
 		c.flows.remove(key, r)
 	}
 	c.env = *env
--- a/agent/packetfront/load_test.go
+++ b/agent/packetfront/load_test.go
@@ -201,7 +201,7 @@
 			queued++
 			require.False(t, r.busySince.IsZero(), "a queued request counts as load")
 		}
-		if r.stage == open {
+		if r.stage == acknowledged || r.stage == open {
 			opened++
 		}
 	}
--- a/agent/packetfront/pause_test.go
+++ b/agent/packetfront/pause_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/poppywall/poppywall/fleet"
 	"github.com/poppywall/poppywall/flow"
 	"github.com/poppywall/poppywall/flow/envelope"
 )
@@ -52,8 +53,9 @@
 // target may hold the flow, in whichever stage.
 func TestRecordOutlivesTheFlowAtItsTarget(t *testing.T) {
 	stages := map[stage]func(f *fixture){
-		halfOpen: func(*fixture) {},
-		open:     func(f *fixture) { f.targetSends(1, flow.ACK, 501, 0) },
+		halfOpen:     func(*fixture) {},
+		acknowledged: func(f *fixture) { f.acknowledgeHandshake(1) },
+		open:         func(f *fixture) { f.targetSends(1, flow.ACK, 501, 0) },
 	}
 	for s, reach := range stages {
 		f := newFixture()
@@ -67,6 +69,19 @@
 	}
 }
 
+// TestFlowThatPausesIsResetWhenItsTargetEnds guards against a client that learns only from its
+// first request, seconds later, that the target of its open flow has ended.
+func TestFlowThatPausesIsResetWhenItsTargetEnds(t *testing.T) {
+	f := newFixture()
+	f.openFlow(1, routeEnvelope(2), 0)
+	f.acknowledgeHandshake(1)
+	f.openFlow(2, routeEnvelope(2), 0)
+	f.advanceInTicks(7 * time.Second)
+	f.receiveHeartbeat(false)
+	f.TargetProbed(f.now, ProbeRefused)
+	require.Equal(t, []flow.Key{keyOf(1)}, f.port.Resets, "the client of the other flow may have chosen another target")
+}
+
 // TestFlowThatPausesIsServedAcrossChanges guards against conclusions from an absent record: during
 // the pause the agent restarts, its target drains, or other flows fill the table.
 func TestFlowThatPausesIsServedAcrossChanges(t *testing.T) {
@@ -96,3 +111,18 @@
 		require.Equal(t, []int{1}, f.deliveredRequests(), name)
 	}
 }
+
+// TestBouncedAcknowledgementIsPassedOn: a target that does not hold the flow half open any more
+// bounces the end of the handshake; its agent must not take the flow for one that was open there.
+func TestBouncedAcknowledgementIsPassedOn(t *testing.T) {
+	f := newFixture()
+	f.openFlow(1, routeEnvelope(2), 0)
+	e := envelope.Envelope{Service: service}
+	e.SetCandidates([]flow.Candidate{{Target: nextIP, Service: service}})
+	f.deliver(e, packet(keyOf(1), flow.ACK, 500, ""))
+	f.bounce()
+	require.Equal(t, nextIP, f.port.Last().To)
+	require.Empty(t, f.port.Resets)
+	require.Nil(t, f.flows.get(keyOf(1)))
+	require.Equal(t, fleet.Ready, f.target.state())
+}
