The deadline of a request counts from its own packet however its client paused

Callers saw: on a flow that was opened ahead of its first request, the request got no answer at all: its agent withheld it, as if its caller had gone.

Cause: the agent takes the first data for the request that the flow was opened for, whose age counts from the SYN, unless it comes 0.7 s after the last packet of the flow. A repeated acknowledgement of the client or a repeated SYN+ACK of the target during the pause counts as such a packet, so a request sent seconds later was taken for one as old as the handshake, past its deadline, and withheld until its client gave up.

The time now counts from the target's SYN+ACK, which only a later flow between the same ports moves. In a handshake without such packets nothing changes.

Test, red before: TestRequestAfterAPauseIsNotWithheld (no request delivered).

--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -319,7 +319,7 @@
 // recordClientPacket updates the flow's record from a packet of the client that acknowledges what
 // the target sent.
 func (c *Core) recordClientPacket(now time.Time, r *record, h *flow.Header) {
-	if h.Len > 0 && r.queued == nil && !r.withheld && now.Sub(r.usedAt) > firstRequestWindow {
+	if h.Len > 0 && r.queued == nil && !r.withheld && now.Sub(r.acceptedAt) > firstRequestWindow {
 		r.request.began = time.Time{}
 	}
 	r.usedAt = now
--- a/agent/packetfront/flows.go
+++ b/agent/packetfront/flows.go
@@ -68,6 +68,8 @@
 	// clientAck is the client's last acknowledgement, for a reset.
 	clientAck uint32
 	usedAt    time.Time
+	// acceptedAt is when the target sent its SYN+ACK, zero if this process has not seen it.
+	acceptedAt time.Time
 	// busySince is when the client sent the unanswered request, or when its flow was admitted;
 	// zero if the target owes no answer.
 	busySince time.Time
--- a/agent/packetfront/fromtarget.go
+++ b/agent/packetfront/fromtarget.go
@@ -101,7 +101,7 @@
 		c.flows.stopCounting(r)
 	}
 	c.flows.setStage(r, halfOpen)
-	r.targetSeq, r.clientFin, r.targetFin = h.Seq, false, false
+	r.targetSeq, r.clientFin, r.targetFin, r.acceptedAt = h.Seq, false, false, now
 	r.abandonedFor, r.withheld = "", false
 	c.notifyBalancer(key, r)
 }
--- a/agent/packetfront/pause_test.go
+++ b/agent/packetfront/pause_test.go
@@ -126,3 +126,24 @@
 	require.Nil(t, f.flows.get(keyOf(1)))
 	require.Equal(t, fleet.Ready, f.target.state())
 }
+
+// TestRequestAfterAPauseIsNotWithheld guards against a deadline that counts from the handshake for a
+// request that its client sent later: packets without data during the pause are not the request.
+func TestRequestAfterAPauseIsNotWithheld(t *testing.T) {
+	for name, during := range map[string]func(f *fixture){
+		"the client repeats its acknowledgement": func(f *fixture) { f.acknowledgeHandshake(1) },
+		"the target repeats its SYN+ACK":         func(f *fixture) { f.targetSends(1, flow.SYN|flow.ACK, 500, 0) },
+		"the target sends without data":          func(f *fixture) { f.targetSends(1, flow.ACK, 501, 0) },
+	} {
+		f := newFixture()
+		f.openFlow(1, routeEnvelope(2), 0)
+		f.acknowledgeHandshake(1)
+		for range 14 {
+			f.advance(500 * time.Millisecond)
+			during(f)
+		}
+		f.sendRequest(1)
+		require.Equal(t, []int{1}, f.deliveredRequests(), name)
+		require.Zero(t, f.counts.withheld, name)
+	}
+}
