Stateful tests with clients that pause, and targets whose start their agents saw

TestFlowsKeepTheirTargets missed the incident twice over: a client sent its first request with the end of its handshake and the next within seconds, and the targets of a world start together with their agents, which then take no absent record for a denial. Pauses have a random source of their own, so that the other choices of a seed stay what they were.

--- a/e2e/packets/client_test.go
+++ b/e2e/packets/client_test.go
@@ -24,6 +24,8 @@
 	requested, answered, retries int
 	// stuckSince is when the current request was first sent.
 	stuckSince time.Time
+	// pausedUntil is when the client sends its next request at the earliest.
+	pausedUntil time.Time
 }
 
 // clientState is the state of a flow at its client. stateAbandoned means that the client gave
@@ -117,12 +119,17 @@
 		if c.state == stateOpening {
 			c.state, c.targetSeq = stateEstablished, h.Seq
 			c.target = c.w.targetOfFlow(c.key, h.Seq)
+			if c.pause() {
+				c.acknowledge()
+				return
+			}
 			c.request()
 		}
 	case c.state == stateEstablished && h.Len > 0 && int(h.Ack) == c.requested:
 		if c.answered < c.requested {
 			c.answered = c.requested
 			c.retries = 0
+			c.pause()
 		}
 	}
 }
@@ -160,9 +167,23 @@
 	}
 }
 
-// request sends the next request and retransmits it until it is answered.
+// pause lets every second client pause before its next request, for up to the world's longest
+// pause, and reports whether it does.
+func (c *client) pause() bool {
+	w := c.w
+	if w.maxPause == 0 || w.pauses.IntN(2) == 0 {
+		return false
+	}
+	c.pausedUntil = w.Now.Add(time.Duration(w.pauses.Int64N(int64(w.maxPause))))
+	return true
+}
+
+// acknowledge sends the end of the handshake without a request.
+func (c *client) acknowledge() { c.send(flow.ACK, 0, c.lastAck(), nil) }
+
+// request sends the next request, unless the client pauses, and retransmits it until it is answered.
 func (c *client) request() {
-	if c.state != stateEstablished || c.requested != c.answered {
+	if c.state != stateEstablished || c.requested != c.answered || c.w.Now.Before(c.pausedUntil) {
 		return
 	}
 	c.requested++
--- a/e2e/packets/mesh_test.go
+++ b/e2e/packets/mesh_test.go
@@ -341,6 +341,6 @@
 			w.AddBalancer(rapid.SampledFrom([]string{"z1", "z2", "z3"}).Draw(t, "zone"))
 		}
 		w.Run(3 * time.Second)
-		checkFlowsKeepTargets(t, w)
+		checkFlowsKeepTargets(t, w, 400*time.Millisecond)
 	})
 }
--- a/e2e/packets/packets_test.go
+++ b/e2e/packets/packets_test.go
@@ -134,7 +134,19 @@
 		w := newWorld(rapid.Uint64().Draw(t, "seed"))
 		addSmallFleet(w)
 		w.Run(3 * time.Second)
-		checkFlowsKeepTargets(t, w)
+		checkFlowsKeepTargets(t, w, 400*time.Millisecond)
+	})
+}
+
+// TestPausingFlowsKeepTheirTargets is TestFlowsKeepTheirTargets with clients that pause before their
+// first request and between requests, up to the idle timeout: no timer may end a flow earlier.
+func TestPausingFlowsKeepTheirTargets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(t, "seed"))
+		w.maxPause = w.Config.IdleTimeout
+		addSmallFleet(w)
+		startTargetsAnew(w)
+		checkFlowsKeepTargets(t, w, 2*time.Second)
 	})
 }
 
@@ -148,7 +160,7 @@
 			addSmallFleet(w)
 		}
 		w.Run(3 * time.Second)
-		checkFlowsKeepTargets(t, w)
+		checkFlowsKeepTargets(t, w, 400*time.Millisecond)
 		for _, reads := range w.SnapshotRequests {
 			sharedReads += reads
 		}
@@ -157,8 +169,9 @@
 }
 
 // checkFlowsKeepTargets applies random faults and actions to a settled deployment, ends the
-// faults and checks that open flows are served and evacuations are known everywhere.
-func checkFlowsKeepTargets(t *rapid.T, w *world) {
+// faults and checks that open flows are served and evacuations are known everywhere. maxStep is the
+// longest time between two actions.
+func checkFlowsKeepTargets(t *rapid.T, w *world, maxStep time.Duration) {
 	w.Loss = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "loss")
 	w.Duplication = rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "double")
 	w.MaxExtraDelay = rapid.SampledFrom([]time.Duration{time.Millisecond, 250 * time.Millisecond}).Draw(t, "late")
@@ -168,7 +181,7 @@
 	w.reuseTargetIDs, w.reportStartTime = rapid.Bool().Draw(t, "keep IDs"), rapid.Bool().Draw(t, "say born")
 	for range rapid.IntRange(5, 40).Draw(t, "steps") {
 		randomAction(t, w)
-		w.Run(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
+		w.Run(time.Duration(rapid.IntRange(1, int(maxStep.Milliseconds())).Draw(t, "ms")) * time.Millisecond)
 	}
 	w.Loss, w.Duplication, w.MaxExtraDelay = 0, 0, time.Millisecond
 	w.Run(max(5*time.Second, w.disturbedUntil.Add(maxEvacuationTime).Sub(w.Now)))
@@ -311,12 +324,13 @@
 	return out
 }
 
-// checkOpenFlowsAnswered sends a request on every idle open flow whose target runs and checks
-// that it is answered within 3 s.
+// checkOpenFlowsAnswered sends a request on every idle open flow whose target runs, also of clients
+// that pause, and checks that it is answered within 3 s.
 func checkOpenFlowsAnswered(t require.TestingT, w *world) {
 	var clients []*client
 	for _, c := range w.clients {
 		if c.state == stateEstablished && w.isRunning(c.target) && c.requested == c.answered {
+			c.pausedUntil = time.Time{}
 			c.request()
 			clients = append(clients, c)
 		}
--- a/e2e/packets/world_test.go
+++ b/e2e/packets/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/poppywall/poppywall/fleet"
@@ -36,6 +37,10 @@
 	// end of the last fault that may keep nodes from learning of an evacuation.
 	evacuatedAt    map[string]time.Time
 	disturbedUntil time.Time
+	// maxPause is the longest pause of a client before a request, zero if none pauses; pauses draws
+	// them, so that the other random choices of a seed are those of a world without pauses.
+	maxPause time.Duration
+	pauses   *rand.Rand
 	// sentTimes holds the times at which agents sent their announcements.
 	sentTimes map[messageKey]time.Time
 }
@@ -47,7 +52,7 @@
 }
 
 func newWorld(seed uint64) *world {
-	w := &world{World: sim.NewWorld(seed), agents: map[flow.IPv4]*agentNode{}, evacuatedAt: map[string]time.Time{}, sentTimes: map[messageKey]time.Time{}}
+	w := &world{World: sim.NewWorld(seed), agents: map[flow.IPv4]*agentNode{}, evacuatedAt: map[string]time.Time{}, sentTimes: map[messageKey]time.Time{}, pauses: rand.New(rand.NewPCG(seed, 1))}
 	w.OnSend = w.recordAnnouncement
 	w.Client = w.deliverToClient
 	w.Config = &flow.Config{Version: 1, IdleTimeout: 15 * time.Second, Routes: map[flow.Front]*flow.Route{
