Soak and test doubles: clients acknowledge the handshake and pause

The soak missed the incident: its clients sent the first request instead of the end of the handshake and each further one within milliseconds, a flow counted as open at a target double only from its first request on, and its targets were usually listening when their agents first probed them, so that these took no absent record for a denial.

Clients of the packet front now send the end of the handshake by itself; some flows pause before the first request and between requests, up to the idle timeout. Every second target starts 0.5 s after its agent. Callers of the QUIC front open some connections ahead of their first move and pause between moves; load.Caller.Connect opens a connection ahead.

--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -83,6 +83,16 @@
 	})
 }
 
+// TestConnectionThatPausesBeforeItsFirstRequestIsServed guards the QUIC front against a handshake
+// timeout that ends a connection without requests.
+func TestConnectionThatPausesBeforeItsFirstRequestIsServed(t *testing.T) {
+	s := startSite(t, 2, 2)
+	c := s.caller()
+	require.NoError(t, c.Connect(t.Context()))
+	time.Sleep(7 * time.Second)
+	require.Equal(t, "e2e4", s.do(c, http.MethodPost, "/move", "e2e4"))
+}
+
 // TestAgentStopsGracefully: on SIGTERM an agent takes no new work and exits only after its
 // open work has ended.
 func TestAgentStopsGracefully(t *testing.T) {
--- a/load/caller.go
+++ b/load/caller.go
@@ -20,7 +20,10 @@
 	transport *http3.Transport
 	udp       *net.UDPConn
 	quic      *quic.Transport
+	service   net.Addr
 	authority string
+	// ahead is the connection that Connect opened and no request has used yet.
+	ahead *quic.Conn
 }
 
 const (
@@ -41,7 +44,7 @@
 		_ = udp.Close()
 		return nil, err
 	}
-	c := &Caller{udp: udp, quic: &quic.Transport{Conn: udp}, authority: authority}
+	c := &Caller{udp: udp, quic: &quic.Transport{Conn: udp}, service: service, authority: authority}
 	c.transport = &http3.Transport{
 		TLSClientConfig: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS13},
 		QUICConfig: &quic.Config{
@@ -50,12 +53,29 @@
 			HandshakeIdleTimeout: callerHandshakeTimeout,
 		},
 		Dial: func(ctx context.Context, _ string, tlsConf *tls.Config, conf *quic.Config) (*quic.Conn, error) {
+			if conn := c.ahead; conn != nil {
+				c.ahead = nil
+				return conn, nil
+			}
 			return c.quic.DialEarly(ctx, service, tlsConf, conf)
 		},
 	}
 	return c, nil
 }
 
+// Connect opens the connection ahead of the first request and returns once its handshake is
+// complete. It must be called before Do.
+func (c *Caller) Connect(ctx context.Context) error {
+	tlsConf := http3.ConfigureTLSConfig(c.transport.TLSClientConfig)
+	tlsConf.ServerName = c.authority
+	conn, err := c.quic.Dial(ctx, c.service, tlsConf, c.transport.QUICConfig)
+	if err != nil {
+		return err
+	}
+	c.ahead = conn
+	return nil
+}
+
 // Do sends one request for the path and returns the response.
 func (c *Caller) Do(ctx context.Context, method, path string, body io.Reader, header http.Header) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "https://"+c.authority+path, body)
--- a/soak/quiccaller.go
+++ b/soak/quiccaller.go
@@ -55,7 +55,7 @@
 		select {
 		case <-done:
 			return
-		case <-time.After(time.Duration(c.rnd.IntN(60)) * time.Millisecond):
+		case <-time.After(c.nextPause(c.connectAhead())):
 		}
 		// Simulates that a caller leaves and another one connects.
 		if c.rnd.IntN(meanMovesPerConnection) == 0 {
@@ -67,6 +67,24 @@
 	}
 }
 
+// Some pauses between two moves are as long as maxPause: a connection stays open for as long as its
+// ends keep it alive.
+const (
+	maxPause          = 15 * time.Second
+	meanMovesPerPause = 100
+	// connectionsPerAhead is the mean number of connections for each one that is opened ahead of
+	// its first move.
+	connectionsPerAhead = 16
+)
+
+// nextPause returns the pause before the next move; ahead is set if its connection was opened ahead.
+func (c *caller) nextPause(ahead bool) time.Duration {
+	if ahead || (c.conn != nil && c.rnd.IntN(meanMovesPerPause) == 0) {
+		return time.Duration(c.rnd.Int64N(int64(maxPause)))
+	}
+	return time.Duration(c.rnd.IntN(60)) * time.Millisecond
+}
+
 // meanMovesPerConnection is the mean number of moves on a connection that does not
 // fail.
 const meanMovesPerConnection = 40
@@ -91,6 +109,22 @@
 	return nil
 }
 
+// connectAhead opens some connections ahead of their first move and reports whether it did. One that
+// fails is opened again by the move.
+func (c *caller) connectAhead() bool {
+	if c.conn != nil || c.rnd.IntN(connectionsPerAhead) > 0 || c.connect() != nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	defer cancel()
+	if err := c.conn.Connect(ctx); err != nil {
+		c.rec.increment(&c.rec.report.Unanswered)
+		c.disconnect()
+		return false
+	}
+	return true
+}
+
 // move sends a move and checks its answer. It reports whether the connection is still
 // usable.
 func (c *caller) move(timeout time.Duration) bool {
--- a/soak/site.go
+++ b/soak/site.go
@@ -107,8 +107,18 @@
 		if err := n.startWithSettings(cfg, "poppywall-agent", fmt.Sprintf("agent-%d", i), s.agentSettings(n), frontPackets); err != nil {
 			return nil, err
 		}
-		if err := s.startTarget(n); err != nil {
-			return nil, err
+		if i%2 == 0 {
+			if err := s.startTarget(n); err != nil {
+				return nil, err
+			}
+		}
+	}
+	time.Sleep(lateTargetDelay)
+	for i, n := range s.agents {
+		if i%2 == 1 {
+			if err := s.startTarget(n); err != nil {
+				return nil, err
+			}
 		}
 	}
 	var members []platformtest.Balancer
@@ -172,6 +182,10 @@
 // same ID if they serve the same service.
 const incarnationsPerID = 3
 
+// lateTargetDelay is how long after the agents every second target starts. Its agent has then seen
+// it start; the others usually find theirs running.
+const lateTargetDelay = 500 * time.Millisecond
+
 // startTarget starts a new target beside an agent.
 func (s *site) startTarget(n *packetAgent) error {
 	n.mu.Lock()
@@ -218,11 +232,14 @@
 // idleRouteFront returns the address of a route without traffic.
 func idleRouteFront(i int) flow.Front { return flow.Front{IP: 0xc6140000 + flow.IPv4(i), Port: 443} }
 
+// flowIdleTimeout is the idle timeout of the configuration, up to which clients pause.
+const flowIdleTimeout = 15 * time.Second
+
 // putConfig writes the next version of the configuration: the routes of the services,
 // one route of this version and the routes without traffic.
 func (s *site) putConfig() error {
 	s.version++
-	c := &flow.Config{Version: s.version, IdleTimeout: 15 * time.Second, Routes: map[flow.Front]*flow.Route{
+	c := &flow.Config{Version: s.version, IdleTimeout: flowIdleTimeout, Routes: map[flow.Front]*flow.Route{
 		versionFront(s.version): {Name: "extra", Services: []flow.WeightedService{{Name: services[0]}}},
 	}}
 	for i, service := range services {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -151,10 +152,16 @@
 	service  int
 	rnd      *rand.Rand
 	machine  *platformtest.Client
-	flows    []*platformtest.Flow
+	flows    []*openFlow
 	requests int
 }
 
+// openFlow is a flow of a client, which sends its next request after pausedUntil.
+type openFlow struct {
+	*platformtest.Flow
+	pausedUntil time.Time
+}
+
 func newClients(s *site, rec *recorder) ([]*client, error) {
 	var out []*client
 	for i := range s.cfg.Clients {
@@ -171,8 +178,14 @@
 	return out, nil
 }
 
-// flowsPerClient is the number of flows that a client keeps open.
-const flowsPerClient = 4
+// A client keeps activeFlows flows in use, besides at most maxPausedFlows that pause.
+const (
+	activeFlows    = 4
+	maxPausedFlows = 4
+)
+
+// meanRequestsPerPause is the mean number of requests of a flow before each of its pauses.
+const meanRequestsPerPause = 4
 
 // run opens flows and sends requests on them until done is closed.
 func (c *client) run(done chan struct{}) {
@@ -182,26 +195,44 @@
 			return
 		case <-time.After(time.Duration(c.rnd.IntN(60)) * time.Millisecond):
 		}
-		if len(c.flows) < flowsPerClient {
+		active := c.activeFlows()
+		if len(active) < activeFlows {
 			c.openFlow()
 			continue
 		}
-		i := c.rnd.IntN(len(c.flows))
-		if !c.request(c.flows[i], requestTimeout) {
-			c.flows = append(c.flows[:i], c.flows[i+1:]...)
+		f := active[c.rnd.IntN(len(active))]
+		if !c.request(f.Flow, requestTimeout) {
+			c.flows = slices.DeleteFunc(c.flows, func(o *openFlow) bool { return o == f })
+			continue
 		}
+		c.pause(f)
 	}
 }
 
+// activeFlows returns the flows that do not pause.
+func (c *client) activeFlows() []*openFlow {
+	now := time.Now()
+	return slices.DeleteFunc(slices.Clone(c.flows), func(f *openFlow) bool { return now.Before(f.pausedUntil) })
+}
+
+// pause lets some flows pause before their next request, for up to the idle timeout.
+func (c *client) pause(f *openFlow) {
+	paused := len(c.flows) - len(c.activeFlows())
+	if paused < maxPausedFlows && c.rnd.IntN(meanRequestsPerPause) == 0 {
+		f.pausedUntil = time.Now().Add(time.Duration(c.rnd.Int64N(int64(flowIdleTimeout))))
+	}
+}
+
+// openFlow opens a flow, which may pause before its first request.
 func (c *client) openFlow() {
 	f, err := c.machine.Open(frontOf(c.service))
 	if err != nil {
 		c.rec.increment(&c.rec.report.Unanswered)
 		return
 	}
-	if c.request(f, requestTimeout) {
-		c.flows = append(c.flows, f)
-	}
+	opened := &openFlow{Flow: f}
+	c.flows = append(c.flows, opened)
+	c.pause(opened)
 }
 
 // request sends a request and checks its answer. It reports whether the flow is still
@@ -238,12 +269,12 @@
 	return nil
 }
 
-// checkOpenFlows sends a request on every open flow. After the faults each flow whose
+// checkOpenFlows sends a request on every open flow, also on those that pause. After the faults each flow whose
 // target still runs has to be served.
 func (c *client) checkOpenFlows() {
 	for _, f := range c.flows {
 		target := c.site.targetOfFlow(f.Key)
-		if !c.request(f, settledTimeout) && target != nil && c.site.targetOfFlow(f.Key) == target {
+		if !c.request(f.Flow, settledTimeout) && target != nil && c.site.targetOfFlow(f.Key) == target {
 			c.rec.addViolation("flow %v at target %s is not served after the faults", f.Key, target.ID)
 		}
 	}
