Model: callers pause before their first request; targets may start after their agents

A class has a mean pause from the end of the handshake to the first request of a flow (firstPause), a service a delay after which its first targets start (startDelay), so that their agents see them start. Without either nothing changes.

--- a/model/caller.go
+++ b/model/caller.go
@@ -117,6 +117,29 @@
 	})
 }
 
+// sendFirstRequest sends the first request of a flow that has just opened. A flow that was opened
+// ahead of its request ends its handshake, and the request begins after a pause.
+func (a *attempt) sendFirstRequest() {
+	q, w := a.request, a.run.world
+	pause := a.firstPause()
+	if pause == 0 {
+		a.sendRequest(q, firstRetransmitInterval, 0)
+		return
+	}
+	a.send(flow.ACK, 1, a.lastTargetSeq, nil)
+	q.startedAt = w.Now.Add(pause)
+	w.After(pause, func() { a.sendRequest(q, firstRetransmitInterval, 0) })
+}
+
+// firstPause draws the pause before the first request. Only a caller's first flow is opened ahead.
+func (a *attempt) firstPause() time.Duration {
+	if a.class.FirstPause == 0 || a.attemptCount > 1 {
+		return 0
+	}
+	drawn := time.Duration(a.run.world.Rnd.ExpFloat64() * float64(a.class.FirstPause))
+	return min(drawn, idleTimeout, max(a.run.loadEnds.Sub(a.run.world.Now), 0))
+}
+
 // close closes a flow after its last answer.
 func (a *attempt) close() {
 	a.ended = true
@@ -137,6 +160,11 @@
 	if q.outcome != Pending {
 		return
 	}
+	if left := q.startedAt.Add(q.class.Deadline.D()).Sub(q.run.world.Now); left > 0 {
+		// The request began after a pause on its flow.
+		q.run.world.After(left, q.abandon)
+		return
+	}
 	if a := q.lastAttempt; a != nil && a.opened && !a.ended {
 		a.abandoned = true
 		a.send(flow.ACK|flow.FIN, 2, a.lastTargetSeq, nil)
@@ -179,6 +207,10 @@
 	}
 	a.ended = true
 	delete(a.run.attempts, a.key)
+	if now := a.run.world.Now; a.startedAt.After(now) {
+		// The flow ended while its caller paused.
+		a.startedAt = now
+	}
 	if refused {
 		a.run.overload.recordRefusal(a.key)
 	}
@@ -263,7 +295,7 @@
 	case head.Flags.Has(flow.SYN | flow.ACK):
 		if !a.opened {
 			a.opened, a.lastTargetSeq = true, head.Seq
-			a.sendRequest(a.request, firstRetransmitInterval, 0)
+			a.sendFirstRequest()
 		}
 	case a.opened && head.Len > 0 && head.Seq == a.lastTargetSeq+1:
 		a.lastTargetSeq += uint32(head.Len)
--- a/model/deployment.go
+++ b/model/deployment.go
@@ -35,6 +35,9 @@
 	// Pause is the mean time from an answer to the flow's next request, exponentially
 	// distributed. A pattern's load factor divides it.
 	Pause settings.Duration `json:"pause" validate:"gte=0"`
+	// FirstPause is the mean time from the end of the handshake to the flow's first request,
+	// exponentially distributed; zero if the request ends the handshake.
+	FirstPause settings.Duration `json:"firstPause" validate:"gte=0"`
 }
 
 // meanWork returns the mean service time of a request, the tail included.
@@ -59,6 +62,9 @@
 	// Speeds are factors on the service time, assigned to the targets in rotation. All targets
 	// are equal if there are none.
 	Speeds []float64 `json:"speeds" validate:"dive,gt=0"`
+	// StartDelay is how long after their agents the first targets start. Agents that have seen
+	// their target start know all its flows.
+	StartDelay settings.Duration `json:"startDelay" validate:"gte=0"`
 }
 
 // Deployment describes the simulated site and its load.
--- a/model/run.go
+++ b/model/run.go
@@ -92,7 +92,12 @@
 	for i := range r.deployment.Services {
 		s := &r.deployment.Services[i]
 		for j := range s.Targets {
-			r.addTarget(zoneName(j%r.deployment.Zones), s)
+			agent, speed := r.world.AddAgent(zoneName(j%r.deployment.Zones), s.Name), r.nextSpeed(s)
+			if s.StartDelay == 0 {
+				r.startTarget(agent, s, speed)
+				continue
+			}
+			r.world.After(s.StartDelay.D(), func() { r.startTarget(agent, s, speed) })
 		}
 	}
 	return r
--- a/model/target.go
+++ b/model/target.go
@@ -63,9 +63,14 @@
 
 // addTarget starts a target and its agent on a new VM.
 func (r *run) addTarget(zone string, service *Service) *target {
+	return r.startTarget(r.world.AddAgent(zone, service.Name), service, r.nextSpeed(service))
+}
+
+// nextSpeed returns the speed of the service's next target on a new VM.
+func (r *run) nextSpeed(service *Service) float64 {
 	speed := service.speed(r.startedTargets[service])
 	r.startedTargets[service]++
-	return r.startTarget(r.world.AddAgent(zone, service.Name), service, speed)
+	return speed
 }
 
 // startTarget starts a new target for an agent.
