A late deregistration does not make a restarted agent deny its target's flows

Callers saw (from a test; not seen on the platform): after a restart of its agent, a flow that had paused is denied as certainly not held, and its client is reset.

After a restart a heartbeat and a deregistration of a former target may both arrive late, delayed by a cut, beside a target that has been running since before the restart.

A deregistration shows that the next target started under this agent only if the agent saw the one that deregisters start; otherwise a refused connection has to show it, as without a deregistration. Until then the target is asked and its bounces are certain.

Test, red before: TestLateReportsAfterARestartDenyNoFlow (no request delivered). TestSawStartRequiresTheEndOfTheFormerTarget passes unchanged.

--- a/agent/packetfront/pause_test.go
+++ b/agent/packetfront/pause_test.go
@@ -147,3 +147,30 @@
 		require.Zero(t, f.counts.withheld, name)
 	}
 }
+
+// TestLateReportsAfterARestartDenyNoFlow guards against a restarted agent that takes the target which
+// ran before it for one that it saw start, because late reports of a former one arrive first.
+func TestLateReportsAfterARestartDenyNoFlow(t *testing.T) {
+	for name, reports := range map[string]func(f *fixture){
+		"a heartbeat": func(f *fixture) {
+			require.True(t, f.receiveHeartbeatFrom(0, firstIncarnation, 300, true))
+		},
+		"a heartbeat and the deregistration": func(f *fixture) {
+			require.True(t, f.receiveHeartbeatFrom(0, firstIncarnation, 300, true))
+			f.Deregister(f.now, firstIncarnation)
+		},
+	} {
+		f := newFixture()
+		f.restartAgent()
+		reports(f)
+		f.TargetProbed(f.now, ProbeAccepted)
+		for i := range uint64(3) {
+			f.receiveHeartbeatFrom(testHeartbeatPeriod, secondIncarnation, 40+i, false)
+		}
+		require.Equal(t, secondIncarnation, f.target.incarnation, name)
+		f.registered()
+		f.port.target = nil
+		f.sendRequest(1)
+		require.Equal(t, []int{1}, f.deliveredRequests(), name)
+	}
+}
--- a/agent/packetfront/target.go
+++ b/agent/packetfront/target.go
@@ -207,10 +207,11 @@
 // newTarget records a new target or a new incarnation of the same one. The flows of the
 // former one are not reset here, because some of the known flows may already belong to the
 // new one: the target bounces packets of flows that it does not hold. The agent saw the
-// new one start only if it saw the former one end.
+// new one start only if it saw the former one end. A deregistration shows that only if the agent
+// saw the former one start: it may be a late one of a target that ended before this process.
 func (c *Core) newTarget(b fleet.Heartbeat) {
 	t := &c.target
-	sawStart := t.sawEnd || !t.deregisteredAt.IsZero() || (t.incarnation.TargetID == "" && t.probeRefused)
+	sawStart := t.sawEnd || t.ended || (t.sawStart && !t.deregisteredAt.IsZero()) || (t.incarnation.TargetID == "" && t.probeRefused)
 	t.history.addFormer(t.incarnation)
 	t.history.rejected = fleet.TargetIncarnation{}
 	*t = target{incarnation: b.TargetIncarnation, history: t.history, up: t.up, upSince: t.upSince, probeRefused: sawStart, sawStart: sawStart, probedAt: t.probedAt, lastProbe: t.lastProbe, sentAt: t.sentAt}
