An agent takes new flows for a process only once it has reported the agent's service

Cause: three beliefs about who listens at the target's address. An accepted connection alone made the target ready for new flows, whoever had accepted it; a report that named another service was refused and changed nothing; and a reload of the settings did not apply a changed service, so that the agent went on comparing flows with the former one.

Evidence: the platform says that addresses of targets that are gone are used again by other services, that settings files change, with SIGHUP or without, and that the agent's role is given the service; the logs of the case have "target listens", then "report refused" (service) with every report, and "request delivered" between them.

After a target that was up here has ended, after a reload that changes the service, and after a refused report of another service while the current target does not report, the process is unidentified until a report of the agent's service: it gets no new flows and is announced as absent; open flows and the search are not affected. The service is reloaded with the seeds. An agent that has just started takes flows for a target that listens as before, since it has seen no other process there.

--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -238,6 +238,8 @@
 		return "another service", false
 	case c.evacuations.Has(c.opts.Zone):
 		return "zone emptied", false
+	case c.target.unidentified:
+		return "target has not reported", false
 	case !c.target.acceptsFlows() || c.leaving:
 		return "target " + c.target.state().String(), false
 	}
--- a/agent/packetfront/front.go
+++ b/agent/packetfront/front.go
@@ -51,10 +51,12 @@
 	clientPort         uint16
 	target             netip.AddrPort
 
-	// mu guards core, observer, isolation and configCopy; no other lock is taken while it
-	// is held.
-	mu       sync.Mutex
-	core     *Core
+	// mu guards core, service, observer, isolation and configCopy; no other lock is taken while
+	// it is held.
+	mu   sync.Mutex
+	core *Core
+	// service is the service of the target.
+	service  string
 	observer *observer
 	// sent counts the messages and bytes sent to other nodes.
 	sent      *telemetry.SentTraffic
@@ -70,7 +72,7 @@
 // NewFront returns a front with open sockets.
 func NewFront(cfg Settings, log *zap.Logger) (*Front, error) {
 	f := &Front{
-		cfg: cfg, log: log, reg: prometheus.NewRegistry(), peers: configcopy.NewClient(nil), target: netip.MustParseAddrPort(cfg.Target),
+		cfg: cfg, log: log, service: cfg.Service, reg: prometheus.NewRegistry(), peers: configcopy.NewClient(nil), target: netip.MustParseAddrPort(cfg.Target),
 		clientPort: netip.MustParseAddrPort(cfg.Data).Port(),
 	}
 	f.self, f.port = flow.ParseAddrPort(cfg.Internal)
@@ -136,7 +138,7 @@
 	group.Go(work, "join", f.followRegistry)
 	group.Go(ctx, "registry", f.entry.Run)
 	group.Go(work, "heartbeats", func(ctx context.Context) error {
-		return telemetry.ServeHTTP(ctx, f.cfg.Control, platform.ReportsHandler(f.cfg.Service, f))
+		return telemetry.ServeHTTP(ctx, f.cfg.Control, platform.ReportsHandler(f))
 	})
 	group.Go(work, "copy of the configuration", f.copyConfig)
 	group.Go(work, "internal calls", func(ctx context.Context) error {
@@ -195,12 +197,26 @@
 	f.locked(f.core.Stop)
 }
 
-// Reload implements process.Reloader. It applies the seeds and no other setting.
+// Reload implements process.Reloader. It applies the seeds, and the service if the target's address
+// went to another one, and no other setting.
 func (f *Front) Reload(cfg Settings) []string {
-	f.locked(func(time.Time) { f.core.SetSeeds(flow.ParseAddrs(cfg.Seeds)) })
-	return []string{"seeds"}
+	f.locked(func(now time.Time) {
+		f.core.SetSeeds(flow.ParseAddrs(cfg.Seeds))
+		f.core.SetService(now, flow.TagOf(cfg.Service))
+		f.service = cfg.Service
+	})
+	return []string{"seeds", "service"}
 }
 
+// Service implements platform.ReportHandler.
+func (f *Front) Service() (service string) {
+	f.locked(func(time.Time) { service = f.service })
+	return service
+}
+
+// OtherServiceReported implements platform.ReportHandler.
+func (f *Front) OtherServiceReported() { f.locked(f.core.OtherServiceReported) }
+
 // locked calls do with the lock held.
 func (f *Front) locked(do func(now time.Time)) {
 	f.mu.Lock()
@@ -223,18 +239,18 @@
 	})
 }
 
-// Heartbeat implements platform.Targets.
+// Heartbeat implements platform.ReportHandler.
 func (f *Front) Heartbeat(b fleet.Heartbeat) (current bool) {
 	f.locked(func(now time.Time) { current = f.core.Heartbeat(now, b) })
 	return current
 }
 
-// Deregister implements platform.Targets.
+// Deregister implements platform.ReportHandler.
 func (f *Front) Deregister(left fleet.TargetIncarnation) {
 	f.locked(func(now time.Time) { f.core.Deregister(now, left) })
 }
 
-// ReportRefused implements platform.Targets.
+// ReportRefused implements platform.ReportHandler.
 func (f *Front) ReportRefused(err *platform.ReportError) {
 	f.locked(func(time.Time) { f.observer.ReportRefused(err.Field, err.Fault) })
 }
--- a/agent/packetfront/nodes.go
+++ b/agent/packetfront/nodes.go
@@ -164,7 +164,7 @@
 		return
 	}
 	if next.State != c.lastAnnouncement.State || next.TargetIncarnation != c.lastAnnouncement.TargetIncarnation ||
-		next.Slots != c.lastAnnouncement.Slots || next.Ejected != c.lastAnnouncement.Ejected ||
+		next.Slots != c.lastAnnouncement.Slots || next.Service != c.lastAnnouncement.Service || next.Ejected != c.lastAnnouncement.Ejected ||
 		(next.Registration != c.lastAnnouncement.Registration && next.Registration == fleet.RegistrationRemoved) {
 		c.acks.stateChanged(c.seq + 1)
 		c.announceAll(now)
@@ -222,6 +222,9 @@
 		// No flow can be open here, so that balancers need not search this target.
 		state = fleet.Gone
 	}
+	if c.target.unidentified && state == fleet.Ready {
+		state = fleet.Absent
+	}
 	if c.leaving && state == fleet.Ready {
 		state = fleet.Draining
 	}
--- a/agent/packetfront/pause_test.go
+++ b/agent/packetfront/pause_test.go
@@ -94,7 +94,10 @@
 				f.flows.ensure(f.now, keyOf(100+i))
 			}
 		},
-		"a probe goes unanswered": func(f *fixture) { f.TargetProbed(f.now, ProbeUnanswered) },
+		"the settings name another service":  func(f *fixture) { f.SetService(f.now, otherService) },
+		"another service's report arrives":   func(f *fixture) { f.OtherServiceReported(f.now) },
+		"an unknown target's report arrives": func(f *fixture) { f.receiveHeartbeatOf(0, "i-9", 1, true) },
+		"a probe goes unanswered":            func(f *fixture) { f.TargetProbed(f.now, ProbeUnanswered) },
 		"the zone is evacuated": func(f *fixture) {
 			f.opts.Zone = flow.TagOf(localZone)
 			f.receiveEvacuations(balancerIP, 1, evacuations(9, localZone))
--- a/agent/packetfront/probe.go
+++ b/agent/packetfront/probe.go
@@ -50,6 +50,7 @@
 	switch {
 	case p == ProbeAccepted && !t.up:
 		c.endClosedTarget(now)
+		t.unidentified = t.unidentified || !t.upSince.IsZero()
 		c.targetUp(now)
 		t.heartbeat = fleet.Heartbeat{Slots: t.heartbeat.Slots}
 		t.sawStart = t.probeRefused
--- a/agent/packetfront/target.go
+++ b/agent/packetfront/target.go
@@ -21,6 +21,9 @@
 	// up is set by a heartbeat, a packet or an accepted connection, and cleared by a refused
 	// connection.
 	up bool
+	// unidentified is set while the process at the target's address may be of another service, until
+	// it reports: addresses of targets that are gone are used again.
+	unidentified bool
 	// deregisteredAt is when the target deregistered.
 	deregisteredAt time.Time
 	// ended is set once it is certain that no target runs here.
@@ -125,7 +128,7 @@
 }
 
 // acceptsFlows reports whether the target may get new flows.
-func (t *target) acceptsFlows() bool { return t.state() == fleet.Ready }
+func (t *target) acceptsFlows() bool { return t.state() == fleet.Ready && !t.unidentified }
 
 func (t *target) slots() int {
 	if t.heartbeat.Slots <= 0 {
@@ -193,7 +196,7 @@
 		c.newTarget(b)
 	}
 	changed := t.heartbeat.Draining != b.Draining
-	t.sequence, t.heartbeat, t.heartbeatAt, t.sawEnd = b.Sequence, b, now, false
+	t.sequence, t.heartbeat, t.heartbeatAt, t.sawEnd, t.unidentified = b.Sequence, b, now, false, false
 	if !t.deregisteredAt.IsZero() && now.Sub(t.deregisteredAt) > deregistrationGrace {
 		// The deregistration was from a former incarnation with the same ID.
 		t.deregisteredAt = time.Time{}
@@ -208,6 +211,29 @@
 	return true
 }
 
+// OtherServiceReported handles a heartbeat of a target of another service. It may be a late one of a
+// former target; if the current target does not report, it may be that one.
+func (c *Core) OtherServiceReported(now time.Time) {
+	if c.target.alive(now, c.opts.HeartbeatPeriod) {
+		return
+	}
+	if !c.target.unidentified {
+		c.target.unidentified = true
+		c.events.TargetReport("target may be of another service", c.target.heartbeat)
+	}
+	c.announceChange(now)
+}
+
+// SetService changes the service of the agent. The process at the target's address is of the new
+// service once it reports.
+func (c *Core) SetService(now time.Time, service flow.Tag) {
+	if service == c.opts.Service {
+		return
+	}
+	c.opts.Service, c.target.unidentified = service, true
+	c.announceChange(now)
+}
+
 // newTarget records a new target or a new incarnation of the same one. The flows of the
 // former one are not reset here, because some of the known flows may already belong to the
 // new one: the target bounces packets of flows that it does not hold. The agent saw the
