--- a/review/6/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 runs it without the disruption.
 cd "$(dirname "$0")" || exit 2
 export TARGET=../../target RECORD=record.txt
-exec timeout 110 ../../target/review/case-6
+exec timeout 110 ../../target/review/case-7
--- a/review/lab-2/client.go
+++ b/review/lab-2/client.go
@@ -31,6 +31,8 @@
 	in       chan packet
 	seq, ack uint32
 	open     bool
+	// sent are the times at which the client sent packets of the flow.
+	sent []time.Time
 }
 
 var (
@@ -142,6 +144,7 @@
 }
 
 func (f *clientFlow) send(flags byte, seq, ack uint32, payload []byte) {
+	f.sent = append(f.sent, time.Now())
 	f.client.site.router.forward(encode(f.key.client, f.key.front, flags, seq, ack, payload))
 }
 
--- a/review/lab-2/host.go
+++ b/review/lab-2/host.go
@@ -41,6 +41,16 @@
 	// reportedAt is when the last status report was acknowledged.
 	reportedAt time.Time
 	forged     int
+	arrivals   []arrival
+}
+
+// arrival is a packet of a flow, other than a SYN, that reached a host; held is set if the host has
+// the flow.
+type arrival struct {
+	at   time.Time
+	key  flowKey
+	held bool
+	host *host
 }
 
 // run is one request that a host began to work on.
@@ -167,6 +177,9 @@
 	}
 	key := flowKey{p.src, p.dst}
 	f := h.flows[key]
+	if p.flags&(flagSYN|flagACK) != flagSYN {
+		h.arrivals = append(h.arrivals, arrival{time.Now(), key, f != nil && near(p.ack, f.next), h})
+	}
 	switch {
 	case p.flags&(flagSYN|flagACK) == flagSYN:
 		if f == nil {
@@ -250,6 +263,13 @@
 	return append([]run(nil), h.runs...)
 }
 
+// reached returns the packets that have reached the host.
+func (h *host) reached() []arrival {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]arrival(nil), h.arrivals...)
+}
+
 // lastReport returns when the last status report was acknowledged.
 func (h *host) lastReport() time.Time {
 	h.mu.Lock()
--- a/review/lab-2/site.go
+++ b/review/lab-2/site.go
@@ -40,6 +40,8 @@
 	stable       = 4 * time.Second
 	synPatience  = 1400 * time.Millisecond
 	idleTimeout  = 15 * time.Second
+	grace        = 6 * time.Second
+	flowMS       = 2000 * time.Millisecond
 	readyPeriod  = 500 * time.Millisecond
 	reportWithin = time.Second
 )
@@ -133,6 +135,17 @@
 
 func (n *node) signal(s syscall.Signal) { _ = n.cmd.Process.Signal(s) }
 
+// restart stops the process as planned work does, with SIGTERM, and starts it again once it has ended.
+func (n *node) restart(target string) {
+	n.signal(syscall.SIGTERM)
+	select {
+	case <-n.exited:
+	case <-time.After(grace):
+		n.kill()
+	}
+	n.begin(target)
+}
+
 func (n *node) kill() {
 	if n.cmd == nil || n.cmd.Process == nil {
 		return
@@ -245,6 +258,8 @@
 	name    string
 	front   netip.AddrPort
 	service string
+	// timeout is the route's timeout-ms; zero stands for 2.5 s.
+	timeout time.Duration
 }
 
 // putConfig writes the next version of the configuration.
@@ -252,9 +267,12 @@
 	s.version += 3
 	list, services, seen := []map[string]any{}, []map[string]any{}, map[string]bool{}
 	for _, r := range routes {
+		if r.timeout == 0 {
+			r.timeout = 2500 * time.Millisecond
+		}
 		list = append(list, map[string]any{
 			"name": r.name, "host": r.front.Addr().String(), "prefix": fmt.Sprintf("/%d/", r.front.Port()), "type": "unsafe",
-			"timeout-ms": 2500, "target-latency-ms": 250, "priority": 1, "service": r.service, "max-attempts": 2,
+			"timeout-ms": r.timeout.Milliseconds(), "target-latency-ms": r.timeout.Milliseconds() / 10, "priority": 1, "service": r.service, "max-attempts": 2,
 		})
 		if !seen[r.service] {
 			seen[r.service] = true
