--- a/review/4/case.go
+++ b/review/4/case.go
@@ -18,6 +18,11 @@
 	if ms, err := strconv.Atoi(os.Getenv("FIRST_REPORT_MS")); err == nil {
 		firstReport = ms
 	}
+	// The requests after the quiet hour come each 10 ms, unless REQUEST_EVERY_US says otherwise.
+	every := 10 * time.Millisecond
+	if us, err := strconv.Atoi(os.Getenv("REQUEST_EVERY_US")); err == nil {
+		every = time.Duration(us) * time.Microsecond
+	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	s := newSite(rec)
 	defer s.stop(false)
@@ -74,7 +79,7 @@
 			defer wg.Done()
 			_, _ = c.once(alphaFront, fmt.Sprintf("after-%s-%d", alpha.name, i))
 		}()
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(every)
 	}
 	wg.Wait()
 	time.Sleep(time.Second)
--- a/review/lab-2/site.go
+++ b/review/lab-2/site.go
@@ -42,6 +42,7 @@
 	idleTimeout  = 15 * time.Second
 	grace        = 6 * time.Second
 	flowMS       = 2000 * time.Millisecond
+	flowTTL      = 60 * time.Second
 	readyPeriod  = 500 * time.Millisecond
 	reportWithin = time.Second
 )
