--- a/review/7/case.go
+++ b/review/7/case.go
@@ -14,8 +14,8 @@
 	trouble := os.Getenv("TROUBLE") != "0"
 	s := newSite(rec)
 	defer s.stop(false)
-	alpha := route{name: "r-alpha", front: netip.MustParseAddrPort("198.18.0.1:8080"), service: "gojo24a"}
-	added := route{name: "r-added", front: netip.MustParseAddrPort("198.18.0.2:8443"), service: "huzu17b"}
+	alpha := route{name: "r-alpha", front: netip.MustParseAddrPort("127.18.0.1:8080"), service: "gojo24a"}
+	added := route{name: "r-added", front: netip.MustParseAddrPort("127.18.0.2:8443"), service: "huzu17b"}
 	if !trouble {
 		added.service = "huzu18b"
 	}
