--- a/agent/packetfront/admission.go
+++ b/agent/packetfront/admission.go
@@ -227,7 +227,7 @@
 	c.recordSlotFree(now)
 	r.request.began = time.Time{}
 	if requestID != nil {
-		c.events.RequestDelivered(key, requestID, c.flows.running, c.target.slots())
+		c.events.RequestDelivered(key, requestID, c.flows.running, c.target.slots(), c.target.evidence(now))
 	}
 }
 
--- a/agent/packetfront/core_test.go
+++ b/agent/packetfront/core_test.go
@@ -35,30 +35,30 @@
 // discardEvents discards all events.
 type discardEvents struct{}
 
-func (discardEvents) Delivered()                                             {}
-func (discardEvents) RequestDelivered(flow.Key, []byte, int, int)            {}
-func (discardEvents) Queued(flow.Key, []byte, int, time.Duration)            {}
-func (discardEvents) Postponed(flow.Key, time.Duration)                      {}
-func (discardEvents) AbandonedInQueue(flow.Key, time.Duration)               {}
-func (discardEvents) Withheld(flow.Key, []byte, AbandonReason)               {}
-func (discardEvents) AbandonedAtTarget(flow.Key, time.Duration)              {}
-func (discardEvents) PassedOn(flow.Key, string, int)                         {}
-func (discardEvents) Bounced(flow.Key, bool)                                 {}
-func (discardEvents) Reset(flow.Key, string, TargetEvidence)                 {}
-func (discardEvents) FlowDenied(flow.Key, string, bool, int, TargetEvidence) {}
-func (discardEvents) FlowExpired(flow.Key, string, time.Duration)            {}
-func (discardEvents) FlowsRecorded(int)                                      {}
-func (discardEvents) SentAfterRefusal(flow.Key, bool, TargetEvidence)        {}
-func (discardEvents) Dropped(DropReason)                                     {}
-func (discardEvents) TargetReport(string, fleet.Heartbeat)                   {}
-func (discardEvents) RequestFailed()                                         {}
-func (discardEvents) Ejected(bool, int, int)                                 {}
-func (discardEvents) OnProbation(int, time.Duration)                         {}
-func (discardEvents) OverloadChanged(bool, backlog.Load, int, time.Duration) {}
-func (discardEvents) PeerChanged(flow.IPv4, string)                          {}
-func (discardEvents) ZoneRelayed(flow.Tag, int, bool)                        {}
-func (discardEvents) NodeProbed(flow.IPv4, time.Duration)                    {}
-func (discardEvents) EvacuationsChanged(_, _ flow.Evacuations, _ string)     {}
+func (discardEvents) Delivered()                                                  {}
+func (discardEvents) RequestDelivered(flow.Key, []byte, int, int, TargetEvidence) {}
+func (discardEvents) Queued(flow.Key, []byte, int, time.Duration)                 {}
+func (discardEvents) Postponed(flow.Key, time.Duration)                           {}
+func (discardEvents) AbandonedInQueue(flow.Key, time.Duration)                    {}
+func (discardEvents) Withheld(flow.Key, []byte, AbandonReason)                    {}
+func (discardEvents) AbandonedAtTarget(flow.Key, time.Duration)                   {}
+func (discardEvents) PassedOn(flow.Key, string, int)                              {}
+func (discardEvents) Bounced(flow.Key, bool)                                      {}
+func (discardEvents) Reset(flow.Key, string, TargetEvidence)                      {}
+func (discardEvents) FlowDenied(flow.Key, string, bool, int, TargetEvidence)      {}
+func (discardEvents) FlowExpired(flow.Key, string, time.Duration)                 {}
+func (discardEvents) FlowsRecorded(int)                                           {}
+func (discardEvents) SentAfterRefusal(flow.Key, bool, TargetEvidence)             {}
+func (discardEvents) Dropped(DropReason)                                          {}
+func (discardEvents) TargetReport(string, fleet.Heartbeat)                        {}
+func (discardEvents) RequestFailed()                                              {}
+func (discardEvents) Ejected(bool, int, int)                                      {}
+func (discardEvents) OnProbation(int, time.Duration)                              {}
+func (discardEvents) OverloadChanged(bool, backlog.Load, int, time.Duration)      {}
+func (discardEvents) PeerChanged(flow.IPv4, string)                               {}
+func (discardEvents) ZoneRelayed(flow.Tag, int, bool)                             {}
+func (discardEvents) NodeProbed(flow.IPv4, time.Duration)                         {}
+func (discardEvents) EvacuationsChanged(_, _ flow.Evacuations, _ string)          {}
 
 // eventCounts counts abandoned requests and overloads.
 type eventCounts struct {
--- a/agent/packetfront/events.go
+++ b/agent/packetfront/events.go
@@ -39,6 +39,8 @@
 // negative if the event has not happened.
 type TargetEvidence struct {
 	State fleet.State
+	// SinceReport is the time since the target's last heartbeat.
+	SinceReport time.Duration
 	// SinceSent is the time since the target's last packet.
 	SinceSent time.Duration
 	// LastProbe is the outcome of the last target probe, SinceProbe its age.
@@ -56,7 +58,7 @@
 	Delivered()
 	// RequestDelivered reports a request whose first packet was delivered to the target. running is
 	// the number of requests at the target, this one included; slots is its concurrency.
-	RequestDelivered(key flow.Key, requestID []byte, running, slots int)
+	RequestDelivered(key flow.Key, requestID []byte, running, slots int, e TargetEvidence)
 	// Queued reports a request that waits for a free slot of the target. queued is the number of
 	// requests that were waiting before it, wait its expected wait.
 	Queued(key flow.Key, requestID []byte, queued int, wait time.Duration)
--- a/agent/packetfront/observer.go
+++ b/agent/packetfront/observer.go
@@ -118,11 +118,11 @@
 func (o *observer) Delivered() { o.delivered.Inc() }
 
 // RequestDelivered implements Events.
-func (o *observer) RequestDelivered(key flow.Key, requestID []byte, running, slots int) {
+func (o *observer) RequestDelivered(key flow.Key, requestID []byte, running, slots int, e TargetEvidence) {
 	o.requested.Inc()
 	o.load.Observe(float64(running))
 	o.Write(&o.requests, "request delivered", zap.Stringer(fieldFlow, key), zap.ByteString(fieldRequest, requestID),
-		zap.Int(fieldLoad, running), zap.Int(fieldSlots, slots))
+		zap.Int(fieldLoad, running), zap.Int(fieldSlots, slots), zap.Inline(e))
 }
 
 // Queued implements Events.
@@ -203,6 +203,7 @@
 	if e.SinceProbe >= 0 {
 		enc.AddString("last_probe", e.LastProbe.String())
 	}
+	addAge(enc, "since_report", e.SinceReport)
 	addAge(enc, "since_probe", e.SinceProbe)
 	addAge(enc, "since_sent", e.SinceSent)
 	addAge(enc, "since_refused", e.SinceRefused)
--- a/agent/packetfront/target.go
+++ b/agent/packetfront/target.go
@@ -51,7 +51,7 @@
 // evidence returns what is known of whether the target runs.
 func (t *target) evidence(now time.Time) TargetEvidence {
 	return TargetEvidence{
-		State: t.state(), SinceSent: since(now, t.sentAt), LastProbe: t.lastProbe, SinceProbe: since(now, t.probedAt),
+		State: t.state(), SinceReport: since(now, t.heartbeatAt), SinceSent: since(now, t.sentAt), LastProbe: t.lastProbe, SinceProbe: since(now, t.probedAt),
 		SinceRefused: since(now, t.downSince), SinceDeregistered: since(now, t.deregisteredAt),
 	}
 }
--- a/model/sim/noop.go
+++ b/model/sim/noop.go
@@ -44,30 +44,30 @@
 var _ agentfront.Events = NoopAgentEvents{}
 
 // Delivered implements agentfront.Events, as do the methods below.
-func (NoopAgentEvents) Delivered()                                                        {}
-func (NoopAgentEvents) RequestDelivered(flow.Key, []byte, int, int)                       {}
-func (NoopAgentEvents) Queued(flow.Key, []byte, int, time.Duration)                       {}
-func (NoopAgentEvents) Postponed(flow.Key, time.Duration)                                 {}
-func (NoopAgentEvents) AbandonedInQueue(flow.Key, time.Duration)                          {}
-func (NoopAgentEvents) Withheld(flow.Key, []byte, agentfront.AbandonReason)               {}
-func (NoopAgentEvents) AbandonedAtTarget(flow.Key, time.Duration)                         {}
-func (NoopAgentEvents) PassedOn(flow.Key, string, int)                                    {}
-func (NoopAgentEvents) Bounced(flow.Key, bool)                                            {}
-func (NoopAgentEvents) Reset(flow.Key, string, agentfront.TargetEvidence)                 {}
-func (NoopAgentEvents) FlowDenied(flow.Key, string, bool, int, agentfront.TargetEvidence) {}
-func (NoopAgentEvents) FlowExpired(flow.Key, string, time.Duration)                       {}
-func (NoopAgentEvents) FlowsRecorded(int)                                                 {}
-func (NoopAgentEvents) SentAfterRefusal(flow.Key, bool, agentfront.TargetEvidence)        {}
-func (NoopAgentEvents) Dropped(agentfront.DropReason)                                     {}
-func (NoopAgentEvents) TargetReport(string, fleet.Heartbeat)                              {}
-func (NoopAgentEvents) RequestFailed()                                                    {}
-func (NoopAgentEvents) Ejected(bool, int, int)                                            {}
-func (NoopAgentEvents) OnProbation(int, time.Duration)                                    {}
-func (NoopAgentEvents) OverloadChanged(bool, backlog.Load, int, time.Duration)            {}
-func (NoopAgentEvents) PeerChanged(flow.IPv4, string)                                     {}
-func (NoopAgentEvents) ZoneRelayed(flow.Tag, int, bool)                                   {}
-func (NoopAgentEvents) NodeProbed(flow.IPv4, time.Duration)                               {}
-func (NoopAgentEvents) EvacuationsChanged(_, _ flow.Evacuations, _ string)                {}
+func (NoopAgentEvents) Delivered()                                                             {}
+func (NoopAgentEvents) RequestDelivered(flow.Key, []byte, int, int, agentfront.TargetEvidence) {}
+func (NoopAgentEvents) Queued(flow.Key, []byte, int, time.Duration)                            {}
+func (NoopAgentEvents) Postponed(flow.Key, time.Duration)                                      {}
+func (NoopAgentEvents) AbandonedInQueue(flow.Key, time.Duration)                               {}
+func (NoopAgentEvents) Withheld(flow.Key, []byte, agentfront.AbandonReason)                    {}
+func (NoopAgentEvents) AbandonedAtTarget(flow.Key, time.Duration)                              {}
+func (NoopAgentEvents) PassedOn(flow.Key, string, int)                                         {}
+func (NoopAgentEvents) Bounced(flow.Key, bool)                                                 {}
+func (NoopAgentEvents) Reset(flow.Key, string, agentfront.TargetEvidence)                      {}
+func (NoopAgentEvents) FlowDenied(flow.Key, string, bool, int, agentfront.TargetEvidence)      {}
+func (NoopAgentEvents) FlowExpired(flow.Key, string, time.Duration)                            {}
+func (NoopAgentEvents) FlowsRecorded(int)                                                      {}
+func (NoopAgentEvents) SentAfterRefusal(flow.Key, bool, agentfront.TargetEvidence)             {}
+func (NoopAgentEvents) Dropped(agentfront.DropReason)                                          {}
+func (NoopAgentEvents) TargetReport(string, fleet.Heartbeat)                                   {}
+func (NoopAgentEvents) RequestFailed()                                                         {}
+func (NoopAgentEvents) Ejected(bool, int, int)                                                 {}
+func (NoopAgentEvents) OnProbation(int, time.Duration)                                         {}
+func (NoopAgentEvents) OverloadChanged(bool, backlog.Load, int, time.Duration)                 {}
+func (NoopAgentEvents) PeerChanged(flow.IPv4, string)                                          {}
+func (NoopAgentEvents) ZoneRelayed(flow.Tag, int, bool)                                        {}
+func (NoopAgentEvents) NodeProbed(flow.IPv4, time.Duration)                                    {}
+func (NoopAgentEvents) EvacuationsChanged(_, _ flow.Evacuations, _ string)                     {}
 
 // agentEvents calls World.PassedOn for each new flow that an agent does not take; it ignores all
 // other events.
