agent: the proof of a target's identity expires before its address is used again

Cause: the agent took whatever listens for the target that reported last, until something spoke against it, and asked only when an answer was 0.3 s or a report 3 s late.

Change: a proof of identity with a validity. The settings prove it at the agent's start, later each heartbeat, as of the earliest time at which it may have arrived (an agent that stood still finds old ones). The proof is valid for the time for which an address stays unused (addr-reuse-s of the platform, setting addressReuse, 2 s by default) less 0.2 s. While it is valid an accepted connection renews it, as of when the connection was begun: who listens then is the process that was proven, or a successor of the same service. A probe is due at 85% of the validity, 1.53 s: a target that reports each 1.2 s is not probed. Without a valid proof the target gets no new flows and is announced as absent; open flows go on. The check is made for each SYN, so it holds for an agent that has just woken, too.

Why it works: another service's target starts addr-reuse-s after the end of the former one at the earliest, and the former one was alive at the time of the proof.

The tests' target accepts the probes that the shell would make while time passes.

--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -32,6 +32,9 @@
 	Incarnation uint64
 	// HeartbeatPeriod is the time between two heartbeats of the target.
 	HeartbeatPeriod time.Duration
+	// AddressReuse is the minimum time between the end of a target and the start of another service's
+	// at its address; defaultAddressReuse if zero.
+	AddressReuse time.Duration
 	// FlowTTL is the idle time after which a flow may expire.
 	FlowTTL time.Duration
 	// RelayThreshold is the number of balancers in a zone at and above which nodes of other zones
@@ -130,6 +133,7 @@
 		buf:      make([]byte, 0, 2048), relays: newRelayState(opts, events.ZoneRelayed),
 	}
 	c.flows = newFlows(func(r *queuedRequest) { c.queue.Remove(r.key) }, c.reportExpired)
+	c.target.identity = newIdentity(now, opts.AddressReuse)
 	c.cold.window.AssumeFull(now)
 	c.overload.NoteOutage(now)
 	return c
@@ -192,7 +196,7 @@
 // flow to its client's next SYN.
 func (c *Core) handleSYN(now time.Time, h *flow.Header, packet []byte) {
 	key := h.KeyFromClient()
-	reason, ok := c.refusal()
+	reason, ok := c.refusal(now)
 	if ok && c.health.ejected && c.env.Count > 0 {
 		reason, ok = "target ejected", false
 	}
@@ -232,13 +236,14 @@
 }
 
 // refusal returns whether the target may get a new flow now, and if not, the reason.
-func (c *Core) refusal() (string, bool) {
+func (c *Core) refusal(now time.Time) (string, bool) {
+	c.checkIdentity(now)
 	switch {
 	case c.env.Service != c.opts.Service:
 		return "another service", false
 	case c.evacuations.Has(c.opts.Zone):
 		return "zone emptied", false
-	case c.target.unidentified:
+	case c.target.identity.unproven:
 		return "target has not reported", false
 	case !c.target.acceptsFlows() || c.leaving:
 		return "target " + c.target.state().String(), false
--- a/agent/packetfront/core_test.go
+++ b/agent/packetfront/core_test.go
@@ -51,6 +51,7 @@
 func (discardEvents) SentAfterRefusal(flow.Key, bool, TargetEvidence)             {}
 func (discardEvents) Dropped(DropReason)                                          {}
 func (discardEvents) TargetReport(string, fleet.Heartbeat)                        {}
+func (discardEvents) IdentityDoubted(string, fleet.Heartbeat)                     {}
 func (discardEvents) RequestFailed()                                              {}
 func (discardEvents) Ejected(bool, int, int)                                      {}
 func (discardEvents) OnProbation(int, time.Duration)                              {}
@@ -102,6 +103,14 @@
 	return f
 }
 
+// TargetProbed delivers the outcome of a probe that took no time.
+func (f *fixture) TargetProbed(now time.Time, p Probe) { f.Core.TargetProbed(now, now, p) }
+
+// Heartbeat delivers a heartbeat that was sent at once.
+func (f *fixture) Heartbeat(now time.Time, b fleet.Heartbeat) bool {
+	return f.Core.Heartbeat(now, now, b)
+}
+
 // registered makes the store confirm the agent's entry.
 func (f *fixture) registered() {
 	f.WantedEntryState(f.now)
@@ -113,8 +122,19 @@
 	f.Heartbeat(f.now, fleet.Heartbeat{TargetIncarnation: fleet.TargetIncarnation{TargetID: "i-1"}, Slots: 4, Draining: draining, Sequence: f.seq})
 }
 
+// answerProbe lets the target accept a probe of an overdue answer or of its identity.
+func (f *fixture) answerProbe() {
+	f.target.awaitingSince = time.Time{}
+	f.target.identity.renew(f.now, f.now)
+}
+
+// advance lets time pass, during which the target accepts the probes that renew its proof of identity.
 func (f *fixture) advance(d time.Duration) {
-	f.now = f.now.Add(d)
+	end := f.now.Add(d)
+	for at := f.now; at.Before(end); at = at.Add(f.target.identity.validity / 2) {
+		f.target.identity.renew(at, at)
+	}
+	f.now = end
 	f.Tick(f.now)
 }
 
--- a/agent/packetfront/events.go
+++ b/agent/packetfront/events.go
@@ -100,6 +100,9 @@
 	// TargetReport reports a change of the target's state, or a message from the target that was
 	// ignored; what is the text of the log line.
 	TargetReport(what string, b fleet.Heartbeat)
+	// IdentityDoubted reports that the process at the target's address may be of another service from
+	// now on, and why; last is the last heartbeat of the target.
+	IdentityDoubted(reason string, last fleet.Heartbeat)
 	// RequestFailed reports a request that the target answered with a failure or a reset.
 	RequestFailed()
 	// Ejected reports the start or the end of an ejection, during which the target gets no new
--- a/agent/packetfront/front.go
+++ b/agent/packetfront/front.go
@@ -51,7 +51,7 @@
 	clientPort         uint16
 	target             netip.AddrPort
 
-	// mu guards core, service, observer, isolation and configCopy; no other lock is taken while
+	// mu guards core, service, observer, isolation, standstill and configCopy; no other lock is taken while
 	// it is held.
 	mu   sync.Mutex
 	core *Core
@@ -61,6 +61,8 @@
 	// sent counts the messages and bytes sent to other nodes.
 	sent      *telemetry.SentTraffic
 	isolation fleet.IsolationTimer
+	// standstill dates what the target sends.
+	standstill standstill
 	// entry is this agent's own entry in the registry.
 	entry *registry.Registrar
 	// configCopy is the agent's copy of the configuration, nil before the first fetch.
@@ -85,7 +87,7 @@
 	}
 	opts := Options{
 		Self: f.self, Zone: flow.TagOf(cfg.Zone), Service: flow.TagOf(cfg.Service), Seeds: flow.ParseAddrs(cfg.Seeds),
-		Incarnation: rand.Uint64() | 1, HeartbeatPeriod: cfg.HeartbeatEvery.D(), FlowTTL: cfg.FlowTTL.D(),
+		Incarnation: rand.Uint64() | 1, HeartbeatPeriod: cfg.HeartbeatEvery.D(), AddressReuse: cfg.AddressReuse.D(), FlowTTL: cfg.FlowTTL.D(),
 	}
 	counters := telemetry.Metrics{Registry: f.reg, Subsystem: "packetagent"}
 	stored, calls := platform.NewStore(cfg.Store, storeTimeout), telemetry.NewStoreCalls(counters)
@@ -157,7 +159,10 @@
 }
 
 func (f *Front) tick() {
-	f.locked(f.core.Tick)
+	f.locked(func(now time.Time) {
+		f.standstill.tick(now)
+		f.core.Tick(now)
+	})
 	f.updateEntryState()
 }
 
@@ -241,7 +246,9 @@
 
 // Heartbeat implements platform.ReportHandler.
 func (f *Front) Heartbeat(b fleet.Heartbeat) (current bool) {
-	f.locked(func(now time.Time) { current = f.core.Heartbeat(now, b) })
+	f.locked(func(now time.Time) {
+		current = f.core.Heartbeat(f.standstill.earliest(now), now, b)
+	})
 	return current
 }
 
@@ -269,8 +276,9 @@
 		wanted := false
 		f.locked(func(now time.Time) { wanted = f.core.WantsProbe(now) })
 		if wanted {
+			began := time.Now()
 			p := probe(ctx, f.target)
-			f.locked(func(now time.Time) { f.core.TargetProbed(now, p) })
+			f.locked(func(now time.Time) { f.core.TargetProbed(began, now, p) })
 			f.updateEntryState()
 		}
 		if wanted && tries < maxFastProbes {
--- a/agent/packetfront/incarnations.go
+++ b/agent/packetfront/incarnations.go
@@ -125,9 +125,10 @@
 	return i == t.incarnation || slices.Contains(t.history.former, i)
 }
 
-// alive reports whether the current incarnation reported recently and has not ended since.
+// alive reports whether the current incarnation reported recently and has not ended since, as far as
+// is known.
 func (t *target) alive(now time.Time, period time.Duration) bool {
-	return t.incarnation.TargetID != "" && t.up && !t.sawEnd && t.deregisteredAt.IsZero() && now.Sub(t.heartbeatAt) <= time.Duration(maxHeartbeatGapPeriods*float64(period))
+	return t.incarnation.TargetID != "" && t.up && !t.sawEnd && !t.identity.unproven && t.deregisteredAt.IsZero() && now.Sub(t.heartbeatAt) <= time.Duration(maxHeartbeatGapPeriods*float64(period))
 }
 
 // mayHaveStarted reports whether the sender of a heartbeat may have started after the last
--- a/agent/packetfront/load_test.go
+++ b/agent/packetfront/load_test.go
@@ -219,6 +219,7 @@
 // tick calls the agent's Tick and checks that no request is queued while the target is
 // below its limit.
 func (l *randomLoad) tick(t *rapid.T) {
+	l.target.identity.renew(l.now, l.now)
 	l.Tick(l.now)
 	l.check(t)
 	if l.flows.running < l.targetLimit() {
--- a/agent/packetfront/nodes.go
+++ b/agent/packetfront/nodes.go
@@ -79,6 +79,7 @@
 func (c *Core) Tick(now time.Time) {
 	c.introduce(now)
 	c.join(now)
+	c.checkIdentity(now)
 	c.checkEnded(now)
 	c.checkHealth(now)
 	c.expireEstimate(now)
@@ -222,7 +223,7 @@
 		// No flow can be open here, so that balancers need not search this target.
 		state = fleet.Gone
 	}
-	if c.target.unidentified && state == fleet.Ready {
+	if c.target.identity.unproven && state == fleet.Ready {
 		state = fleet.Absent
 	}
 	if c.leaving && state == fleet.Ready {
--- a/agent/packetfront/observer.go
+++ b/agent/packetfront/observer.go
@@ -54,7 +54,7 @@
 	requests, admissions, reports, other, abandoned, denied, sent, expired telemetry.RateLimit
 
 	delivered, requested, queued, postponed, abandonedInQueue, abandonedAtTarget, passedOn, bounced, resets prometheus.Counter
-	failed, ejections, probations, probed, deniedFlows, sentAfterRefusal                                    prometheus.Counter
+	failed, ejections, probations, probed, doubted, deniedFlows, sentAfterRefusal                           prometheus.Counter
 	refusedReports                                                                                          *prometheus.CounterVec
 	dropped                                                                                                 map[DropReason]prometheus.Counter
 	withheld                                                                                                map[AbandonReason]prometheus.Counter
@@ -93,6 +93,7 @@
 		ejections:         c.Counter("ejections_total", "Times that the target was taken out because it fails."),
 		probations:        c.Counter("unproven_starts_total", "Starts of a target that had ended unplanned a moment ago."),
 		probed:            c.Counter("asked_nodes_total", "Balancers of other zones that were asked because no relay named them any more."),
+		doubted:           c.Counter("identity_doubts_total", "Times that the process at the target's address may have become one of another service."),
 		deniedFlows:       c.Counter("denied_flows_total", "Packets of open flows that were passed on or returned without being handed to the target."),
 		sentAfterRefusal:  c.Counter("sent_after_refusal_total", "Packets of the target that followed a refused connection."),
 		dropped:           telemetry.CountersByReason(c, "dropped_packets_total", "Packets dropped, by reason.", DropReasons),
@@ -229,6 +230,12 @@
 		zap.Duration("warmup", b.WarmupLeft), zap.Uint64("sequence", b.Sequence))
 }
 
+// IdentityDoubted implements Events.
+func (o *observer) IdentityDoubted(reason string, last fleet.Heartbeat) {
+	o.doubted.Inc()
+	o.Write(&o.reports, "target may be of another service", zap.String(fieldReason, reason), zap.String(fieldTargetID, last.TargetID), zap.Uint64("sequence", last.Sequence))
+}
+
 // RequestFailed implements Events.
 func (o *observer) RequestFailed() { o.failed.Inc() }
 
--- a/agent/packetfront/overload_test.go
+++ b/agent/packetfront/overload_test.go
@@ -47,7 +47,7 @@
 		c.serve()
 		if c.now.UnixMilli()%50 == 0 {
 			c.Tick(c.now)
-			c.target.awaitingSince = time.Time{}
+			c.answerProbe()
 		}
 	}
 }
--- a/agent/packetfront/probe.go
+++ b/agent/packetfront/probe.go
@@ -7,8 +7,8 @@
 )
 
 // WantsProbe reports whether the target should be probed by a connection: it is not known
-// to be up, its heartbeat or an answer is overdue, or it has deregistered and its end was
-// not seen yet.
+// to be up, its heartbeat or an answer is overdue, the proof of its identity is about to expire, or
+// it has deregistered and its end was not seen yet.
 func (c *Core) WantsProbe(now time.Time) bool {
 	t := &c.target
 	if !t.deregisteredAt.IsZero() {
@@ -21,6 +21,9 @@
 		return false
 	}
 	unanswered := !t.awaitingSince.IsZero() && now.Sub(t.awaitingSince) > answerTimeout
+	if t.identity.renewalDue(now) {
+		return true
+	}
 	heartbeatTimeout := time.Duration(probeAfterMissedHeartbeats * float64(c.opts.HeartbeatPeriod))
 	return unanswered || (t.incarnation.TargetID != "" && now.Sub(t.heartbeatAt) > heartbeatTimeout && now.Sub(t.probedAt) > c.opts.HeartbeatPeriod)
 }
@@ -43,14 +46,20 @@
 	return [...]string{"accepted", "refused", "unanswered", "invalid"}[p&3]
 }
 
-// TargetProbed handles the outcome of a target probe.
-func (c *Core) TargetProbed(now time.Time, p Probe) {
+// TargetProbed handles the outcome of a target probe that began at the given time.
+func (c *Core) TargetProbed(began, now time.Time, p Probe) {
 	t := &c.target
 	t.probedAt, t.lastProbe = now, p
+	c.checkIdentity(now)
+	if p == ProbeAccepted {
+		t.identity.renew(began, now)
+	}
 	switch {
 	case p == ProbeAccepted && !t.up:
 		c.endClosedTarget(now)
-		t.unidentified = t.unidentified || !t.upSince.IsZero()
+		if !t.upSince.IsZero() {
+			c.doubtIdentity("another process listens")
+		}
 		c.targetUp(now)
 		t.heartbeat = fleet.Heartbeat{Slots: t.heartbeat.Slots}
 		t.sawStart = t.probeRefused
--- a/agent/packetfront/settings.go
+++ b/agent/packetfront/settings.go
@@ -35,6 +35,9 @@
 	Store string `json:"store" validate:"required,addrport4"`
 	// HeartbeatEvery is the interval between the target's heartbeats.
 	HeartbeatEvery settings.Duration `json:"heartbeatEvery,omitempty" validate:"gte=10000000,lte=600000000000"`
+	// AddressReuse is the minimum time between the end of a target and the start of another service's at
+	// its address.
+	AddressReuse settings.Duration `json:"addressReuse,omitempty" validate:"gte=500000000,lte=600000000000"`
 	// FlowTTL is the idle time after which a flow's record may expire.
 	FlowTTL settings.Duration `json:"flowTTL,omitempty" validate:"gte=1000000000,lte=86400000000000"`
 	Log     settings.Log      `json:"log"`
@@ -44,6 +47,7 @@
 func Defaults() Settings {
 	return Settings{
 		HeartbeatEvery: settings.Duration(1200 * time.Millisecond),
+		AddressReuse:   settings.Duration(defaultAddressReuse),
 		FlowTTL:        settings.Duration(60 * time.Second),
 	}
 }
--- a/agent/packetfront/target.go
+++ b/agent/packetfront/target.go
@@ -21,9 +21,8 @@
 	// up is set by a heartbeat, a packet or an accepted connection, and cleared by a refused
 	// connection.
 	up bool
-	// unidentified is set while the process at the target's address may be of another service, until
-	// it reports: addresses of targets that are gone are used again.
-	unidentified bool
+	// identity is what proves that the process at the target's address is of the agent's service.
+	identity identity
 	// deregisteredAt is when the target deregistered.
 	deregisteredAt time.Time
 	// ended is set once it is certain that no target runs here.
@@ -128,7 +127,7 @@
 }
 
 // acceptsFlows reports whether the target may get new flows.
-func (t *target) acceptsFlows() bool { return t.state() == fleet.Ready && !t.unidentified }
+func (t *target) acceptsFlows() bool { return t.state() == fleet.Ready && !t.identity.unproven }
 
 func (t *target) slots() int {
 	if t.heartbeat.Slots <= 0 {
@@ -179,11 +178,13 @@
 	t.up, t.ended, t.downSince, t.refusedAt = true, false, time.Time{}, time.Time{}
 }
 
-// Heartbeat handles a heartbeat and reports whether it is from the current target. After its
-// return a draining target gets no new flows.
-func (c *Core) Heartbeat(now time.Time, b fleet.Heartbeat) bool {
+// Heartbeat handles a heartbeat that arrived at the given time or later, and reports whether it is from
+// the current target. After its return a draining target gets no new flows.
+func (c *Core) Heartbeat(arrived, now time.Time, b fleet.Heartbeat) bool {
 	t := &c.target
-	switch t.classify(now, b, c.opts.HeartbeatPeriod) {
+	c.checkIdentity(now)
+	source := t.classify(now, b, c.opts.HeartbeatPeriod)
+	switch source {
 	case staleHeartbeat:
 		if !t.isFormer(b.TargetIncarnation) {
 			// The target may have restarted unnoticed, so it may be cold.
@@ -196,7 +197,8 @@
 		c.newTarget(b)
 	}
 	changed := t.heartbeat.Draining != b.Draining
-	t.sequence, t.heartbeat, t.heartbeatAt, t.sawEnd, t.unidentified = b.Sequence, b, now, false, false
+	t.sequence, t.heartbeat, t.heartbeatAt, t.sawEnd = b.Sequence, b, now, false
+	c.identify(arrived, b)
 	if !t.deregisteredAt.IsZero() && now.Sub(t.deregisteredAt) > deregistrationGrace {
 		// The deregistration was from a former incarnation with the same ID.
 		t.deregisteredAt = time.Time{}
@@ -217,10 +219,7 @@
 	if c.target.alive(now, c.opts.HeartbeatPeriod) {
 		return
 	}
-	if !c.target.unidentified {
-		c.target.unidentified = true
-		c.events.TargetReport("target may be of another service", c.target.heartbeat)
-	}
+	c.doubtIdentity("another service reported")
 	c.announceChange(now)
 }
 
@@ -230,7 +229,8 @@
 	if service == c.opts.Service {
 		return
 	}
-	c.opts.Service, c.target.unidentified = service, true
+	c.opts.Service = service
+	c.doubtIdentity("settings name another service")
 	c.announceChange(now)
 }
 
@@ -244,7 +244,7 @@
 	sawStart := t.sawEnd || t.ended || (t.sawStart && !t.deregisteredAt.IsZero()) || (t.incarnation.TargetID == "" && t.probeRefused)
 	t.history.addFormer(t.incarnation)
 	t.history.rejected = fleet.TargetIncarnation{}
-	*t = target{incarnation: b.TargetIncarnation, history: t.history, up: t.up, upSince: t.upSince, probeRefused: sawStart, sawStart: sawStart, probedAt: t.probedAt, lastProbe: t.lastProbe, sentAt: t.sentAt}
+	*t = target{incarnation: b.TargetIncarnation, history: t.history, identity: t.identity, up: t.up, upSince: t.upSince, probeRefused: sawStart, sawStart: sawStart, probedAt: t.probedAt, lastProbe: t.lastProbe, sentAt: t.sentAt}
 	c.events.TargetReport("new target incarnation", b)
 }
 
--- a/agent/packetfront/upload_test.go
+++ b/agent/packetfront/upload_test.go
@@ -46,7 +46,7 @@
 		f.peak = max(f.peak, f.flows.running)
 		if f.now.UnixMilli()%50 == 0 {
 			f.Tick(f.now)
-			f.target.awaitingSince = time.Time{}
+			f.answerProbe()
 		}
 	}
 	return taken, passedOn
--- a/e2e/packets/target_test.go
+++ b/e2e/packets/target_test.go
@@ -82,7 +82,7 @@
 	if !a.Up {
 		return
 	}
-	acknowledged := a.Core.Heartbeat(a.w.Now, fleet.Heartbeat{TargetIncarnation: t.incarnation(), Service: t.service, Slots: t.slots, Draining: t.draining, Sequence: t.lastSequence, WarmupLeft: max(t.coldUntil.Sub(a.w.Now), 0)})
+	acknowledged := a.Heartbeat(fleet.Heartbeat{TargetIncarnation: t.incarnation(), Service: t.service, Slots: t.slots, Draining: t.draining, Sequence: t.lastSequence, WarmupLeft: max(t.coldUntil.Sub(a.w.Now), 0)})
 	t.unseenRestart = t.unseenRestart && !acknowledged
 	if acknowledged && t.draining && t.drainAckedBy != a.Generation {
 		t.drainAckedBy, t.drainAckedAt = a.Generation, a.w.Now
@@ -134,7 +134,7 @@
 		return
 	}
 	t.lastSequence++
-	a.Core.Heartbeat(a.w.Now, fleet.Heartbeat{TargetIncarnation: t.incarnation(), Service: t.service, Slots: t.slots, Draining: true, Sequence: t.lastSequence})
+	a.Heartbeat(fleet.Heartbeat{TargetIncarnation: t.incarnation(), Service: t.service, Slots: t.slots, Draining: true, Sequence: t.lastSequence})
 }
 
 // HandlePacket handles a packet that the agent delivered; it implements sim.Target.
--- a/model/sim/nodes.go
+++ b/model/sim/nodes.go
@@ -230,9 +230,12 @@
 	if a.Target == nil || a.ListenerClosed {
 		outcome = agentfront.ProbeRefused
 	}
-	a.Core.TargetProbed(a.w.Now, outcome)
+	a.Core.TargetProbed(a.w.Now, a.w.Now, outcome)
 }
 
+// Heartbeat delivers a heartbeat of the target and reports whether it is acknowledged.
+func (a *Agent) Heartbeat(b fleet.Heartbeat) bool { return a.Core.Heartbeat(a.w.Now, a.w.Now, b) }
+
 // maintainRegistration keeps the agent's registry entry in the state that the core wants. Every
 // fleet.ExpireAfter it checks whether the entry is still there and restores it if not.
 func (a *Agent) maintainRegistration(incarnation uint64) {
--- a/model/sim/noop.go
+++ b/model/sim/noop.go
@@ -60,6 +60,7 @@
 func (NoopAgentEvents) SentAfterRefusal(flow.Key, bool, agentfront.TargetEvidence)             {}
 func (NoopAgentEvents) Dropped(agentfront.DropReason)                                          {}
 func (NoopAgentEvents) TargetReport(string, fleet.Heartbeat)                                   {}
+func (NoopAgentEvents) IdentityDoubted(string, fleet.Heartbeat)                                {}
 func (NoopAgentEvents) RequestFailed()                                                         {}
 func (NoopAgentEvents) Ejected(bool, int, int)                                                 {}
 func (NoopAgentEvents) OnProbation(int, time.Duration)                                         {}
--- a/model/target.go
+++ b/model/target.go
@@ -106,7 +106,7 @@
 		return
 	}
 	now := t.run.world.Now
-	t.agent.Core.Heartbeat(now, fleet.Heartbeat{
+	t.agent.Heartbeat(fleet.Heartbeat{
 		TargetIncarnation: fleet.TargetIncarnation{TargetID: t.id}, Service: t.service.Name, Slots: t.service.Slots, Draining: t.draining, Sequence: t.sequence,
 		WarmupLeft: max(t.startedAt.Add(t.service.ColdTime.D()).Sub(now), 0),
 	})
