agent: a late report of the former target proves nothing about its successor

Cause: a report says who sent it, not when, and the incarnation that reported last was believed whatever had been seen since.

Change: a refused connection ends the proof of identity like its expiry. Without a proof a report of the incarnation that is known already counts only together with a later one, half a heartbeat period after it or more; another service's report in between starts that over. Reports that a cut held up arrive together. A report of an incarnation that was not known counts at once, so a target that has restarted waits no longer than before; a target without a proof does not count as alive, so that the next one is accepted at its first report.

TestHeartbeatAfterARefusedProbeMarksTheTargetUp demanded the fault: a report of the same incarnation after a refused connection made it ready. It now demands that for another incarnation, and for the same one at its second report, and that nothing is delivered in between; TestLateReportOfAnotherServiceDoesNotKeepNewFlowsAway likewise.

Before: TestLateReportProvesNoIdentity failed ("its end was seen").

--- a/agent/packetfront/core_test.go
+++ b/agent/packetfront/core_test.go
@@ -378,15 +378,28 @@
 }
 
 // TestHeartbeatAfterARefusedProbeMarksTheTargetUp: the target may have started since the
-// target probe.
+// target probe. A report of the incarnation that was refused may be a late one: it counts once that
+// incarnation has reported again.
 func TestHeartbeatAfterARefusedProbeMarksTheTargetUp(t *testing.T) {
-	f := newFixture()
-	f.TargetProbed(f.now, ProbeRefused)
-	require.Equal(t, fleet.Gone, f.announcement(f.now).State)
-	f.receiveHeartbeat(false)
-	require.Equal(t, fleet.Ready, f.announcement(f.now).State)
-	f.syn(1, 0, 0)
-	require.Len(t, f.port.target, 1)
+	for name, report := range map[string]func(f *fixture){
+		"another incarnation": func(f *fixture) { f.receiveHeartbeatOf(0, "i-2", 1, false) },
+		"the same, twice": func(f *fixture) {
+			f.receiveHeartbeat(false)
+			require.Equal(t, fleet.Absent, f.announcement(f.now).State)
+			f.syn(1, 0, 0)
+			require.Empty(t, f.port.target, "it may be a late report")
+			f.now = f.now.Add(f.opts.HeartbeatPeriod)
+			f.receiveHeartbeat(false)
+		},
+	} {
+		f := newFixture()
+		f.TargetProbed(f.now, ProbeRefused)
+		require.Equal(t, fleet.Gone, f.announcement(f.now).State, name)
+		report(f)
+		require.Equal(t, fleet.Ready, f.announcement(f.now).State, name)
+		f.syn(1, 0, 0)
+		require.Len(t, f.port.target, 1, name)
+	}
 }
 
 func TestTargetIsProbedOnlyWhenOverdue(t *testing.T) {
--- a/agent/packetfront/identity.go
+++ b/agent/packetfront/identity.go
@@ -15,12 +15,17 @@
 //     was proven, or one of the same service.
 //   - Once the proof has expired, a target that was up was seen to end, or another service has
 //     reported, any process may listen here. It gets no new flow until a heartbeat proves it again.
+//   - A heartbeat of the incarnation that is already known may have been delayed until after the end
+//     of its sender. It proves the identity again only together with a later one.
 type identity struct {
 	// provenAt is the latest time at which the process was certainly of the agent's service.
 	provenAt time.Time
 	validity time.Duration
 	// unproven is set while the process may be of another service.
 	unproven bool
+	// confirmFrom is when the known incarnation reported first since the identity is unproven; zero
+	// if it has not.
+	confirmFrom time.Time
 }
 
 const (
@@ -33,6 +38,9 @@
 	// renewalShare is the share of the validity of a proof after which it is renewed by a probe. With
 	// the usual heartbeat period of 1.2 s and a validity of 1.8 s a heartbeat comes before.
 	renewalShare = 0.85
+	// confirmationShare is the minimum time, in heartbeat periods, between two heartbeats that
+	// prove the identity together. Those that were held up arrive at the same time.
+	confirmationShare = 0.5
 )
 
 // newIdentity returns the identity of a process that starts: its settings are the proof.
@@ -48,11 +56,11 @@
 	if i.unproven || at.After(i.provenAt) {
 		i.provenAt = at
 	}
-	i.unproven = false
+	i.unproven, i.confirmFrom = false, time.Time{}
 }
 
 // doubt records that the process may be of another service from now on.
-func (i *identity) doubt() { i.unproven = true }
+func (i *identity) doubt() { i.unproven, i.confirmFrom = true, time.Time{} }
 
 // expired reports whether the proof is too old.
 func (i *identity) expired(now time.Time) bool { return now.Sub(i.provenAt) >= i.validity }
@@ -69,12 +77,28 @@
 	return !i.unproven && now.Sub(i.provenAt) >= time.Duration(renewalShare*float64(i.validity))
 }
 
+// confirm records a heartbeat of the known incarnation while the identity is unproven, and reports
+// whether it proves the identity.
+func (i *identity) confirm(now time.Time, period time.Duration) bool {
+	if i.confirmFrom.IsZero() {
+		i.confirmFrom = now
+		return false
+	}
+	return now.Sub(i.confirmFrom) >= time.Duration(confirmationShare*float64(period))
+}
+
 // identify records a heartbeat of the target that was sent at the given time or later.
-func (c *Core) identify(sent time.Time, b fleet.Heartbeat) {
-	if c.target.identity.unproven {
+func (c *Core) identify(now, sent time.Time, b fleet.Heartbeat, source heartbeatSource) {
+	i := &c.target.identity
+	switch {
+	case source == currentHeartbeat && i.unproven && !i.confirm(now, c.opts.HeartbeatPeriod):
+		c.events.TargetReport("report may be a late one, another one is needed", b)
+	case i.unproven:
+		i.prove(sent)
 		c.events.TargetReport("target is of the agent's service again", b)
+	default:
+		i.prove(sent)
 	}
-	c.target.identity.prove(sent)
 }
 
 // doubtIdentity records that any process may listen at the target's address from now on.
--- a/agent/packetfront/identity_test.go
+++ b/agent/packetfront/identity_test.go
@@ -94,6 +94,32 @@
 	}
 }
 
+// TestLateReportProvesNoIdentity guards against a report that a partition held up until its sender had
+// crashed and another service's target had its address.
+func TestLateReportProvesNoIdentity(t *testing.T) {
+	for name, crash := range map[string]func(f *fixture){
+		"its end was seen":     func(f *fixture) { f.quietHour(2200*time.Millisecond, false) },
+		"its end was not seen": func(f *fixture) { f.now = f.now.Add(2200 * time.Millisecond) },
+	} {
+		f := settled()
+		crash(f)
+		f.OtherServiceReported(f.now)
+		for range 3 {
+			f.now = f.now.Add(100 * time.Millisecond)
+			f.receiveHeartbeat(false)
+			require.False(t, f.offerFlow(service), name)
+		}
+		f.now = f.now.Add(time.Second)
+		f.OtherServiceReported(f.now)
+		f.receiveHeartbeat(false)
+		require.False(t, f.offerFlow(service), "%s: another service has reported since", name)
+		f.SetService(f.now, otherService)
+		f.receiveHeartbeatOf(100*time.Millisecond, "i-7", 2, false)
+		f.endProbation()
+		require.True(t, f.offerFlow(otherService), "%s: the new target is known by its first report", name)
+	}
+}
+
 // TestReportFoundAfterAStandstillIsDatedWhenItMayHaveArrived guards against a proof that lasts longer
 // because the agent stood still between the arrival of a report and its handling.
 func TestReportFoundAfterAStandstillIsDatedWhenItMayHaveArrived(t *testing.T) {
@@ -121,7 +147,9 @@
 	require.Len(t, f.deliveredRequests(), 2)
 	f.quietHour(time.Second, true)
 	f.receiveHeartbeat(false)
-	require.True(t, f.offerFlow(service), "it has reported")
+	f.quietHour(f.opts.HeartbeatPeriod, true)
+	f.receiveHeartbeat(false)
+	require.True(t, f.offerFlow(service), "two reports prove that it is the former target")
 }
 
 // TestMessagesFromBeforeAStandstillAreDatedBeforeIt covers a process that stood still.
--- a/agent/packetfront/probe.go
+++ b/agent/packetfront/probe.go
@@ -83,6 +83,7 @@
 		t.downSince = now
 	}
 	if t.up {
+		c.doubtIdentity("connection refused")
 		t.up, t.awaitingSince, t.sawEnd = false, time.Time{}, true
 		c.events.TargetReport("target does not listen", t.heartbeat)
 	}
--- a/agent/packetfront/service_test.go
+++ b/agent/packetfront/service_test.go
@@ -74,6 +74,9 @@
 	f.OtherServiceReported(f.now)
 	require.False(t, f.offerFlow(service), "the current target is overdue")
 	f.receiveHeartbeat(false)
+	require.False(t, f.offerFlow(service), "its report may be a late one")
+	f.now = f.now.Add(f.opts.HeartbeatPeriod)
+	f.receiveHeartbeat(false)
 	require.True(t, f.offerFlow(service))
 }
 
--- a/agent/packetfront/target.go
+++ b/agent/packetfront/target.go
@@ -198,7 +198,7 @@
 	}
 	changed := t.heartbeat.Draining != b.Draining
 	t.sequence, t.heartbeat, t.heartbeatAt, t.sawEnd = b.Sequence, b, now, false
-	c.identify(arrived, b)
+	c.identify(now, arrived, b, source)
 	if !t.deregisteredAt.IsZero() && now.Sub(t.deregisteredAt) > deregistrationGrace {
 		// The deregistration was from a former incarnation with the same ID.
 		t.deregisteredAt = time.Time{}
