agent: a port that opens after the agent's start waits for a report

Cause: only a target that this process of the agent had seen up left a doubt behind when its port was closed. The settings, which are the proof at the agent's start, say nothing about a process that starts later.

Change: a refused connection ends the proof whoever was there before. A target that listens at the agent's first probe counts as proven by the settings, as before, so an agent's restart and a power loss with targets up first delay nothing; one that starts beside a running agent gets flows with its first report.

The platform's targets report within 30 ms of their start.

TestPacketAfterARefusedProbeDoesNotMarkTheTargetUp demanded the fault: a port that was closed at the agent's start and accepts then made the target ready. It now demands a report. TestATargetThatStartsLateIsNotOverlooked lets its target report 30 ms after its start; its check is the same.

Before: TestPortThatOpensAfterTheAgentStartedWaitsForAReport failed ("opened later").

--- a/agent/packetfront/identity.go
+++ b/agent/packetfront/identity.go
@@ -13,8 +13,8 @@
 //   - A proof is valid for validity, which is shorter than the time for which an address stays unused.
 //     While it is valid, an accepted connection renews it: the process that listens is the one that
 //     was proven, or one of the same service.
-//   - Once the proof has expired, a target that was up was seen to end, or another service has
-//     reported, any process may listen here. It gets no new flow until a heartbeat proves it again.
+//   - Once the proof has expired, a connection was refused, or another service has reported, any
+//     process may listen here. It gets no new flow until a heartbeat proves it again.
 //   - A heartbeat of the incarnation that is already known may have been delayed until after the end
 //     of its sender. It proves the identity again only together with a later one.
 type identity struct {
--- a/agent/packetfront/identity_test.go
+++ b/agent/packetfront/identity_test.go
@@ -134,6 +134,25 @@
 	}
 }
 
+// TestPortThatOpensAfterTheAgentStartedWaitsForAReport guards against an agent that has restarted
+// between the end of a target and the start of another service's at the address.
+func TestPortThatOpensAfterTheAgentStartedWaitsForAReport(t *testing.T) {
+	for name, c := range map[string]struct {
+		first     Probe
+		delivered bool
+	}{"listened at the agent's start": {ProbeAccepted, true}, "opened later": {ProbeRefused, false}} {
+		f := newFixture()
+		f.Core = New(f.now, f.opts, f.port, f.codec, f.events)
+		f.TargetProbed(f.now, c.first)
+		f.now = f.now.Add(300 * time.Millisecond)
+		f.TargetProbed(f.now, ProbeAccepted)
+		f.registered()
+		require.Equal(t, c.delivered, f.offerFlow(service), name)
+		f.receiveHeartbeatOf(0, "i-3", 1, false)
+		require.True(t, f.offerFlow(service), name)
+	}
+}
+
 // TestUnprovenTargetKeepsItsOpenFlows guards against flows that are cut because the proof of the
 // target's identity expired.
 func TestUnprovenTargetKeepsItsOpenFlows(t *testing.T) {
--- a/agent/packetfront/probe.go
+++ b/agent/packetfront/probe.go
@@ -57,9 +57,6 @@
 	switch {
 	case p == ProbeAccepted && !t.up:
 		c.endClosedTarget(now)
-		if !t.upSince.IsZero() {
-			c.doubtIdentity("another process listens")
-		}
 		c.targetUp(now)
 		t.heartbeat = fleet.Heartbeat{Slots: t.heartbeat.Slots}
 		t.sawStart = t.probeRefused
@@ -79,11 +76,11 @@
 func (c *Core) targetRefused(now time.Time) {
 	t := &c.target
 	t.probeRefused, t.refusedAt = true, now
+	c.doubtIdentity("connection refused")
 	if t.downSince.IsZero() {
 		t.downSince = now
 	}
 	if t.up {
-		c.doubtIdentity("connection refused")
 		t.up, t.awaitingSince, t.sawEnd = false, time.Time{}, true
 		c.events.TargetReport("target does not listen", t.heartbeat)
 	}
--- a/agent/packetfront/restart_test.go
+++ b/agent/packetfront/restart_test.go
@@ -316,15 +316,15 @@
 	f.Stop(f.now)
 	require.Equal(t, fleet.Gone, f.announcement(f.now).State)
 
-	for name, proof := range map[string]func(*fixture){
-		"a connection": func(f *fixture) { f.TargetProbed(f.now, ProbeAccepted) },
-		"a report":     func(f *fixture) { f.receiveHeartbeat(false) },
-	} {
+	for name, reported := range map[string]bool{"a connection": false, "a report": true} {
 		f.Core = New(f.now, f.opts, f.port, platformCodec, discardEvents{})
 		f.TargetProbed(f.now, ProbeRefused)
-		proof(f)
+		f.TargetProbed(f.now, ProbeAccepted)
+		if reported {
+			f.receiveHeartbeat(false)
+		}
 		f.syn(2, 0, 0)
-		require.NotEmpty(t, f.port.target, name)
+		require.Equal(t, reported, len(f.port.target) > 0, "%s: what opens a closed port may be of any service", name)
 		f.port.target = nil
 	}
 }
--- a/e2e/packets/membership_test.go
+++ b/e2e/packets/membership_test.go
@@ -102,6 +102,8 @@
 			return cut
 		}
 		a.startTarget()
+		// The agent announces it as ready once it has reported.
+		w.After(targetStartupReport, a.heartbeat)
 		w.Run(4 * sim.AgentTick)
 		require.Contains(t, w.Registry, a.IP)
 		known, ok := newBalancer.Core.View().Target(a.IP)
--- a/e2e/packets/target_test.go
+++ b/e2e/packets/target_test.go
@@ -12,6 +12,10 @@
 	"github.com/poppywall/poppywall/platform/platformtest"
 )
 
+// targetStartupReport is how long after its start a target reports for the first time where a test needs
+// it sooner than at a random time within the heartbeat period.
+const targetStartupReport = 30 * time.Millisecond
+
 // coldPeriod is the time for which targets are cold after a start.
 const coldPeriod = 2 * time.Second
 
