agent: a report is compared with the agent's service under the lock that applies it

The service of a report was compared when it was decoded, and the report applied later: a reload of the settings in between made a report of the former service the proof that the new service's target is here.

The front compares again where it applies the report. TestReportOfTheFormerServiceIsNotTakenForTheNewOne failed before ("should be false").

--- a/agent/packetfront/front.go
+++ b/agent/packetfront/front.go
@@ -244,9 +244,14 @@
 	})
 }
 
-// Heartbeat implements platform.ReportHandler.
+// Heartbeat implements platform.ReportHandler. The agent's service may have changed since the report was
+// compared with it.
 func (f *Front) Heartbeat(b fleet.Heartbeat) (current bool) {
 	f.locked(func(now time.Time) {
+		if b.Service != f.service {
+			f.core.OtherServiceReported(now)
+			return
+		}
 		current = f.core.Heartbeat(f.standstill.earliest(now), now, b)
 	})
 	return current
--- a/agent/packetfront/front_test.go
+++ b/agent/packetfront/front_test.go
@@ -79,3 +79,32 @@
 		require.NotEqual(t, fleet.RegistrationPresent, f.core.announcement(now).Registration)
 	})
 }
+
+// TestReportOfTheFormerServiceIsNotTakenForTheNewOne guards against a report that was compared with
+// the agent's service before the settings changed, and is applied after that.
+func TestReportOfTheFormerServiceIsNotTakenForTheNewOne(t *testing.T) {
+	s := standin.NewStore(time.Now)
+	server := httptest.NewServer(platformtest.NewStoreHandler(s))
+	defer server.Close()
+	target, err := net.Listen("tcp4", "127.0.90.1:22013")
+	require.NoError(t, err)
+	defer target.Close()
+	f, stop := startFront(t, strings.TrimPrefix(server.URL, "http://"))
+	defer stop()
+	cfg := f.cfg
+	cfg.Service = "beta"
+	f.Reload(cfg)
+	report := func(service string) bool {
+		return f.Heartbeat(fleet.Heartbeat{TargetIncarnation: fleet.TargetIncarnation{TargetID: service}, Service: service, Slots: 4, Sequence: 1})
+	}
+	require.False(t, report("alpha"))
+	require.NotEqual(t, fleet.Ready, f.announced().State)
+	require.True(t, report("beta"))
+	require.Equal(t, fleet.Ready, f.announced().State)
+}
+
+// announced returns what the agent announces.
+func (f *Front) announced() (a fleet.Announcement) {
+	f.locked(func(now time.Time) { a = f.core.announcement(now) })
+	return a
+}
