--- a/agent/packetfront/admission.go
+++ b/agent/packetfront/admission.go
@@ -168,7 +168,7 @@
 		return
 	}
 	c.env.Flags |= envelope.ShortestWait
-	c.env.SetCandidates([]flow.Candidate{{Target: best, Service: c.env.Service}})
+	c.env.SetCandidates([]flow.IPv4{best})
 }
 
 // canMeetDeadline reports whether the request of a new flow can be answered before its
--- a/agent/packetfront/admission_test.go
+++ b/agent/packetfront/admission_test.go
@@ -160,7 +160,7 @@
 	f := newFixture()
 	f.fillTarget()
 	e := routeEnvelope(2)
-	e.SetCandidates([]flow.Candidate{{Target: nextIP, Service: service}})
+	e.SetCandidates([]flow.IPv4{nextIP})
 	f.openFlow(100, e, 2)
 	passed := f.port.Last()
 	require.Equal(t, nextIP, passed.To)
--- a/agent/packetfront/cold_test.go
+++ b/agent/packetfront/cold_test.go
@@ -21,7 +21,7 @@
 func (f *fixture) offer(client int, rate float64) bool {
 	before := len(f.port.target)
 	e := envelope.Envelope{Service: service, ColdRate: rate}
-	e.SetCandidates([]flow.Candidate{{Target: nextIP, Service: service}})
+	e.SetCandidates([]flow.IPv4{nextIP})
 	f.deliver(e, packet(keyOf(client), flow.SYN, 0, ""))
 	return len(f.port.target) > before
 }
--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/poppywall/poppywall/backlog"
 	"github.com/poppywall/poppywall/fleet"
 	"github.com/poppywall/poppywall/fleet/zonecast"
@@ -24,8 +26,9 @@
 
 // Options are the core's parameters.
 type Options struct {
-	Self          flow.IPv4
-	Zone, Service flow.Tag
+	Self    flow.IPv4
+	Zone    flow.Tag
+	Service flow.ServiceID
 	// Seeds are the addresses of the balancers to which the target is announced first.
 	Seeds []flow.IPv4
 	// Incarnation identifies this incarnation of the process; it is random for each start.
@@ -154,7 +157,11 @@
 // HandleNode handles a datagram of another node.
 func (c *Core) HandleNode(now time.Time, from flow.IPv4, datagram []byte) {
 	kind, err := envelope.KindOf(datagram)
-	if err != nil {
+	switch {
+	case errors.Is(err, envelope.ErrVersion):
+		c.events.OtherVersion(from, envelope.VersionOf(datagram))
+		return
+	case err != nil:
 		c.events.Dropped(DropMalformed)
 		return
 	}
@@ -376,8 +383,7 @@
 	c.env.Hops++
 	next, ok := c.env.Pop()
 	if ok && c.env.Hops < envelope.MaxHops {
-		c.env.Service = next.Service
-		c.sendEnvelope(next.Target, packet)
+		c.sendEnvelope(next, packet)
 		return
 	}
 	if ok {
@@ -397,7 +403,7 @@
 
 // sendOwner notifies a balancer that this target holds a flow.
 func (c *Core) sendOwner(key flow.Key, balancer flow.IPv4, hops uint8) {
-	e := envelope.Envelope{Kind: envelope.Owner, Balancer: balancer, Hops: hops, Service: c.opts.Service}
+	e := envelope.Envelope{Kind: envelope.Owner, Balancer: balancer, Hops: hops}
 	c.buf = envelope.AppendKey(e.Append(c.buf[:0]), key)
 	c.port.ToNode(balancer, c.buf, nil)
 }
--- a/agent/packetfront/core_test.go
+++ b/agent/packetfront/core_test.go
@@ -15,8 +15,10 @@
 	"github.com/poppywall/poppywall/platform/platformtest"
 )
 
+// service is the agent's service, otherService another one.
+var service, otherService = flow.ServiceIDOf("alpha"), flow.ServiceIDOf("beta")
+
 const (
-	service    = flow.Tag(5)
 	balancerIP = flow.IPv4(0x0a000001)
 	nextIP     = flow.IPv4(0x0a000002)
 )
@@ -49,6 +51,7 @@
 func (discardEvents) FlowExpired(flow.Key, string, time.Duration)                 {}
 func (discardEvents) FlowsRecorded(int)                                           {}
 func (discardEvents) SentAfterRefusal(flow.Key, bool, TargetEvidence)             {}
+func (discardEvents) OtherVersion(flow.IPv4, uint8)                               {}
 func (discardEvents) Dropped(DropReason)                                          {}
 func (discardEvents) TargetReport(string, fleet.Heartbeat)                        {}
 func (discardEvents) IdentityDoubted(string, fleet.Heartbeat)                     {}
@@ -198,11 +201,11 @@
 func TestNewFlowsAreDeliveredOnlyToAReadyTarget(t *testing.T) {
 	for name, c := range map[string]struct {
 		prepare func(f *fixture)
-		service flow.Tag
+		service flow.ServiceID
 		taken   bool
 	}{
 		"ready":            {func(*fixture) {}, service, true},
-		"another service":  {func(*fixture) {}, service + 1, false},
+		"another service":  {func(*fixture) {}, otherService, false},
 		"draining":         {func(f *fixture) { f.receiveHeartbeat(true) }, service, false},
 		"left":             {func(f *fixture) { f.Deregister(f.now, fleet.TargetIncarnation{TargetID: "i-1"}) }, service, false},
 		"another one left": {func(f *fixture) { f.Deregister(f.now, fleet.TargetIncarnation{TargetID: "i-0"}) }, service, true},
@@ -213,7 +216,7 @@
 		f := newFixture()
 		c.prepare(f)
 		e := envelope.Envelope{Service: c.service}
-		e.SetCandidates([]flow.Candidate{{Target: nextIP, Service: service}})
+		e.SetCandidates([]flow.IPv4{nextIP})
 		f.deliver(e, packet(keyOf(1), flow.SYN, 0, ""))
 		require.Equal(t, c.taken, len(f.port.target) == 1, name)
 		if !c.taken {
@@ -238,7 +241,7 @@
 func TestBouncedPacketIsPassedOnUnmarked(t *testing.T) {
 	f := newFixture()
 	e := envelope.Envelope{Service: service}
-	e.SetCandidates([]flow.Candidate{{Target: nextIP, Service: service}})
+	e.SetCandidates([]flow.IPv4{nextIP})
 	syn := packet(keyOf(1), flow.SYN, 0, "")
 	f.deliver(e, syn)
 	f.bounce()
@@ -419,7 +422,7 @@
 // envelopes may reach the target.
 func FuzzHandleNode(f *testing.F) {
 	f.Add([]byte("nonsense"))
-	e := envelope.Envelope{Kind: envelope.Deliver, Service: service + 1, Count: 1}
+	e := envelope.Envelope{Kind: envelope.Deliver, Service: otherService, Count: 1}
 	f.Add(append(e.Append(nil), packet(keyOf(1), flow.SYN, 0, "")...))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		x := newFixture()
--- a/agent/packetfront/evacuations_test.go
+++ b/agent/packetfront/evacuations_test.go
@@ -32,7 +32,7 @@
 	t.Helper()
 	before := len(f.port.target)
 	e := envelope.Envelope{Service: service}
-	e.SetCandidates([]flow.Candidate{{Target: nextIP, Service: service}})
+	e.SetCandidates([]flow.IPv4{nextIP})
 	f.deliver(e, packet(keyOf(client), flow.SYN, 0, ""))
 	if len(f.port.target) > before {
 		return true
--- a/agent/packetfront/events.go
+++ b/agent/packetfront/events.go
@@ -14,12 +14,14 @@
 // The reasons for a drop.
 const (
 	DropMalformed DropReason = "malformed"
+	// DropVersion is a datagram of a node that uses another version of the messages.
+	DropVersion DropReason = "other version"
 	// DropBounced: the target bounced a packet whose delivery is no longer recorded.
 	DropBounced DropReason = "bounced"
 )
 
 // DropReasons lists all reasons for a drop.
-var DropReasons = []DropReason{DropMalformed, DropBounced}
+var DropReasons = []DropReason{DropMalformed, DropVersion, DropBounced}
 
 // AbandonReason is why no client waits for a request any more.
 type AbandonReason string
@@ -114,6 +116,8 @@
 	// OverloadChanged reports the start or the end of an overload of the target. queued is the number
 	// of requests that wait for a slot, wait the expected wait of a new one.
 	OverloadChanged(active bool, load backlog.Load, queued int, wait time.Duration)
+	// OtherVersion reports a dropped datagram of a node that uses another version of the messages.
+	OtherVersion(from flow.IPv4, version uint8)
 	// PeerChanged reports that a balancer has joined or was removed from the view.
 	PeerChanged(ip flow.IPv4, change string)
 	// ZoneRelayed reports whether announcements to another zone go through relays from now on, or
--- a/agent/packetfront/front.go
+++ b/agent/packetfront/front.go
@@ -86,7 +86,7 @@
 		return nil, errors.Wrap(err, "field \"outbound\"")
 	}
 	opts := Options{
-		Self: f.self, Zone: flow.TagOf(cfg.Zone), Service: flow.TagOf(cfg.Service), Seeds: flow.ParseAddrs(cfg.Seeds),
+		Self: f.self, Zone: flow.TagOf(cfg.Zone), Service: flow.ServiceIDOf(cfg.Service), Seeds: flow.ParseAddrs(cfg.Seeds),
 		Incarnation: rand.Uint64() | 1, HeartbeatPeriod: cfg.HeartbeatEvery.D(), AddressReuse: cfg.AddressReuse.D(), FlowTTL: cfg.FlowTTL.D(),
 	}
 	counters := telemetry.Metrics{Registry: f.reg, Subsystem: "packetagent"}
@@ -207,7 +207,7 @@
 func (f *Front) Reload(cfg Settings) []string {
 	f.locked(func(now time.Time) {
 		f.core.SetSeeds(flow.ParseAddrs(cfg.Seeds))
-		f.core.SetService(now, flow.TagOf(cfg.Service))
+		f.core.SetService(now, flow.ServiceIDOf(cfg.Service))
 		f.service = cfg.Service
 	})
 	return []string{"seeds", "service"}
--- a/agent/packetfront/health_test.go
+++ b/agent/packetfront/health_test.go
@@ -166,7 +166,7 @@
 	require.True(t, f.health.ejected)
 	before := len(f.port.target)
 	e := envelope.Envelope{Service: service}
-	e.SetCandidates([]flow.Candidate{{Target: nextIP, Service: service}})
+	e.SetCandidates([]flow.IPv4{nextIP})
 	f.deliver(e, packet(keyOf(100), flow.SYN, 0, ""))
 	require.Len(t, f.port.target, before)
 	require.Equal(t, nextIP, f.port.Last().To)
--- a/agent/packetfront/nodes.go
+++ b/agent/packetfront/nodes.go
@@ -257,7 +257,7 @@
 }
 
 // incarnation returns the tag of the target's incarnation, zero while it is unknown.
-func (c *Core) incarnation() flow.Tag {
+func (c *Core) incarnation() fleet.IncarnationTag {
 	if c.target.incarnation.TargetID == "" {
 		return 0
 	}
--- a/agent/packetfront/nodes_test.go
+++ b/agent/packetfront/nodes_test.go
@@ -221,3 +221,26 @@
 	f.targetSends(1, flow.ACK, 510, 10)
 	require.Len(t, f.owners(), 1, "sent once")
 }
+
+// TestDatagramOfAnotherVersionIsReported guards against a node of another version whose messages are
+// misread or dropped without a trace.
+func TestDatagramOfAnotherVersionIsReported(t *testing.T) {
+	events := &versionEvents{}
+	f := newFixture()
+	f.Core = New(f.now, f.opts, f.port, platformCodec, events)
+	e := envelope.Envelope{Kind: envelope.Deliver, Service: service}
+	other := append(e.Append(nil), packet(keyOf(1), flow.SYN, 0, "")...)
+	other[2]--
+	f.HandleNode(f.now, balancerIP, other)
+	require.Equal(t, []flow.IPv4{balancerIP}, events.from)
+	require.Empty(t, f.port.target)
+	require.Empty(t, f.port.Nodes)
+}
+
+// versionEvents records the nodes that use another version.
+type versionEvents struct {
+	discardEvents
+	from []flow.IPv4
+}
+
+func (e *versionEvents) OtherVersion(from flow.IPv4, _ uint8) { e.from = append(e.from, from) }
--- a/agent/packetfront/observer.go
+++ b/agent/packetfront/observer.go
@@ -268,6 +268,12 @@
 		zap.Float64("full", load.FullShare), zap.Duration("behind", load.Lag), zap.Duration("lasted", load.BacklogAge), zap.Int("held", queued), zap.Duration("wait", wait))
 }
 
+// OtherVersion implements Events.
+func (o *observer) OtherVersion(from flow.IPv4, version uint8) {
+	o.dropped[DropVersion].Inc()
+	o.Write(&o.other, "datagram of another version dropped", zap.Stringer(telemetry.FieldPeer, from), zap.Uint8("version", version))
+}
+
 // PeerChanged implements Events.
 func (o *observer) PeerChanged(ip flow.IPv4, change string) {
 	o.Log.Info("balancer "+change, zap.Stringer(telemetry.FieldPeer, ip))
@@ -280,7 +286,7 @@
 
 // ZoneRelayed implements Events.
 func (o *observer) ZoneRelayed(zone flow.Tag, balancers int, relayed bool) {
-	o.Log.Info("relaying to another zone changed", zap.Uint32("zone_tag", uint32(zone)), zap.Int("balancers", balancers), zap.Bool("relayed", relayed))
+	o.Log.Info("relaying to another zone changed", zap.Uint64("zone_tag", uint64(zone)), zap.Int("balancers", balancers), zap.Bool("relayed", relayed))
 }
 
 // NodeProbed implements Events.
--- a/agent/packetfront/overload_test.go
+++ b/agent/packetfront/overload_test.go
@@ -24,7 +24,7 @@
 	answered        map[int]int
 	// hops is how many targets have passed on each flow, candidates are those after this one.
 	hops       uint8
-	candidates []flow.Candidate
+	candidates []flow.IPv4
 	// sentAt is when each client sent its unanswered request.
 	sentAt map[int]time.Time
 	// offered, returned and postponed count flows; inTime and late count answers.
@@ -138,7 +138,7 @@
 // can answer is full but not overloaded while other candidates get the rest.
 func TestFlowsServedElsewhereDoNotCountTowardsOverload(t *testing.T) {
 	c := newOpenLoopLoad(newSettledFixture(), 30*time.Millisecond)
-	c.candidates = []flow.Candidate{{Target: nextIP, Service: service}}
+	c.candidates = []flow.IPv4{nextIP}
 	const capacity = 4 / 0.030
 	c.run(4*time.Second, 2.4*capacity)
 	require.NotZero(t, c.returned)
@@ -156,7 +156,7 @@
 	for hops, to := range []flow.IPv4{nextIP, balancerIP} {
 		env := routeEnvelope(2)
 		env.Balancer, env.Hops = balancerIP, uint8(hops)
-		env.SetCandidates([]flow.Candidate{{Target: nextIP, Service: service}})
+		env.SetCandidates([]flow.IPv4{nextIP})
 		for c.deliver(env, packet(keyOf(c.client), flow.SYN, 0, "")); c.flows.get(keyOf(c.client)) != nil; c.deliver(env, packet(keyOf(c.client), flow.SYN, 0, "")) {
 			c.client++
 		}
--- a/agent/packetfront/pause_test.go
+++ b/agent/packetfront/pause_test.go
@@ -121,7 +121,7 @@
 	f := newFixture()
 	f.openFlow(1, routeEnvelope(2), 0)
 	e := envelope.Envelope{Service: service}
-	e.SetCandidates([]flow.Candidate{{Target: nextIP, Service: service}})
+	e.SetCandidates([]flow.IPv4{nextIP})
 	f.deliver(e, packet(keyOf(1), flow.ACK, 500, ""))
 	f.bounce()
 	require.Equal(t, nextIP, f.port.Last().To)
--- a/agent/packetfront/service_test.go
+++ b/agent/packetfront/service_test.go
@@ -11,14 +11,12 @@
 	"github.com/poppywall/poppywall/flow/envelope"
 )
 
-const otherService = service + 1
-
 // offerFlow delivers the SYN of a new flow of a service and reports whether the target got it.
-func (f *fixture) offerFlow(s flow.Tag) bool {
+func (f *fixture) offerFlow(s flow.ServiceID) bool {
 	f.client++
 	before := len(f.port.target)
 	e := envelope.Envelope{Service: s}
-	e.SetCandidates([]flow.Candidate{{Target: nextIP, Service: s}})
+	e.SetCandidates([]flow.IPv4{nextIP})
 	f.deliver(e, packet(keyOf(1000+f.client), flow.SYN, 0, ""))
 	return len(f.port.target) > before
 }
@@ -50,7 +48,7 @@
 		f.target.sawStart = false
 		replace(f)
 		f.endProbation()
-		for _, s := range []flow.Tag{service, otherService} {
+		for _, s := range []flow.ServiceID{service, otherService} {
 			require.False(t, f.offerFlow(s), "%s, service %d", name, s)
 		}
 		require.Equal(t, fleet.Absent, f.announcement(f.now).State, name)
@@ -92,3 +90,16 @@
 	require.NoError(t, err)
 	require.Equal(t, otherService, a.Service)
 }
+
+// TestServiceOfEqualShortHashIsRefused guards against requests of a service that run at another one's
+// target because a short hash of the two names is the same.
+func TestServiceOfEqualShortHashIsRefused(t *testing.T) {
+	f := newFixture()
+	own, other := flow.ServiceIDOf("gojo24a"), flow.ServiceIDOf("huzu17b")
+	f.SetService(f.now, own)
+	f.receiveHeartbeatOf(2*time.Second, "i-2", 1, false)
+	require.True(t, f.offerFlow(own))
+	require.False(t, f.offerFlow(other))
+	f.SetService(f.now, other)
+	require.False(t, f.offerFlow(own), "a change of the settings between them counts")
+}
--- a/agent/packetfront/target.go
+++ b/agent/packetfront/target.go
@@ -225,7 +225,7 @@
 
 // SetService changes the service of the agent. The process at the target's address is of the new
 // service once it reports.
-func (c *Core) SetService(now time.Time, service flow.Tag) {
+func (c *Core) SetService(now time.Time, service flow.ServiceID) {
 	if service == c.opts.Service {
 		return
 	}
--- a/balancer/operator/fixture_test.go
+++ b/balancer/operator/fixture_test.go
@@ -15,7 +15,7 @@
 	targetB = flow.IPv4(0x0a010002)
 )
 
-var alpha = flow.TagOf("alpha")
+var alpha = flow.ServiceIDOf("alpha")
 
 // changeRecorder implements Listener and records the changes.
 type changeRecorder struct {
--- a/balancer/packetfront/cold_test.go
+++ b/balancer/packetfront/cold_test.go
@@ -28,7 +28,7 @@
 func newColdRateFixture() *fixture {
 	f := newFixture()
 	c := config(6)
-	c.ColdRates = map[flow.Tag]float64{alpha: coldRate}
+	c.ColdRates = map[flow.ServiceID]float64{alpha: coldRate}
 	f.SetConfig(f.now, c)
 	f.port.Nodes = nil
 	return f
--- a/balancer/packetfront/core.go
+++ b/balancer/packetfront/core.go
@@ -242,7 +242,7 @@
 	hash := key.Hash()
 	backend := route.Pick(hash)
 	load := c.serviceLoad(now, backend)
-	candidates := c.openCandidates(now, hash, backend.Tag)
+	candidates := c.openCandidates(now, hash, backend.ID)
 	if len(candidates) == 0 {
 		c.handleNoTarget(now, key, h, route, backend, packet)
 		return
@@ -262,29 +262,29 @@
 	}
 	chosen := candidates[0]
 	if h.Ack == 0 {
-		c.table.RecordSYN(now, key, chosen.Target)
+		c.table.RecordSYN(now, key, chosen)
 	} else {
-		c.table.Put(now, key, chosen.Target)
+		c.table.Put(now, key, chosen)
 	}
-	target, _ := c.view.Target(chosen.Target)
+	target, _ := c.view.Target(chosen)
 	target.FlowsSent++
 	c.events.Opened(Decision{Key: key, Route: route.Name, Service: backend.Name, Target: target, Config: c.operator.Config().Version, Evacuations: c.operator.Evacuations().Revision,
 		ReportAge: now.Sub(target.LastSeen), ExpectedDelay: c.expectedDelay, CrossZone: target.Zone != c.opts.Zone, Candidates: len(candidates), Retransmissions: h.Ack})
 	c.env = envelope.Envelope{
-		Kind: envelope.Deliver, Balancer: c.opts.Self, Service: chosen.Service, Priority: route.Priority,
-		Objective: route.Objective, Deadline: route.Deadline, ColdRate: c.operator.Config().ColdRates[backend.Tag],
+		Kind: envelope.Deliver, Balancer: c.opts.Self, Service: backend.ID, Priority: route.Priority,
+		Objective: route.Objective, Deadline: route.Deadline, ColdRate: c.operator.Config().ColdRates[backend.ID],
 	}
 	if retransmitted {
 		c.env.Flags |= envelope.Retransmitted
 	}
 	c.env.SetCandidates(candidates[1:])
-	c.send(chosen.Target, packet)
+	c.send(chosen, packet)
 }
 
 // handleNoTarget handles a SYN for which there is no target: none is known, or none of them may
 // get new flows. The SYN is buffered while targets may still be unknown, otherwise refused.
 func (c *Core) handleNoTarget(now time.Time, key flow.Key, h *flow.Header, route *flow.Route, backend flow.WeightedService, packet []byte) {
-	reason := c.refusalReason(backend.Tag)
+	reason := c.refusalReason(backend.ID)
 	if c.proof.Fresh(now) || (!c.proof.Settled(now) && reason == "") {
 		c.finder.Buffer(now, key, h, packet, search.BufferNoTarget)
 		return
--- a/balancer/packetfront/core_test.go
+++ b/balancer/packetfront/core_test.go
@@ -69,7 +69,7 @@
 			last := sent[len(sent)-1]
 			targets := []flow.IPv4{last.To}
 			for _, candidate := range last.Env.Candidates[:last.Env.Count] {
-				targets = append(targets, candidate.Target)
+				targets = append(targets, candidate)
 			}
 			offered = offered || slices.Contains(targets, targetA)
 		}
@@ -189,14 +189,14 @@
 	chosen := f.port.Delivered()[0]
 	candidates := map[flow.IPv4]bool{chosen.To: true}
 	for _, c := range chosen.Env.Candidates[:chosen.Env.Count] {
-		candidates[c.Target] = true
+		candidates[c] = true
 	}
 	f.table.Drop(key, chosen.To)
 	f.receiveFromClient(packet(false, 9))
 	sent := f.port.Delivered()[1]
 	probed := []flow.IPv4{sent.To}
 	for _, c := range sent.Env.Candidates[:2*searchFirstTargets-1] {
-		probed = append(probed, c.Target)
+		probed = append(probed, c)
 	}
 	for ip := range candidates {
 		require.Contains(t, probed, ip)
--- a/balancer/packetfront/evacuations.go
+++ b/balancer/packetfront/evacuations.go
@@ -31,7 +31,7 @@
 // refusalReason returns why no target of a service may get a new flow, or an empty string if no
 // target is ready. The reason is "targets of the service cold" for all targets that accept flows
 // but are not candidates, also if they are ejected or in a silent zone.
-func (c *Core) refusalReason(service flow.Tag) string {
+func (c *Core) refusalReason(service flow.ServiceID) string {
 	reason := ""
 	for _, t := range c.view.TargetsOf(service) {
 		switch {
--- a/balancer/packetfront/evacuations_test.go
+++ b/balancer/packetfront/evacuations_test.go
@@ -56,7 +56,7 @@
 		for _, sent := range f.port.Delivered() {
 			out[sent.To]++
 			for _, c := range sent.Env.Candidates[:sent.Env.Count] {
-				require.NotContains(t, evacuated, c.Target)
+				require.NotContains(t, evacuated, c)
 			}
 		}
 	}
@@ -139,7 +139,7 @@
 	for _, sent := range f.port.Delivered() {
 		probed = append(probed, sent.To)
 		for _, c := range sent.Env.Candidates[:sent.Env.Count] {
-			probed = append(probed, c.Target)
+			probed = append(probed, c)
 		}
 	}
 	require.Contains(t, probed, targetA)
--- a/balancer/packetfront/events.go
+++ b/balancer/packetfront/events.go
@@ -21,6 +21,8 @@
 // Reasons for dropping a packet, in addition to those of package search.
 const (
 	DropMalformed DropReason = "malformed"
+	// DropVersion is a datagram of a node that uses another version of the messages.
+	DropVersion DropReason = "other version"
 	// DropRetransmissionRefused is a refused SYN that is not answered with a reset, because an
 	// earlier or later SYN may have opened the flow.
 	DropRetransmissionRefused DropReason = "copy-refused"
@@ -30,7 +32,7 @@
 )
 
 // DropReasons lists all reasons for dropping a packet.
-var DropReasons = []DropReason{DropMalformed, search.DropNoRoute, search.DropNoCandidate, search.DropExpired, DropRetransmissionRefused, search.DropLateAnswer, DropNotRelayed}
+var DropReasons = []DropReason{DropMalformed, DropVersion, search.DropNoRoute, search.DropNoCandidate, search.DropExpired, DropRetransmissionRefused, search.DropLateAnswer, DropNotRelayed}
 
 // Decision is the choice of a target for a SYN, with the data it was based on.
 type Decision struct {
@@ -75,6 +77,8 @@
 	TargetExpired(ip flow.IPv4)
 	// ZoneSilenceChanged reports that a zone has become silent, or no longer is.
 	ZoneSilenceChanged(s fleet.ZoneSilence)
+	// OtherVersion reports a dropped datagram of a node that uses another version of the messages.
+	OtherVersion(from flow.IPv4, version uint8)
 	// PeerChanged reports that another balancer has joined or was removed from the view.
 	PeerChanged(ip flow.IPv4, change string)
 	// ZoneRelayed reports whether beacons to another zone go through relays from now on, or
--- a/balancer/packetfront/fixture_test.go
+++ b/balancer/packetfront/fixture_test.go
@@ -24,7 +24,7 @@
 )
 
 var (
-	alpha = flow.TagOf("alpha")
+	alpha = flow.ServiceIDOf("alpha")
 	front = flow.Front{IP: 7, Port: 80}
 )
 
@@ -39,13 +39,14 @@
 func (eventRecorder) Opened(Decision)                                      {}
 func (eventRecorder) Refused(flow.Key, string, string)                     {}
 func (eventRecorder) OverloadChanged(Overload)                             {}
-func (eventRecorder) Searching(flow.Key, [][]flow.Candidate, int)          {}
+func (eventRecorder) Searching(flow.Key, [][]flow.IPv4, int)               {}
 func (eventRecorder) ProbeReturned(flow.Key, flow.IPv4, int, bool, int)    {}
-func (eventRecorder) Unanswered(flow.Key, [][]flow.Candidate, int)         {}
+func (eventRecorder) Unanswered(flow.Key, [][]flow.IPv4, int)              {}
 func (eventRecorder) RecordReturned(flow.Key, flow.IPv4, bool)             {}
 func (eventRecorder) OwnerFound(flow.Key, flow.IPv4, int)                  {}
 func (q eventRecorder) Lost(_ flow.Key, _ int, d Uncertainty, _ flow.IPv4) { *q.uncertainty = d }
 func (q eventRecorder) Buffered(flow.Key, BufferReason)                    { *q.buffered++ }
+func (eventRecorder) OtherVersion(flow.IPv4, uint8)                        {}
 func (eventRecorder) Dropped(DropReason)                                   {}
 func (eventRecorder) TargetChanged(*fleet.Target, fleet.Change)            {}
 func (eventRecorder) TargetExpired(flow.IPv4)                              {}
@@ -107,7 +108,7 @@
 // config returns a configuration with one route to the service alpha.
 func config(version int64) *flow.Config {
 	return &flow.Config{Version: version, Routes: map[flow.Front]*flow.Route{
-		front: {Name: "r", Services: []flow.WeightedService{{Name: "alpha", Tag: alpha, Weight: 1}}},
+		front: {Name: "r", Services: []flow.WeightedService{{Name: "alpha", ID: alpha, Weight: 1}}},
 	}}
 }
 
--- a/balancer/packetfront/nodes.go
+++ b/balancer/packetfront/nodes.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/poppywall/poppywall/balancer/search"
 	"github.com/poppywall/poppywall/fleet"
 	"github.com/poppywall/poppywall/fleet/zonecast"
@@ -15,7 +17,11 @@
 // HandleNode handles a datagram from another node.
 func (c *Core) HandleNode(now time.Time, from flow.IPv4, datagram []byte) {
 	kind, err := envelope.KindOf(datagram)
-	if err != nil {
+	switch {
+	case errors.Is(err, envelope.ErrVersion):
+		c.events.OtherVersion(from, envelope.VersionOf(datagram))
+		return
+	case err != nil:
 		c.events.Dropped(DropMalformed)
 		return
 	}
--- a/balancer/packetfront/observer.go
+++ b/balancer/packetfront/observer.go
@@ -141,7 +141,7 @@
 }
 
 // Searching implements Events.
-func (o *observer) Searching(key flow.Key, probes [][]flow.Candidate, round int) {
+func (o *observer) Searching(key flow.Key, probes [][]flow.IPv4, round int) {
 	o.searches.Inc()
 	o.Write(&o.searching, "searching for the target of an unknown flow", zap.Stringer(fieldFlow, key), zap.Int(fieldCandidates, probedTargets(probes).count()), zap.Int(fieldRound, round),
 		zap.Stringer(fieldProbes, probedTargets(probes)))
@@ -154,7 +154,7 @@
 }
 
 // Unanswered implements Events.
-func (o *observer) Unanswered(key flow.Key, probes [][]flow.Candidate, round int) {
+func (o *observer) Unanswered(key flow.Key, probes [][]flow.IPv4, round int) {
 	o.unanswered.Add(float64(len(probes)))
 	o.Write(&o.returns, "search probes not returned", zap.Stringer(fieldFlow, key), zap.Int(fieldCandidates, probedTargets(probes).count()), zap.Int(fieldRound, round),
 		zap.Stringer(fieldProbes, probedTargets(probes)))
@@ -167,7 +167,7 @@
 }
 
 // probedTargets are the targets of each probe of a search.
-type probedTargets [][]flow.Candidate
+type probedTargets [][]flow.IPv4
 
 // maxLoggedTargets bounds the length of a log line.
 const maxLoggedTargets = 80
@@ -196,7 +196,7 @@
 			if j > 0 {
 				b.WriteByte(',')
 			}
-			b.WriteString(candidate.Target.String())
+			b.WriteString(candidate.String())
 			logged++
 		}
 	}
@@ -238,7 +238,7 @@
 	if change == fleet.Joined {
 		msg = "target joined"
 	}
-	o.Log.Info(msg, zap.Stringer(fieldTarget, t.IP), zap.Stringer(fieldState, t.State), zap.Uint32("service_tag", uint32(t.Service)),
+	o.Log.Info(msg, zap.Stringer(fieldTarget, t.IP), zap.Stringer(fieldState, t.State), zap.Stringer("service_id", t.Service),
 		zap.Uint32("incarnation", uint32(t.TargetIncarnation)), zap.Uint16(fieldSlots, t.Slots), zap.Uint16("warmup_ms", t.WarmupMillis))
 }
 
@@ -257,6 +257,12 @@
 	o.Log.Info(msg, zap.Uint32("zone_tag", uint32(s.Zone)), zap.Int("missed", s.Missed), zap.Time("heard_at", s.LastSeen))
 }
 
+// OtherVersion implements Events.
+func (o *observer) OtherVersion(from flow.IPv4, version uint8) {
+	o.dropped[DropVersion].Inc()
+	o.Write(&o.other, "datagram of another version dropped", zap.Stringer(telemetry.FieldPeer, from), zap.Uint8("version", version))
+}
+
 // PeerChanged implements Events.
 func (o *observer) PeerChanged(ip flow.IPv4, change string) {
 	o.Log.Info("balancer "+change, zap.Stringer(telemetry.FieldPeer, ip))
@@ -279,7 +285,7 @@
 
 // ZoneRelayed implements Events.
 func (o *observer) ZoneRelayed(zone flow.Tag, balancers int, relayed bool) {
-	o.Log.Info("relaying to another zone changed", zap.Uint32("zone_tag", uint32(zone)), zap.Int("balancers", balancers), zap.Bool("relayed", relayed))
+	o.Log.Info("relaying to another zone changed", zap.Uint64("zone_tag", uint64(zone)), zap.Int("balancers", balancers), zap.Bool("relayed", relayed))
 }
 
 // Relayed implements Events.
--- a/balancer/packetfront/overload.go
+++ b/balancer/packetfront/overload.go
@@ -59,23 +59,23 @@
 }
 
 // serviceLoads are the loads of the services that were used recently or are overloaded.
-type serviceLoads map[flow.Tag]*serviceLoad
+type serviceLoads map[flow.ServiceID]*serviceLoad
 
 // serviceLoad returns the current load of a flow's service.
 func (c *Core) serviceLoad(now time.Time, backend flow.WeightedService) *serviceLoad {
-	l, known := c.loads[backend.Tag]
+	l, known := c.loads[backend.ID]
 	if !known {
 		l = &serviceLoad{Overload: Overload{Service: backend.Name}}
-		c.loads[backend.Tag] = l
+		c.loads[backend.ID] = l
 	}
 	l.usedAt = now
-	c.updateOverload(now, backend.Tag, l)
+	c.updateOverload(now, backend.ID, l)
 	return l
 }
 
 // updateOverload evaluates whether a service is overloaded, unless the last evaluation is still
 // valid.
-func (c *Core) updateOverload(now time.Time, service flow.Tag, l *serviceLoad) {
+func (c *Core) updateOverload(now time.Time, service flow.ServiceID, l *serviceLoad) {
 	if !l.updatedAt.IsZero() && now.Sub(l.updatedAt) < overloadMaxAge {
 		return
 	}
@@ -89,7 +89,7 @@
 }
 
 // aggregate evaluates the last announcements of the targets that accept flows and are not overdue.
-func (l *serviceLoad) aggregate(now time.Time, c *Core, service flow.Tag) {
+func (l *serviceLoad) aggregate(now time.Time, c *Core, service flow.ServiceID) {
 	o := Overload{Service: l.Service}
 	for _, t := range c.view.TargetsOf(service) {
 		if !c.acceptsFlows(t) || t.Overdue(now) {
@@ -110,7 +110,7 @@
 
 // invalidateLoad invalidates the last evaluation of a service's load, because one of its targets
 // has sent an announcement.
-func (c *Core) invalidateLoad(service flow.Tag) {
+func (c *Core) invalidateLoad(service flow.ServiceID) {
 	if l, known := c.loads[service]; known {
 		l.updatedAt = time.Time{}
 	}
@@ -129,11 +129,11 @@
 
 // preferFreeSlots moves the first candidate that has a free slot to the front. Flows that this
 // balancer has sent since the target's last announcement count as using slots.
-func (c *Core) preferFreeSlots(now time.Time, candidates []flow.Candidate) {
+func (c *Core) preferFreeSlots(now time.Time, candidates []flow.IPv4) {
 	for _, item := range candidates {
-		t, known := c.view.Target(item.Target)
+		t, known := c.view.Target(item)
 		if known && !t.Overloaded && !t.Overdue(now) && int(t.Outstanding)+t.FlowsSent < int(t.Slots) {
-			flow.MoveToFront(candidates, item.Target)
+			flow.MoveToFront(candidates, item)
 			return
 		}
 	}
@@ -141,10 +141,10 @@
 
 // dropRefusing removes the candidates that would refuse the flow, according to their last load
 // report: they are overloaded and would not meet its objective. The first candidate stays.
-func (c *Core) dropRefusing(now time.Time, candidates []flow.Candidate, objective time.Duration) []flow.Candidate {
+func (c *Core) dropRefusing(now time.Time, candidates []flow.IPv4, objective time.Duration) []flow.IPv4 {
 	remaining := candidates[:1]
 	for _, item := range candidates[1:] {
-		t, known := c.view.Target(item.Target)
+		t, known := c.view.Target(item)
 		refuses := known && t.Overloaded && !t.Overdue(now) && objective > 0 && !t.MeetsObjective(0, objective)
 		if !refuses {
 			remaining = append(remaining, item)
--- a/balancer/packetfront/overload_test.go
+++ b/balancer/packetfront/overload_test.go
@@ -50,7 +50,7 @@
 	f.recorder.eventRecorder = eventRecorder{&f.uncertainty, &f.buffered}
 	f.Core = New(f.now, Options{Self: self, Zone: 1, Incarnation: 1, Weights: choose.Weights{CrossZoneCost: 1, Warming: 1.6}},
 		f.port, platform.Codec{}, f.recorder, rand.New(rand.NewPCG(1, 1)))
-	backends := []flow.WeightedService{{Name: "alpha", Tag: alpha, Weight: 1}}
+	backends := []flow.WeightedService{{Name: "alpha", ID: alpha, Weight: 1}}
 	f.SetConfig(f.now, &flow.Config{Version: 5, Routes: map[flow.Front]*flow.Route{
 		front:                           {Name: "read", Priority: 2, Deadline: 1200 * time.Millisecond, Services: backends},
 		{IP: front.IP, Port: writePort}: {Name: "write", Priority: 1, Deadline: 1200 * time.Millisecond, Services: backends},
@@ -160,7 +160,7 @@
 	} {
 		f := newOverloadFixture()
 		c.prepare(f)
-		load := f.serviceLoad(f.now, flow.WeightedService{Name: "alpha", Tag: alpha})
+		load := f.serviceLoad(f.now, flow.WeightedService{Name: "alpha", ID: alpha})
 		require.Equal(t, c.want, load.Overloaded, name)
 	}
 }
@@ -228,7 +228,7 @@
 			atFreeSlots++
 		}
 	}
-	require.True(t, f.serviceLoad(f.now, flow.WeightedService{Name: "alpha", Tag: alpha}).Overloaded)
+	require.True(t, f.serviceLoad(f.now, flow.WeightedService{Name: "alpha", ID: alpha}).Overloaded)
 	require.GreaterOrEqual(t, atFreeSlots, 12, "all slots that were announced as free")
 }
 
--- a/balancer/packetfront/plan.go
+++ b/balancer/packetfront/plan.go
@@ -24,7 +24,7 @@
 type candidatePlan struct {
 	// sameZone and crossZone rank the targets of the local zone and of other zones.
 	sameZone, crossZone *flow.Ranking
-	candidates          []flow.Candidate
+	candidates          []flow.IPv4
 }
 
 func newCandidatePlan() candidatePlan {
@@ -41,7 +41,7 @@
 
 // openCandidates returns the candidates for a new flow: the chosen target, then the targets to
 // try if it refuses. Each is the cheapest of a random sample of the targets that are left.
-func (c *Core) openCandidates(now time.Time, hash uint64, service flow.Tag) []flow.Candidate {
+func (c *Core) openCandidates(now time.Time, hash uint64, service flow.ServiceID) []flow.IPv4 {
 	p := &c.plan
 	p.reset()
 	targets := c.view.TargetsOf(service)
@@ -54,7 +54,7 @@
 		if t.Zone == c.opts.Zone {
 			ranking = p.sameZone
 		}
-		ranking.Add(flow.Score(hash, t.IP), flow.Candidate{Target: t.IP, Service: service})
+		ranking.Add(flow.Score(hash, t.IP), t.IP)
 	}
 	c.offers, c.offerTargets = c.offers[:0], c.offerTargets[:0]
 	c.addOffers(now, p.sameZone.Candidates())
@@ -65,7 +65,7 @@
 		if len(p.candidates) == 0 {
 			c.expectedDelay = c.opts.Weights.Delay(c.offers[i], typical)
 		}
-		p.candidates = append(p.candidates, flow.Candidate{Target: c.offerTargets[i].IP, Service: service})
+		p.candidates = append(p.candidates, c.offerTargets[i].IP)
 		last := len(c.offers) - 1
 		c.offers[i], c.offerTargets[i] = c.offers[last], c.offerTargets[last]
 		c.offers, c.offerTargets = c.offers[:last], c.offerTargets[:last]
@@ -100,9 +100,9 @@
 }
 
 // addOffers adds the candidates' targets to the offers to choose from.
-func (c *Core) addOffers(now time.Time, list []flow.Candidate) {
+func (c *Core) addOffers(now time.Time, list []flow.IPv4) {
 	for _, item := range list {
-		t, _ := c.view.Target(item.Target)
+		t, _ := c.view.Target(item)
 		c.offers = append(c.offers, choose.Offer{
 			Outstanding: int(t.Outstanding), Sent: t.FlowsSent, Slots: int(t.Slots), AnswerInterval: t.AnswerInterval,
 			CrossZone: t.Zone != c.opts.Zone,
--- a/balancer/packetfront/plan_test.go
+++ b/balancer/packetfront/plan_test.go
@@ -63,7 +63,7 @@
 		c.b(f, targetB)
 		chosen := map[flow.IPv4]int{}
 		for hash := range uint64(400) {
-			chosen[f.openCandidates(f.now, hash, alpha)[0].Target]++
+			chosen[f.openCandidates(f.now, hash, alpha)[0]]++
 		}
 		require.Equal(t, map[flow.IPv4]int{targetA: 400}, chosen, name)
 	}
--- a/balancer/search/buffer.go
+++ b/balancer/search/buffer.go
@@ -55,14 +55,14 @@
 	// searching is set while a search is under way; the fields up to unsure belong to it.
 	searching bool
 	// probes holds the targets of each outstanding probe by its ID.
-	probes map[uint32][]flow.Candidate
+	probes map[uint32][]flow.IPv4
 	// notProbed are the targets to probe after these.
-	notProbed []flow.Candidate
+	notProbed []flow.IPv4
 	// generation is the generation of the view when the search began.
 	generation uint32
 	// unsure are the targets of probes that returned without certainty that none of these targets
 	// holds the flow. They are probed again.
-	unsure []flow.Candidate
+	unsure []flow.IPv4
 
 	// attempts counts the search attempts so far.
 	attempts int
@@ -76,14 +76,14 @@
 // of the view.
 func (b *bufferedFlow) beginSearch(generation uint32) {
 	b.searching, b.generation = true, generation
-	b.probes, b.notProbed, b.unsure = map[uint32][]flow.Candidate{}, nil, nil
+	b.probes, b.notProbed, b.unsure = map[uint32][]flow.IPv4{}, nil, nil
 	b.attempts++
 }
 
 // outstanding returns the targets of each probe that has not returned, in the order in which the
 // probes were sent.
-func (b *bufferedFlow) outstanding() [][]flow.Candidate {
-	out := make([][]flow.Candidate, 0, len(b.probes))
+func (b *bufferedFlow) outstanding() [][]flow.IPv4 {
+	out := make([][]flow.IPv4, 0, len(b.probes))
 	for _, id := range slices.Sorted(maps.Keys(b.probes)) {
 		out = append(out, b.probes[id])
 	}
--- a/balancer/search/candidates.go
+++ b/balancer/search/candidates.go
@@ -12,9 +12,9 @@
 // rankedCandidate is a target that may hold a flow. A lower class is likelier to hold it, and
 // within a class a higher score.
 type rankedCandidate struct {
-	class searchClass
-	score uint64
-	flow.Candidate
+	class  searchClass
+	score  uint64
+	target flow.IPv4
 }
 
 // searchClass ranks targets by how likely they hold a flow.
@@ -36,20 +36,20 @@
 // which a balancer of this zone chooses for a new flow, then the rest of the local zone and of
 // other zones. Targets of other services follow, because a change of the route leaves open flows
 // where they are; overdue targets are last. Targets that have denied the flow are left out.
-func (f *Finder) candidates(now time.Time, key flow.Key, route *flow.Route, denied denials) []flow.Candidate {
+func (f *Finder) candidates(now time.Time, key flow.Key, route *flow.Route, denied denials) []flow.IPv4 {
 	f.ranked, f.candidateBuf = f.ranked[:0], f.candidateBuf[:0]
 	hash := key.Hash()
-	picked := route.Pick(hash).Tag
-	for _, tag := range f.view.Services() {
-		for _, t := range f.view.TargetsOf(tag) {
+	picked := route.Pick(hash).ID
+	for _, id := range f.view.Services() {
+		for _, t := range f.view.TargetsOf(id) {
 			if !t.MayHoldFlows(now) || denied.includes(now, t) {
 				continue
 			}
-			f.ranked = append(f.ranked, rankedCandidate{f.classOf(now, t, picked), flow.Score(hash, t.IP), flow.Candidate{Target: t.IP, Service: tag}})
+			f.ranked = append(f.ranked, rankedCandidate{f.classOf(now, t, picked), flow.Score(hash, t.IP), t.IP})
 		}
 	}
 	slices.SortFunc(f.ranked, func(a, b rankedCandidate) int {
-		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(b.score, a.score), cmp.Compare(a.Target, b.Target))
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(b.score, a.score), cmp.Compare(a.target, b.target))
 	})
 	firstOther := slices.IndexFunc(f.ranked, func(c rankedCandidate) bool { return c.class != classSameZone })
 	if firstOther < 0 {
@@ -63,13 +63,13 @@
 	}
 	for _, list := range [...][]rankedCandidate{sameZone[:sameZoneFirst], others[:crossZoneFirst], sameZone[sameZoneFirst:], others[crossZoneFirst:]} {
 		for _, c := range list {
-			f.candidateBuf = append(f.candidateBuf, c.Candidate)
+			f.candidateBuf = append(f.candidateBuf, c.target)
 		}
 	}
 	return f.candidateBuf
 }
 
-func (f *Finder) classOf(now time.Time, t *fleet.Target, picked flow.Tag) searchClass {
+func (f *Finder) classOf(now time.Time, t *fleet.Target, picked flow.ServiceID) searchClass {
 	switch {
 	case t.Overdue(now):
 		return classOverdue
--- a/balancer/search/events.go
+++ b/balancer/search/events.go
@@ -36,13 +36,13 @@
 type Events interface {
 	// Searching reports that a flow's packet is sent in search probes, each with the targets that
 	// it visits. attempt counts the search attempts for the flow, from 1.
-	Searching(key flow.Key, probes [][]flow.Candidate, attempt int)
+	Searching(key flow.Key, probes [][]flow.IPv4, attempt int)
 	// ProbeReturned reports a probe that was returned by the last of its targets. certain is unset
 	// if one of them may hold the flow all the same; outstanding is the number of the flow's other
 	// probes that have not returned.
 	ProbeReturned(key flow.Key, from flow.IPv4, hops int, certain bool, outstanding int)
 	// Unanswered reports the probes that did not return before the next attempt.
-	Unanswered(key flow.Key, probes [][]flow.Candidate, attempt int)
+	Unanswered(key flow.Key, probes [][]flow.IPv4, attempt int)
 	// RecordReturned reports a packet that the recorded target of its flow returned. certain is
 	// unset if the target may hold the flow all the same.
 	RecordReturned(key flow.Key, target flow.IPv4, certain bool)
--- a/balancer/search/fixture_test.go
+++ b/balancer/search/fixture_test.go
@@ -27,16 +27,16 @@
 )
 
 var (
-	alpha = flow.TagOf("alpha")
+	alpha = flow.ServiceIDOf("alpha")
 	front = flow.Front{IP: 7, Port: 80}
 )
 
 // uncertaintyRecorder implements Events and records only the last uncertainty.
 type uncertaintyRecorder struct{ last *Uncertainty }
 
-func (uncertaintyRecorder) Searching(flow.Key, [][]flow.Candidate, int)          {}
+func (uncertaintyRecorder) Searching(flow.Key, [][]flow.IPv4, int)               {}
 func (uncertaintyRecorder) ProbeReturned(flow.Key, flow.IPv4, int, bool, int)    {}
-func (uncertaintyRecorder) Unanswered(flow.Key, [][]flow.Candidate, int)         {}
+func (uncertaintyRecorder) Unanswered(flow.Key, [][]flow.IPv4, int)              {}
 func (uncertaintyRecorder) RecordReturned(flow.Key, flow.IPv4, bool)             {}
 func (r uncertaintyRecorder) Lost(_ flow.Key, _ int, u Uncertainty, _ flow.IPv4) { *r.last = u }
 func (uncertaintyRecorder) Buffered(flow.Key, BufferReason)                      {}
@@ -91,7 +91,7 @@
 
 func config(version int64) *flow.Config {
 	return &flow.Config{Version: version, Routes: map[flow.Front]*flow.Route{
-		front: {Name: "r", Services: []flow.WeightedService{{Name: "alpha", Tag: alpha, Weight: 1}}},
+		front: {Name: "r", Services: []flow.WeightedService{{Name: "alpha", ID: alpha, Weight: 1}}},
 	}}
 }
 
--- a/balancer/search/search.go
+++ b/balancer/search/search.go
@@ -78,7 +78,7 @@
 	// Scratch space, so that a packet costs no allocation: ranked are the targets that may
 	// hold a flow.
 	ranked       []rankedCandidate
-	candidateBuf []flow.Candidate
+	candidateBuf []flow.IPv4
 	env          envelope.Envelope
 }
 
@@ -159,8 +159,8 @@
 	if b = f.buffer.addForSearch(now, key, packet); b == nil {
 		// The buffer is full: the packet is sent to the first targets only, and its client
 		// retransmits it if none of them holds the flow.
-		slices.SortStableFunc(candidates, func(a, b flow.Candidate) int {
-			return compareBool(f.mayNotAnswer(now, a.Target), f.mayNotAnswer(now, b.Target))
+		slices.SortStableFunc(candidates, func(a, b flow.IPv4) int {
+			return compareBool(f.mayNotAnswer(now, a), f.mayNotAnswer(now, b))
 		})
 		f.sendProbe(packet, candidates[:min(len(candidates), maxTargetsPerProbe)], 0)
 		return
@@ -213,7 +213,7 @@
 
 // sendProbes sends the first packet of a flow to targets, with several probes in parallel if
 // there are many.
-func (f *Finder) sendProbes(now time.Time, key flow.Key, b *bufferedFlow, targets []flow.Candidate) {
+func (f *Finder) sendProbes(now time.Time, key flow.Key, b *bufferedFlow, targets []flow.IPv4) {
 	probes := f.splitIntoProbes(now, key, b, targets)
 	f.events.Searching(key, probes, b.attempts)
 	b.nextTryAt = now.Add(searchRetryInterval)
@@ -232,18 +232,18 @@
 //
 // Targets that did not answer may only be late, because a link is full, and a probe for each of
 // them fills it more; those beyond repeatShare of the link share probes.
-func (f *Finder) splitIntoProbes(now time.Time, key flow.Key, b *bufferedFlow, targets []flow.Candidate) [][]flow.Candidate {
+func (f *Finder) splitIntoProbes(now time.Time, key flow.Key, b *bufferedFlow, targets []flow.IPv4) [][]flow.IPv4 {
 	recorded, _ := f.table.Get(now, key)
-	var answering, late []flow.Candidate
-	var single [][]flow.Candidate
+	var answering, late []flow.IPv4
+	var single [][]flow.IPv4
 	for _, candidate := range targets {
 		switch {
-		case candidate.Target == recorded || f.mayBeGone(now, candidate.Target):
-			single = append(single, []flow.Candidate{candidate})
-		case !f.unanswered(candidate.Target):
+		case candidate == recorded || f.mayBeGone(now, candidate):
+			single = append(single, []flow.IPv4{candidate})
+		case !f.unanswered(candidate):
 			answering = append(answering, candidate)
 		case f.repeats.AllowN(now, envelope.MaxLen+len(b.first)):
-			single = append(single, []flow.Candidate{candidate})
+			single = append(single, []flow.IPv4{candidate})
 		default:
 			late = append(late, candidate)
 		}
@@ -257,17 +257,17 @@
 
 // shareProbes divides targets of a search over the given total number among probes that visit
 // several of them.
-func (f *Finder) shareProbes(targets []flow.Candidate, total int) [][]flow.Candidate {
-	byZone := map[flow.Tag][]flow.Candidate{}
+func (f *Finder) shareProbes(targets []flow.IPv4, total int) [][]flow.IPv4 {
+	byZone := map[flow.Tag][]flow.IPv4{}
 	for _, candidate := range targets {
-		zone, _ := f.view.NodeZone(candidate.Target)
+		zone, _ := f.view.NodeZone(candidate)
 		if total <= maxTargetsPerProbe {
 			// One probe visits them all, the likeliest first.
 			zone = 0
 		}
 		byZone[zone] = append(byZone[zone], candidate)
 	}
-	var out [][]flow.Candidate
+	var out [][]flow.IPv4
 	for _, zone := range slices.Sorted(maps.Keys(byZone)) {
 		out = slices.AppendSeq(out, slices.Chunk(byZone[zone], targetsPerProbe(len(targets))))
 	}
@@ -330,39 +330,39 @@
 
 // joinedSince returns the candidates that became ones after a generation of the view, except the
 // given targets.
-func (f *Finder) joinedSince(now time.Time, key flow.Key, generation uint32, except []flow.Candidate) []flow.Candidate {
+func (f *Finder) joinedSince(now time.Time, key flow.Key, generation uint32, except []flow.IPv4) []flow.IPv4 {
 	route, ok := f.config().Routes[key.Front()]
 	if !ok || generation == f.view.Generation() {
 		return nil
 	}
 	joined := f.candidates(now, key, route, denials{known: true, generation: generation})
-	return slices.DeleteFunc(joined, func(c flow.Candidate) bool { return slices.Contains(except, c) })
+	return slices.DeleteFunc(joined, func(c flow.IPv4) bool { return slices.Contains(except, c) })
 }
 
 // stillMayHold returns those of the targets that may hold flows.
-func (f *Finder) stillMayHold(now time.Time, targets []flow.Candidate) []flow.Candidate {
-	return slices.DeleteFunc(slices.Clone(targets), func(c flow.Candidate) bool {
-		t, known := f.view.Target(c.Target)
+func (f *Finder) stillMayHold(now time.Time, targets []flow.IPv4) []flow.IPv4 {
+	return slices.DeleteFunc(slices.Clone(targets), func(c flow.IPv4) bool {
+		t, known := f.view.Target(c)
 		return !known || !t.MayHoldFlows(now)
 	})
 }
 
 // markUnanswered records that a probe that visited the targets has not returned.
-func (f *Finder) markUnanswered(targets []flow.Candidate) {
+func (f *Finder) markUnanswered(targets []flow.IPv4) {
 	for _, c := range targets {
-		if t, known := f.view.Target(c.Target); known {
+		if t, known := f.view.Target(c); known {
 			t.Unanswered = true
 		}
 	}
 }
 
 // sendProbe sends a packet to the first of the targets, to be passed on to the others.
-func (f *Finder) sendProbe(packet []byte, targets []flow.Candidate, probeID uint32) {
+func (f *Finder) sendProbe(packet []byte, targets []flow.IPv4, probeID uint32) {
 	f.env = envelope.Envelope{
-		Kind: envelope.Deliver, Balancer: f.opts.Self, Flags: envelope.Search, ProbeID: probeID, Service: targets[0].Service,
+		Kind: envelope.Deliver, Balancer: f.opts.Self, Flags: envelope.Search, ProbeID: probeID,
 	}
 	f.env.SetCandidates(targets[1:])
-	f.port.Send(targets[0].Target, &f.env, packet)
+	f.port.Send(targets[0], &f.env, packet)
 }
 
 // HandleReturned handles a packet that no target took, with the envelope in which an agent returned
--- a/balancer/search/search_test.go
+++ b/balancer/search/search_test.go
@@ -31,7 +31,7 @@
 	for _, s := range messages {
 		out = append(out, s.To)
 		for _, c := range s.Env.Candidates[:s.Env.Count] {
-			out = append(out, c.Target)
+			out = append(out, c)
 		}
 	}
 	return out
@@ -82,7 +82,7 @@
 	require.Len(t, probes, 1)
 	var want []flow.IPv4
 	for _, c := range likeliest {
-		want = append(want, c.Target)
+		want = append(want, c)
 	}
 	require.Equal(t, want, targetsOf(probes...))
 }
@@ -211,7 +211,7 @@
 // others that may hold it.
 func TestSearchOrder(t *testing.T) {
 	f := newFixture()
-	add := func(ip flow.IPv4, zone, service flow.Tag) {
+	add := func(ip flow.IPv4, zone flow.Tag, service flow.ServiceID) {
 		f.seq++
 		a := fleet.Announcement{MessageID: fleet.MessageID{ProcessIncarnation: 1, Seq: f.seq}, Service: service, Zone: zone, State: fleet.Ready, Slots: 4}
 		f.HandleNode(f.now, ip, a.Append(nil))
@@ -219,12 +219,12 @@
 	f.now = f.now.Add(fleet.OverdueAfter + 1)
 	for i := range flow.IPv4(20) {
 		add(0x0a020000+i, 9, alpha)
-		add(0x0a030000+i, 0, alpha+1)
+		add(0x0a030000+i, 0, flow.ServiceIDOf("beta"))
 		add(0x0a040000+i, 0, alpha)
 	}
 	kinds := ""
 	for _, c := range f.candidates(f.now, key, f.inForce.Routes[front], denials{}) {
-		switch c.Target >> 16 {
+		switch c >> 16 {
 		case 0x0a01:
 			kinds += "q"
 		case 0x0a02:
--- a/balancer/search/unreachable_test.go
+++ b/balancer/search/unreachable_test.go
@@ -90,7 +90,7 @@
 // while the buffer is full: nothing repeats their probes.
 func TestUntrackedProbeVisitsUnreachableAgentsLast(t *testing.T) {
 	f := newFixtureWithTargets(20)
-	likeliest := f.candidates(f.now, key, f.inForce.Routes[front], denials{})[0].Target
+	likeliest := f.candidates(f.now, key, f.inForce.Routes[front], denials{})[0]
 	target, _ := f.View().Target(likeliest)
 	target.Unanswered = true
 	for i := range maxBufferedFlows {
@@ -108,7 +108,7 @@
 func TestUncertainReturnByTheRecordedTargetIsNoDenial(t *testing.T) {
 	f := newFixtureWithTargets(200)
 	ranked := f.candidates(f.now, key, f.inForce.Routes[front], denials{})
-	holder := ranked[len(ranked)-1].Target
+	holder := ranked[len(ranked)-1]
 	f.table.Put(f.now, key, holder)
 	f.client(packet(false, 9))
 	f.returnLast(holder, envelope.Uncertain, packet(false, 9))
--- a/e2e/packets/packets_test.go
+++ b/e2e/packets/packets_test.go
@@ -176,7 +176,7 @@
 	w.Duplication = rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "double")
 	w.MaxExtraDelay = rapid.SampledFrom([]time.Duration{time.Millisecond, 250 * time.Millisecond}).Draw(t, "late")
 	if rapid.Bool().Draw(t, "cold bound") {
-		w.Config.ColdRates = map[flow.Tag]float64{flow.TagOf(serviceB): coldRate}
+		w.Config.ColdRates = map[flow.ServiceID]float64{flow.ServiceIDOf(serviceB): coldRate}
 	}
 	w.reuseTargetIDs, w.reportStartTime = rapid.Bool().Draw(t, "keep IDs"), rapid.Bool().Draw(t, "say born")
 	for range rapid.IntRange(5, 40).Draw(t, "steps") {
--- a/e2e/packets/target_test.go
+++ b/e2e/packets/target_test.go
@@ -202,7 +202,7 @@
 // within a second than its service's cold rate allows.
 func (a *agentNode) checkColdRate(t *target) {
 	t.openedAt = append(t.openedAt, a.w.Now)
-	rate := a.w.Config.ColdRates[flow.TagOf(t.service)]
+	rate := a.w.Config.ColdRates[flow.ServiceIDOf(t.service)]
 	if rate == 0 || t.unseenRestart || !a.w.Now.Before(t.coldUntil) {
 		return
 	}
--- a/e2e/packets/world_test.go
+++ b/e2e/packets/world_test.go
@@ -11,9 +11,10 @@
 	"github.com/poppywall/poppywall/model/sim"
 )
 
+// Names of the services. A 32-bit hash of them is the same, which once stood for a service.
 const (
-	serviceA = "alpha"
-	serviceB = "beta"
+	serviceA = "gojo24a"
+	serviceB = "huzu17b"
 )
 
 // Front addresses of the two services.
@@ -76,7 +77,7 @@
 // for requests to wait for slots.
 func newRoute(name, service string) *flow.Route {
 	return &flow.Route{
-		Name: name, Services: []flow.WeightedService{{Name: service, Tag: flow.TagOf(service), Weight: 1}},
+		Name: name, Services: []flow.WeightedService{{Name: service, ID: flow.ServiceIDOf(service), Weight: 1}},
 		Objective: 200 * time.Millisecond, Deadline: 3 * time.Second,
 	}
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -18,13 +18,13 @@
 var start = time.Unix(1_700_000_000, 0)
 
 const (
-	ip1   = flow.IPv4(0x0a000001)
-	ip2   = flow.IPv4(0x0a000002)
-	alpha = flow.Tag(11)
-	beta  = flow.Tag(12)
+	ip1 = flow.IPv4(0x0a000001)
+	ip2 = flow.IPv4(0x0a000002)
 )
 
-func announcement(incarnation uint64, seq uint32, service flow.Tag, state State) Announcement {
+var alpha, beta = flow.ServiceIDOf("alpha"), flow.ServiceIDOf("beta")
+
+func announcement(incarnation uint64, seq uint32, service flow.ServiceID, state State) Announcement {
 	return Announcement{MessageID: MessageID{incarnation, seq}, Service: service, State: state, Slots: 5, TargetIncarnation: 9}
 }
 
@@ -65,7 +65,7 @@
 		}
 	}
 	bad := a.Append(nil)
-	bad[envelope.PrefixLen+8+4+12] = 200
+	bad[envelope.PrefixLen+8+4+8+16+4] = 200
 	_, err := DecodeAnnouncement(bad)
 	require.ErrorIs(t, err, ErrMalformed, "unknown state")
 }
@@ -173,7 +173,8 @@
 	require.Len(t, v.TargetsOf(alpha), 2)
 	v.ApplyAnnouncement(start, ip1, announcement(1, 2, beta, Ready))
 	require.Len(t, v.TargetsOf(alpha), 1)
-	require.Equal(t, []flow.Tag{alpha, beta}, v.Services())
+	require.ElementsMatch(t, []flow.ServiceID{alpha, beta}, v.Services())
+	require.True(t, slices.IsSortedFunc(v.Services(), flow.ServiceID.Compare))
 	targets, _ := v.Expire(start.Add(ExpireAfter + time.Second))
 	require.ElementsMatch(t, []Entry{{IP: ip1, ProcessIncarnation: 1}, {IP: ip2, ProcessIncarnation: 2}}, targets)
 	require.Empty(t, v.Services())
@@ -221,7 +222,7 @@
 		"started":                  {announcement(1, 1, alpha, Gone), announcement(1, 2, alpha, Ready), true},
 		"restarted agent":          {announcement(1, 1, alpha, Ready), announcement(2, 1, alpha, Ready), true},
 		"restarted without target": {announcement(1, 1, alpha, Ready), announcement(2, 1, alpha, Gone), false},
-		"changed service":          {announcement(1, 1, alpha, Ready), announcement(1, 2, alpha+1, Ready), true},
+		"changed service":          {announcement(1, 1, alpha, Ready), announcement(1, 2, beta, Ready), true},
 		"late message":             {announcement(1, 2, alpha, Ready), announcement(1, 1, alpha, Gone), false},
 	} {
 		v := NewView()
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -24,12 +24,17 @@
 	StartedMillis int64
 }
 
-// Tag returns the tag that identifies the incarnation in messages.
-func (i TargetIncarnation) Tag() flow.Tag {
-	if i.StartedMillis == 0 {
-		return flow.TagOf(i.TargetID)
+// IncarnationTag shows balancers that another incarnation runs at a target's address. Nothing is
+// concluded from tags that are equal. Zero means that the incarnation is unknown.
+type IncarnationTag uint32
+
+// Tag returns the tag that stands for the incarnation in messages.
+func (i TargetIncarnation) Tag() IncarnationTag {
+	name := i.TargetID
+	if i.StartedMillis != 0 {
+		name += " " + strconv.FormatInt(i.StartedMillis, 10)
 	}
-	return flow.TagOf(i.TargetID + " " + strconv.FormatInt(i.StartedMillis, 10))
+	return max(IncarnationTag(flow.TagOf(name)), 1)
 }
 
 // Heartbeat is a target's periodic report to the agent on its VM.
@@ -79,9 +84,10 @@
 // Announcement is an agent's periodic state message about its target.
 type Announcement struct {
 	MessageID
-	Zone, Service flow.Tag
+	Zone    flow.Tag
+	Service flow.ServiceID
 	// TargetIncarnation is the tag of the target's incarnation; zero while it is unknown.
-	TargetIncarnation flow.Tag
+	TargetIncarnation IncarnationTag
 	State             State
 	// WantPeers requests the balancers and agents that the receiver knows, WantReply a beacon.
 	WantPeers, WantReply bool
@@ -147,30 +153,49 @@
 type announceWire struct {
 	Incarnation                                 uint64
 	Seq                                         uint32
-	Zone, Service, TargetIncarnation            uint32
-	State, WantPeers, WantReply                 uint8
+	Zone                                        uint64
+	Service                                     flow.ServiceID
+	TargetIncarnation                           uint32
+	States, Flags                               uint8
 	Slots, Outstanding, OpenFlows, WarmupMillis uint16
-	Ejected, Registration, Cold                 uint8
 	PeriodMillis, Headroom                      uint16
 	ConfigVersion                               int64
 }
 
+// registrationShift is the position of the registration in announceWire.States; the target's state is
+// below it.
+const registrationShift = 4
+
 type beaconWire struct {
 	Incarnation         uint64
 	Seq                 uint32
-	Zone                uint32
+	Zone                uint64
 	ConfigVersion       int64
 	Digest              uint32
-	Leaving, Feeder     uint8
-	WantPeers, Reply    uint8
+	Flags               uint8
 	PeriodMillis        uint16
 	ReceivedIncarnation uint64
 	ReceivedSeq         uint32
-	InRotation          uint8
 	LinkMbps            uint16
 	SentMbps            uint16
 }
 
+// packBits returns a byte with one bit for each of up to eight flags, the first in the lowest bit.
+func packBits(flags ...bool) (b uint8) {
+	for i, f := range flags {
+		b |= bit(f) << i
+	}
+	return b
+}
+
+// unpackBits sets flags from the bits of a byte and reports whether no other bit is set.
+func unpackBits(b uint8, flags ...*bool) bool {
+	for i, f := range flags {
+		*f = b>>i&1 == 1
+	}
+	return b>>len(flags) == 0
+}
+
 func bit(b bool) uint8 {
 	if b {
 		return 1
@@ -183,11 +208,10 @@
 	b = envelope.AppendPrefix(b, envelope.Announce)
 	b = appendFixed(b, announceWire{
 		Incarnation: a.ProcessIncarnation, Seq: a.Seq,
-		Zone: uint32(a.Zone), Service: uint32(a.Service), TargetIncarnation: uint32(a.TargetIncarnation),
-		State: uint8(a.State), WantPeers: bit(a.WantPeers), WantReply: bit(a.WantReply),
+		Zone: uint64(a.Zone), Service: a.Service, TargetIncarnation: uint32(a.TargetIncarnation),
+		States: uint8(a.State) | uint8(a.Registration)<<registrationShift, Flags: packBits(a.WantPeers, a.WantReply, a.Ejected, a.Cold),
 		Slots: a.Slots, Outstanding: a.Outstanding, OpenFlows: a.OpenFlows, WarmupMillis: a.WarmupMillis,
-		Ejected: bit(a.Ejected), Registration: uint8(a.Registration), PeriodMillis: uint16(a.Period.Milliseconds()),
-		Cold: bit(a.Cold), Headroom: a.Headroom, ConfigVersion: a.ConfigVersion,
+		PeriodMillis: uint16(a.Period.Milliseconds()), Headroom: a.Headroom, ConfigVersion: a.ConfigVersion,
 	})
 	return a.LoadReport.append(b)
 }
@@ -196,11 +220,11 @@
 func (m *Beacon) Append(b []byte) []byte {
 	b = envelope.AppendPrefix(b, envelope.Beacon)
 	b = appendFixed(b, beaconWire{
-		Incarnation: m.ProcessIncarnation, Seq: m.Seq, Zone: uint32(m.Zone), ConfigVersion: m.ConfigVersion, Digest: m.Digest,
-		Leaving: bit(m.Leaving), Feeder: bit(m.Feeder), WantPeers: bit(m.WantPeers), Reply: bit(m.Reply),
+		Incarnation: m.ProcessIncarnation, Seq: m.Seq, Zone: uint64(m.Zone), ConfigVersion: m.ConfigVersion, Digest: m.Digest,
+		Flags:               packBits(m.Leaving, m.Feeder, m.WantPeers, m.Reply, m.InRotation),
 		PeriodMillis:        uint16(m.Period.Milliseconds()),
 		ReceivedIncarnation: m.LastReceived.ProcessIncarnation, ReceivedSeq: m.LastReceived.Seq,
-		InRotation: bit(m.InRotation), LinkMbps: m.LinkMbps, SentMbps: m.SentMbps,
+		LinkMbps: m.LinkMbps, SentMbps: m.SentMbps,
 	})
 	return appendEvacuations(b, m.Evacuations)
 }
@@ -239,17 +263,18 @@
 	if err != nil {
 		return Announcement{}, err
 	}
-	if w.State > uint8(Gone) || w.Registration > uint8(RegistrationAbandoned) {
-		return Announcement{}, ErrMalformed
-	}
-	return Announcement{
+	state, registration := State(w.States&(1<<registrationShift-1)), Registration(w.States>>registrationShift)
+	a := Announcement{
 		MessageID: MessageID{w.Incarnation, w.Seq},
-		Zone:      flow.Tag(w.Zone), Service: flow.Tag(w.Service), TargetIncarnation: flow.Tag(w.TargetIncarnation),
-		State: State(w.State), WantPeers: w.WantPeers == 1, WantReply: w.WantReply == 1,
+		Zone:      flow.Tag(w.Zone), Service: w.Service, TargetIncarnation: IncarnationTag(w.TargetIncarnation),
+		State: state, Registration: registration,
 		Slots: w.Slots, Outstanding: w.Outstanding, OpenFlows: w.OpenFlows, WarmupMillis: w.WarmupMillis,
-		Ejected: w.Ejected == 1, Registration: Registration(w.Registration), Period: time.Duration(w.PeriodMillis) * time.Millisecond,
-		Cold: w.Cold == 1, Headroom: w.Headroom, ConfigVersion: w.ConfigVersion, LoadReport: loadReport,
-	}, nil
+		Period: time.Duration(w.PeriodMillis) * time.Millisecond, Headroom: w.Headroom, ConfigVersion: w.ConfigVersion, LoadReport: loadReport,
+	}
+	if state > Gone || registration > RegistrationAbandoned || !unpackBits(w.Flags, &a.WantPeers, &a.WantReply, &a.Ejected, &a.Cold) {
+		return Announcement{}, ErrMalformed
+	}
+	return a, nil
 }
 
 // DecodeBeacon decodes a beacon.
@@ -263,13 +288,16 @@
 	if err != nil {
 		return Beacon{}, err
 	}
-	return Beacon{
+	m := Beacon{
 		MessageID: MessageID{w.Incarnation, w.Seq}, Zone: flow.Tag(w.Zone), ConfigVersion: w.ConfigVersion, Digest: w.Digest,
-		Leaving: w.Leaving == 1, Feeder: w.Feeder == 1, WantPeers: w.WantPeers == 1, Reply: w.Reply == 1,
 		Period:       time.Duration(w.PeriodMillis) * time.Millisecond,
 		LastReceived: MessageID{w.ReceivedIncarnation, w.ReceivedSeq}, Evacuations: evacuations,
-		InRotation: w.InRotation == 1, LinkMbps: w.LinkMbps, SentMbps: w.SentMbps,
-	}, nil
+		LinkMbps: w.LinkMbps, SentMbps: w.SentMbps,
+	}
+	if !unpackBits(w.Flags, &m.Leaving, &m.Feeder, &m.WantPeers, &m.Reply, &m.InRotation) {
+		return Beacon{}, ErrMalformed
+	}
+	return m, nil
 }
 
 // NodeList lists the nodes that a balancer knows.
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -24,10 +24,10 @@
 // holds a lock.
 type View struct {
 	targets  map[flow.IPv4]*Target
-	services map[flow.Tag][]*Target
+	services map[flow.ServiceID][]*Target
 	// serviceTags are the sorted keys of services.
-	serviceTags []flow.Tag
-	peers       map[flow.IPv4]*Peer
+	serviceIDs []flow.ServiceID
+	peers      map[flow.IPv4]*Peer
 	// registered are the agents in the last registry snapshot, each with the process
 	// incarnation of its entry; snapshotLatest is the latest time that the snapshot may reflect.
 	registered     map[flow.IPv4]uint64
@@ -44,7 +44,7 @@
 // NewView returns an empty view.
 func NewView() *View {
 	return &View{
-		targets: map[flow.IPv4]*Target{}, services: map[flow.Tag][]*Target{}, peers: map[flow.IPv4]*Peer{},
+		targets: map[flow.IPv4]*Target{}, services: map[flow.ServiceID][]*Target{}, peers: map[flow.IPv4]*Peer{},
 		registered: map[flow.IPv4]uint64{}, gone: map[flow.IPv4]*Target{}, zones: newZoneStates(),
 	}
 }
@@ -63,7 +63,7 @@
 
 // TargetsOf returns the targets of a service, in no particular order. The slice belongs to
 // the view.
-func (v *View) TargetsOf(tag flow.Tag) []*Target { return v.services[tag] }
+func (v *View) TargetsOf(id flow.ServiceID) []*Target { return v.services[id] }
 
 // Targets returns the addresses of the known targets, sorted.
 func (v *View) Targets() []flow.IPv4 { return keys(v.targets) }
@@ -272,24 +272,24 @@
 }
 
 // moveToService moves a target to the list of its service.
-func (v *View) moveToService(t *Target, former flow.Tag) {
+func (v *View) moveToService(t *Target, former flow.ServiceID) {
 	v.removeFromService(t, former)
 	v.services[t.Service] = append(v.services[t.Service], t)
-	v.serviceTags = slices.Sorted(maps.Keys(v.services))
+	v.serviceIDs = slices.SortedFunc(maps.Keys(v.services), flow.ServiceID.Compare)
 }
 
-func (v *View) removeFromService(t *Target, tag flow.Tag) {
-	list := v.services[tag]
+func (v *View) removeFromService(t *Target, id flow.ServiceID) {
+	list := v.services[id]
 	for i, other := range list {
 		if other == t {
 			list[i] = list[len(list)-1]
-			v.services[tag] = list[:len(list)-1]
+			v.services[id] = list[:len(list)-1]
 			break
 		}
 	}
-	if len(v.services[tag]) == 0 {
-		delete(v.services, tag)
-		v.serviceTags = slices.Sorted(maps.Keys(v.services))
+	if len(v.services[id]) == 0 {
+		delete(v.services, id)
+		v.serviceIDs = slices.SortedFunc(maps.Keys(v.services), flow.ServiceID.Compare)
 	}
 }
 
@@ -408,4 +408,4 @@
 }
 
 // Services returns the sorted tags of the services that have targets.
-func (v *View) Services() []flow.Tag { return v.serviceTags }
+func (v *View) Services() []flow.ServiceID { return v.serviceIDs }
--- a/flow/config.go
+++ b/flow/config.go
@@ -10,7 +10,7 @@
 	Routes map[Front]*Route
 	// ColdRates are how many opening packets per second may be delivered to a cold target of
 	// each service. A service without an entry has no limit.
-	ColdRates map[Tag]float64
+	ColdRates map[ServiceID]float64
 	// IdleTimeout is the idle time after which the state of a flow may be discarded.
 	IdleTimeout time.Duration
 }
@@ -31,7 +31,7 @@
 // WeightedService is a service that a route sends new flows to, with its weight.
 type WeightedService struct {
 	Name   string
-	Tag    Tag
+	ID     ServiceID
 	Weight int
 }
 
--- a/flow/envelope/envelope.go
+++ b/flow/envelope/envelope.go
@@ -2,9 +2,9 @@
 // packet when they send it to each other. The packet itself follows unchanged.
 //
 // Layout, big-endian: magic (2), version (1), kind (1), balancer (4), hops (1),
-// flags (1), candidate count (1), priority (1), service (4), probe ID (4),
-// objective (2), deadline (2), target with the shortest wait (4), that wait (2), cold
-// rate (2), then 8 bytes per remaining candidate (address 4, service 4), then the packet.
+// flags (1), candidate count (1), priority (1), probe ID (4), objective (2), deadline (2),
+// target with the shortest wait (4), that wait (2), cold rate (2), then the service (16) if
+// the flags say so, then the address (4) of each remaining candidate, then the packet.
 // Times are whole milliseconds, at most 65,535.
 //
 // Cost: decoding allocates nothing (BenchmarkDecode).
@@ -65,6 +65,8 @@
 	// Retransmitted marks a retransmitted SYN of a flow that the balancer knows, because it has
 	// received an earlier SYN of it.
 	Retransmitted
+	// hasService is set in the encoding of an envelope with a service.
+	hasService
 )
 
 // Limits of the format.
@@ -77,17 +79,23 @@
 	MaxHops = MaxCandidates + 8
 	// PrefixLen is the length of magic, version and kind.
 	PrefixLen    = 4
-	headerLen    = 32
-	candidateLen = 8
+	headerLen    = 28
+	serviceLen   = len(flow.ServiceID{})
+	candidateLen = 4
 	// MaxLen is the maximum length of an envelope in bytes.
-	MaxLen = headerLen + MaxCandidates*candidateLen
+	MaxLen = headerLen + serviceLen + MaxCandidates*candidateLen
 
 	magic   = 0x7077
-	version = 6
+	version = 7
 )
 
-// ErrMalformed is returned for bytes that are not a valid datagram of this system.
-var ErrMalformed = errors.New("malformed envelope")
+// Errors of the decoders.
+var (
+	// ErrMalformed is returned for bytes that are not a valid datagram of this system.
+	ErrMalformed = errors.New("malformed envelope")
+	// ErrVersion is returned for a datagram of another version of the format. It is an ErrMalformed.
+	ErrVersion = errors.Wrap(ErrMalformed, "another version")
+)
 
 // Envelope is the decoded header.
 type Envelope struct {
@@ -97,8 +105,9 @@
 	// Hops is the number of agents that have passed the packet on.
 	Hops  uint8
 	Flags Flags
-	// Service is the service that the receiver's target must serve.
-	Service flow.Tag
+	// Service is the service that the receiver's target must serve; for new flows only. Packets of
+	// open flows go to the target that holds the flow, whatever the route's service has become.
+	Service flow.ServiceID
 	// ProbeID identifies one search probe of a balancer, also across its restarts. A search
 	// sends several probes, each with its own ID; zero marks a probe that is not tracked.
 	ProbeID uint32
@@ -116,18 +125,18 @@
 	ColdRate float64
 	// Count is the number of Candidates still to be tried; they are tried in order.
 	Count      int
-	Candidates [MaxCandidates]flow.Candidate
+	Candidates [MaxCandidates]flow.IPv4
 }
 
 // SetCandidates replaces the candidates; those beyond MaxCandidates are dropped.
-func (e *Envelope) SetCandidates(list []flow.Candidate) {
+func (e *Envelope) SetCandidates(list []flow.IPv4) {
 	e.Count = copy(e.Candidates[:], list)
 }
 
 // Pop removes and returns the first candidate.
-func (e *Envelope) Pop() (flow.Candidate, bool) {
+func (e *Envelope) Pop() (flow.IPv4, bool) {
 	if e.Count == 0 {
-		return flow.Candidate{}, false
+		return 0, false
 	}
 	first := e.Candidates[0]
 	copy(e.Candidates[:], e.Candidates[1:e.Count])
@@ -141,29 +150,40 @@
 	return append(b, version, byte(k))
 }
 
-// KindOf checks the prefix of a datagram and returns its kind.
+// KindOf checks the prefix of a datagram and returns its kind. The kinds of another version are not read.
 func KindOf(b []byte) (Kind, error) {
-	if len(b) < PrefixLen || binary.BigEndian.Uint16(b) != magic || b[2] != version {
+	if len(b) < PrefixLen || binary.BigEndian.Uint16(b) != magic {
 		return 0, ErrMalformed
 	}
+	if b[2] != version {
+		return 0, ErrVersion
+	}
 	return Kind(b[3]), nil
 }
 
+// VersionOf returns the version of a datagram for which KindOf has returned ErrVersion.
+func VersionOf(b []byte) uint8 { return b[2] }
+
 // Append appends the encoded envelope.
 func (e *Envelope) Append(b []byte) []byte {
 	b = AppendPrefix(b, e.Kind)
 	b = binary.BigEndian.AppendUint32(b, uint32(e.Balancer))
-	b = append(b, e.Hops, byte(e.Flags), byte(e.Count), e.Priority)
-	b = binary.BigEndian.AppendUint32(b, uint32(e.Service))
+	flags := e.Flags
+	if e.Service != (flow.ServiceID{}) {
+		flags |= hasService
+	}
+	b = append(b, e.Hops, byte(flags), byte(e.Count), e.Priority)
 	b = binary.BigEndian.AppendUint32(b, e.ProbeID)
 	b = appendMillis(b, e.Objective)
 	b = appendMillis(b, e.Deadline)
 	b = binary.BigEndian.AppendUint32(b, uint32(e.ShortestWaitTarget))
 	b = appendMillis(b, e.ShortestWaitTime)
 	b = binary.BigEndian.AppendUint16(b, uint16(min(max(math.Ceil(e.ColdRate*rateScale-rateTolerance), 0), math.MaxUint16)))
+	if flags&hasService != 0 {
+		b = append(b, e.Service[:]...)
+	}
 	for _, c := range e.Candidates[:e.Count] {
-		b = binary.BigEndian.AppendUint32(b, uint32(c.Target))
-		b = binary.BigEndian.AppendUint32(b, uint32(c.Service))
+		b = binary.BigEndian.AppendUint32(b, uint32(c))
 	}
 	return b
 }
@@ -177,26 +197,28 @@
 	if kind < Deliver || kind > Owner || len(b) < headerLen {
 		return nil, ErrMalformed
 	}
-	count := int(b[10])
-	end := headerLen + count*candidateLen
+	count, first := int(b[10]), headerLen
+	if Flags(b[9])&hasService != 0 {
+		first += serviceLen
+	}
+	end := first + count*candidateLen
 	if count > MaxCandidates || len(b) < end {
 		return nil, ErrMalformed
 	}
+	service := flow.ServiceID{}
+	if copy(service[:], b[headerLen:first]) > 0 && service == (flow.ServiceID{}) {
+		return nil, ErrMalformed
+	}
 	e.Kind = kind
 	e.Balancer = flow.IPv4(binary.BigEndian.Uint32(b[4:]))
-	e.Hops, e.Flags, e.Count = b[8], Flags(b[9]), count
-	e.Priority = b[11]
-	e.Service = flow.Tag(binary.BigEndian.Uint32(b[12:]))
-	e.ProbeID = binary.BigEndian.Uint32(b[16:])
-	e.Objective, e.Deadline = decodeMillis(b[20:]), decodeMillis(b[22:])
-	e.ShortestWaitTarget, e.ShortestWaitTime = flow.IPv4(binary.BigEndian.Uint32(b[24:])), decodeMillis(b[28:])
-	e.ColdRate = float64(binary.BigEndian.Uint16(b[30:])) / rateScale
+	e.Hops, e.Flags, e.Count = b[8], Flags(b[9])&^hasService, count
+	e.Priority, e.Service = b[11], service
+	e.ProbeID = binary.BigEndian.Uint32(b[12:])
+	e.Objective, e.Deadline = decodeMillis(b[16:]), decodeMillis(b[18:])
+	e.ShortestWaitTarget, e.ShortestWaitTime = flow.IPv4(binary.BigEndian.Uint32(b[20:])), decodeMillis(b[24:])
+	e.ColdRate = float64(binary.BigEndian.Uint16(b[26:])) / rateScale
 	for i := range count {
-		at := b[headerLen+i*candidateLen:]
-		e.Candidates[i] = flow.Candidate{
-			Target:  flow.IPv4(binary.BigEndian.Uint32(at)),
-			Service: flow.Tag(binary.BigEndian.Uint32(at[4:])),
-		}
+		e.Candidates[i] = flow.IPv4(binary.BigEndian.Uint32(b[first+i*candidateLen:]))
 	}
 	return b[end:], nil
 }
--- a/flow/envelope/envelope_test.go
+++ b/flow/envelope/envelope_test.go
@@ -18,18 +18,25 @@
 		Balancer: flow.IPv4(rapid.Uint32().Draw(t, "balancer")),
 		Hops:     rapid.Uint8().Draw(t, "hops"),
 		Flags:    Flags(rapid.Uint8Range(0, 7).Draw(t, "flags")),
-		Service:  flow.Tag(rapid.Uint32().Draw(t, "service")),
+		Service:  drawService(t),
 		ProbeID:  rapid.Uint32().Draw(t, "search"),
 		Priority: rapid.Uint8().Draw(t, "priority"),
 		ColdRate: float64(rapid.Uint16().Draw(t, "cold rate")) / rateScale,
 	}
 	for range rapid.IntRange(0, MaxCandidates).Draw(t, "count") {
-		e.Candidates[e.Count] = flow.Candidate{Target: flow.IPv4(rapid.Uint32().Draw(t, "target")), Service: 1}
+		e.Candidates[e.Count] = flow.IPv4(rapid.Uint32().Draw(t, "target"))
 		e.Count++
 	}
 	return e
 }
 
+func drawService(t *rapid.T) (id flow.ServiceID) {
+	if rapid.Bool().Draw(t, "opening") {
+		id = flow.ServiceIDOf(rapid.String().Draw(t, "service"))
+	}
+	return id
+}
+
 func TestEnvelopeRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		e := drawEnvelope(t)
@@ -68,12 +75,12 @@
 
 func TestPopTakesCandidatesInOrder(t *testing.T) {
 	var e Envelope
-	e.SetCandidates([]flow.Candidate{{Target: 1}, {Target: 2}})
+	e.SetCandidates([]flow.IPv4{1, 2})
 	first, ok := e.Pop()
 	require.True(t, ok)
-	require.EqualValues(t, 1, first.Target)
+	require.EqualValues(t, 1, first)
 	second, _ := e.Pop()
-	require.EqualValues(t, 2, second.Target)
+	require.EqualValues(t, 2, second)
 	_, ok = e.Pop()
 	require.False(t, ok)
 }
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -1,8 +1,11 @@
 package flow
 
 import (
+	"bytes"
 	"cmp"
+	"crypto/sha256"
 	"encoding/binary"
+	"encoding/hex"
 	"net/netip"
 	"slices"
 
@@ -49,21 +52,37 @@
 // String returns the address in dotted-decimal form.
 func (ip IPv4) String() string { return ip.Addr().String() }
 
-// Tag is a 32-bit hash of a name (of a service, zone or target incarnation). Tags are
-// compared for equality only; zero means "no name".
-type Tag uint32
+// ServiceID identifies a service by the first 128 bits of the SHA-256 hash of its name: no two names
+// that share them are known or can be found. It decides where requests may run. The zero value means
+// "no service".
+type ServiceID [16]byte
 
-// TagOf returns the tag of a name. Two different names have the same tag with a
-// probability of 2^-32.
+// ServiceIDOf returns the ID of the service with the given name.
+func ServiceIDOf(name string) ServiceID {
+	if name == "" {
+		return ServiceID{}
+	}
+	sum := sha256.Sum256([]byte(name))
+	return ServiceID(sum[:len(ServiceID{})])
+}
+
+// String returns the ID in hexadecimal.
+func (id ServiceID) String() string { return hex.EncodeToString(id[:]) }
+
+// Compare orders IDs.
+func (id ServiceID) Compare(other ServiceID) int { return bytes.Compare(id[:], other[:]) }
+
+// Tag is a 64-bit hash of the name of a zone. Tags are compared for equality only; zero means "no
+// name". Which service a request runs at does not depend on them.
+type Tag uint64
+
+// TagOf returns the tag of a name. Two different names have the same tag with a probability of 2^-64.
 func TagOf(name string) Tag {
 	if name == "" {
 		return 0
 	}
-	t := Tag(xxhash.Sum64String(name))
-	if t == 0 {
-		return 1
-	}
-	return t
+	sum := sha256.Sum256([]byte(name))
+	return max(Tag(binary.BigEndian.Uint64(sum[:])), 1)
 }
 
 // Key identifies a flow by the addresses and ports of its two ends.
--- a/flow/flow_test.go
+++ b/flow/flow_test.go
@@ -50,11 +50,11 @@
 func rankTargets(hash uint64, targets []IPv4, limit int) []IPv4 {
 	r := NewRanking(limit)
 	for _, target := range targets {
-		r.Add(Score(hash, target), Candidate{Target: target})
+		r.Add(Score(hash, target), target)
 	}
 	var out []IPv4
 	for _, c := range r.Candidates() {
-		out = append(out, c.Target)
+		out = append(out, c)
 	}
 	return out
 }
@@ -97,7 +97,7 @@
 	for b.Loop() {
 		r.Reset()
 		for target := range IPv4(17) {
-			r.Add(Score(12345, 0x0a000000+target), Candidate{Target: target})
+			r.Add(Score(12345, 0x0a000000+target), target)
 		}
 	}
 }
--- a/flow/rank.go
+++ b/flow/rank.go
@@ -11,18 +11,10 @@
 	return x ^ x>>31
 }
 
-// Candidate is a target that may serve a flow.
-type Candidate struct {
-	Target IPv4
-	// Service is the service that the target serves according to the sender; an agent
-	// rejects a packet for any other service than its target's.
-	Service Tag
-}
-
 // MoveToFront moves a target, if it is among the candidates, to their front.
-func MoveToFront(list []Candidate, target IPv4) []Candidate {
+func MoveToFront(list []IPv4, target IPv4) []IPv4 {
 	for i, item := range list {
-		if item.Target == target {
+		if item == target {
 			copy(list[1:i+1], list[:i])
 			list[0] = item
 			break
@@ -34,14 +26,14 @@
 // Ranking holds the candidates of a flow with the highest scores, best first. The zero
 // value holds none; use NewRanking. Reusing a Ranking avoids allocations.
 type Ranking struct {
-	candidates []Candidate
+	candidates []IPv4
 	scores     []uint64
 	limit      int
 }
 
 // NewRanking returns a ranking of at most limit candidates.
 func NewRanking(limit int) *Ranking {
-	return &Ranking{candidates: make([]Candidate, 0, limit+1), scores: make([]uint64, 0, limit+1), limit: limit}
+	return &Ranking{candidates: make([]IPv4, 0, limit+1), scores: make([]uint64, 0, limit+1), limit: limit}
 }
 
 // Reset removes all candidates.
@@ -50,7 +42,7 @@
 }
 
 // Add adds a candidate if its score is among the limit highest.
-func (r *Ranking) Add(score uint64, c Candidate) {
+func (r *Ranking) Add(score uint64, c IPv4) {
 	n := len(r.candidates)
 	if n == r.limit && (n == 0 || score <= r.scores[n-1]) {
 		return
@@ -67,4 +59,4 @@
 }
 
 // Candidates returns the candidates, best first; valid until the next Reset.
-func (r *Ranking) Candidates() []Candidate { return r.candidates }
+func (r *Ranking) Candidates() []IPv4 { return r.candidates }
--- a/measure/packetbench.go
+++ b/measure/packetbench.go
@@ -139,7 +139,7 @@
 
 // announce sends the announcements of a ready target for the sink until ctx ends.
 func announce(ctx context.Context, socket *relay.DatagramSocket) error {
-	a := fleetnet.Announcement{Service: flow.TagOf("bench"), Zone: flow.TagOf("z1"), State: fleetnet.Ready, Slots: 8}
+	a := fleetnet.Announcement{Service: flow.ServiceIDOf("bench"), Zone: flow.TagOf("z1"), State: fleetnet.Ready, Slots: 8}
 	a.ProcessIncarnation = 1
 	for ctx.Err() == nil {
 		a.Seq++
--- a/model/run.go
+++ b/model/run.go
@@ -134,7 +134,7 @@
 		r.fronts[class] = front
 		c.Routes[front] = &flow.Route{
 			Name: class.Name, Priority: class.Priority, Objective: class.Objective.D(), Deadline: class.Deadline.D(),
-			Services: []flow.WeightedService{{Name: class.Service, Tag: flow.TagOf(class.Service), Weight: 1}},
+			Services: []flow.WeightedService{{Name: class.Service, ID: flow.ServiceIDOf(class.Service), Weight: 1}},
 		}
 	}
 	return c
--- a/model/sim/nodes.go
+++ b/model/sim/nodes.go
@@ -204,7 +204,7 @@
 func (a *Agent) Start() {
 	w := a.w
 	opts := agentfront.Options{
-		Self: a.IP, Zone: flow.TagOf(a.Zone), Service: flow.TagOf(a.Service), Seeds: w.Seeds,
+		Self: a.IP, Zone: flow.TagOf(a.Zone), Service: flow.ServiceIDOf(a.Service), Seeds: w.Seeds,
 		Incarnation: w.Rnd.Uint64() | 1, HeartbeatPeriod: HeartbeatPeriod, FlowTTL: flowTTL, RelayThreshold: w.RelayThreshold,
 	}
 	a.Core = agentfront.New(w.Now, opts, a, platform.Codec{}, agentEvents{w: w})
--- a/model/sim/noop.go
+++ b/model/sim/noop.go
@@ -20,13 +20,14 @@
 func (NoopBalancerEvents) Opened(balancerfront.Decision)                            {}
 func (NoopBalancerEvents) Refused(flow.Key, string, string)                         {}
 func (NoopBalancerEvents) OverloadChanged(balancerfront.Overload)                   {}
-func (NoopBalancerEvents) Searching(flow.Key, [][]flow.Candidate, int)              {}
+func (NoopBalancerEvents) Searching(flow.Key, [][]flow.IPv4, int)                   {}
 func (NoopBalancerEvents) ProbeReturned(flow.Key, flow.IPv4, int, bool, int)        {}
-func (NoopBalancerEvents) Unanswered(flow.Key, [][]flow.Candidate, int)             {}
+func (NoopBalancerEvents) Unanswered(flow.Key, [][]flow.IPv4, int)                  {}
 func (NoopBalancerEvents) RecordReturned(flow.Key, flow.IPv4, bool)                 {}
 func (NoopBalancerEvents) OwnerFound(flow.Key, flow.IPv4, int)                      {}
 func (NoopBalancerEvents) Lost(flow.Key, int, balancerfront.Uncertainty, flow.IPv4) {}
 func (NoopBalancerEvents) Buffered(flow.Key, balancerfront.BufferReason)            {}
+func (NoopBalancerEvents) OtherVersion(flow.IPv4, uint8)                            {}
 func (NoopBalancerEvents) Dropped(balancerfront.DropReason)                         {}
 func (NoopBalancerEvents) TargetChanged(*fleet.Target, fleet.Change)                {}
 func (NoopBalancerEvents) TargetExpired(flow.IPv4)                                  {}
@@ -58,6 +59,7 @@
 func (NoopAgentEvents) FlowExpired(flow.Key, string, time.Duration)                            {}
 func (NoopAgentEvents) FlowsRecorded(int)                                                      {}
 func (NoopAgentEvents) SentAfterRefusal(flow.Key, bool, agentfront.TargetEvidence)             {}
+func (NoopAgentEvents) OtherVersion(flow.IPv4, uint8)                                          {}
 func (NoopAgentEvents) Dropped(agentfront.DropReason)                                          {}
 func (NoopAgentEvents) TargetReport(string, fleet.Heartbeat)                                   {}
 func (NoopAgentEvents) IdentityDoubted(string, fleet.Heartbeat)                                {}
