--- a/balancer/packetfront/core_test.go
+++ b/balancer/packetfront/core_test.go
@@ -68,9 +68,7 @@
 			sent := f.port.Delivered()
 			last := sent[len(sent)-1]
 			targets := []flow.IPv4{last.To}
-			for _, candidate := range last.Env.Candidates[:last.Env.Count] {
-				targets = append(targets, candidate)
-			}
+			targets = append(targets, last.Env.Candidates[:last.Env.Count]...)
 			offered = offered || slices.Contains(targets, targetA)
 		}
 		require.Equal(t, !c.avoided, offered, name)
@@ -195,9 +193,7 @@
 	f.receiveFromClient(packet(false, 9))
 	sent := f.port.Delivered()[1]
 	probed := []flow.IPv4{sent.To}
-	for _, c := range sent.Env.Candidates[:2*searchFirstTargets-1] {
-		probed = append(probed, c)
-	}
+	probed = append(probed, sent.Env.Candidates[:2*searchFirstTargets-1]...)
 	for ip := range candidates {
 		require.Contains(t, probed, ip)
 	}
--- a/balancer/packetfront/evacuations_test.go
+++ b/balancer/packetfront/evacuations_test.go
@@ -138,9 +138,7 @@
 	probed := []flow.IPv4{}
 	for _, sent := range f.port.Delivered() {
 		probed = append(probed, sent.To)
-		for _, c := range sent.Env.Candidates[:sent.Env.Count] {
-			probed = append(probed, c)
-		}
+		probed = append(probed, sent.Env.Candidates[:sent.Env.Count]...)
 	}
 	require.Contains(t, probed, targetA)
 	require.Empty(t, f.port.Resets)
--- a/balancer/packetfront/silence_test.go
+++ b/balancer/packetfront/silence_test.go
@@ -54,9 +54,7 @@
 	}
 	for _, s := range z.port.Delivered()[before:] {
 		candidates := []flow.IPv4{s.To}
-		for _, item := range s.Env.Candidates[:s.Env.Count] {
-			candidates = append(candidates, item)
-		}
+		candidates = append(candidates, s.Env.Candidates[:s.Env.Count]...)
 		for zone, targets := range z.targets {
 			counts[zone] += len(slices.DeleteFunc(slices.Clone(candidates), func(ip flow.IPv4) bool { return !slices.Contains(targets, ip) }))
 		}
--- a/balancer/search/search_test.go
+++ b/balancer/search/search_test.go
@@ -30,9 +30,7 @@
 	var out []flow.IPv4
 	for _, s := range messages {
 		out = append(out, s.To)
-		for _, c := range s.Env.Candidates[:s.Env.Count] {
-			out = append(out, c)
-		}
+		out = append(out, s.Env.Candidates[:s.Env.Count]...)
 	}
 	return out
 }
@@ -80,11 +78,7 @@
 	f.client(packet(false, 9))
 	probes := f.outstandingProbes()
 	require.Len(t, probes, 1)
-	var want []flow.IPv4
-	for _, c := range likeliest {
-		want = append(want, c)
-	}
-	require.Equal(t, want, targetsOf(probes...))
+	require.Equal(t, likeliest, targetsOf(probes...))
 }
 
 // TestOnlyLostProbesAreRepeated checks that probes that returned are not sent again, and that
--- a/flow/flow_test.go
+++ b/flow/flow_test.go
@@ -52,11 +52,7 @@
 	for _, target := range targets {
 		r.Add(Score(hash, target), target)
 	}
-	var out []IPv4
-	for _, c := range r.Candidates() {
-		out = append(out, c)
-	}
-	return out
+	return slices.Clone(r.Candidates())
 }
 
 // TestRankingKeepsOrderWhenATargetJoins checks that the order of the other targets depends
