soak: addresses change service beside running agents, services have names of equal hash

--reuses N moves N addresses to another service: the target crashes, in half of the cases while no client sends anything, 2.03 s later the settings name the other service without a signal, its target starts and reports first at any time within a heartbeat period, which is the platform's 1.2 s. It draws from a source of its own: the faults of a seed stay the same without the flag.

--- a/binaries/poppywall-soak/main.go
+++ b/binaries/poppywall-soak/main.go
@@ -31,6 +31,7 @@
 	p.Int(&cfg.Agents, "", "agents", "Agents, each with a host.")
 	p.Int(&cfg.Clients, "", "clients", "Client machines.")
 	p.Int(&cfg.Faults, "", "faults", "Faults of a run.")
+	p.Int(&cfg.Reuses, "", "reuses", "Addresses that go to another service beside a running agent, besides the faults.")
 	p.Int(&cfg.AddressSlot, "", "slot", "Keeps the addresses of runs at the same time apart, 0 to 100.")
 	p.Bool(&quic, "q", "quic", "Run the QUIC front; the packet front by default.")
 	p.String(&dir, "d", "dir", "Where settings and logs go; a temporary folder by default.")
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -140,8 +140,9 @@
 
 func pick[T any](list []T, rnd *rand.Rand) T { return list[rnd.IntN(len(list))] }
 
-// injectFaults injects cfg.Faults random faults one after the other. Some overlap.
-func injectFaults[S deployment](s S, cfg Config, faults []fault[S], rnd *rand.Rand, rec *recorder) {
+// injectFaults injects cfg.Faults random faults one after the other, and calls between after each. Some
+// overlap.
+func injectFaults[S deployment](s S, cfg Config, faults []fault[S], rnd *rand.Rand, rec *recorder, between func()) {
 	type activeFault struct {
 		stop   func()
 		stopAt time.Time
@@ -167,6 +168,7 @@
 		time.Sleep(time.Duration(50+rnd.IntN(900)) * time.Millisecond)
 		stopFaults(false)
 		checkProcesses(s, rec)
+		between()
 	}
 	stopFaults(true)
 }
--- a/soak/process.go
+++ b/soak/process.go
@@ -96,6 +96,8 @@
 	process
 	addr netip.Addr
 	zone string
+	// settings is the path of the settings file.
+	settings string
 	// storeProxy carries the node's connections to the store. It is nil if the node
 	// makes none.
 	storeProxy *standin.Proxy
@@ -110,17 +112,26 @@
 // startWithSettings writes a node's settings file and starts the node. args precede
 // the settings flag on its command line.
 func (n *node) startWithSettings(cfg Config, binary, name string, settings map[string]any, args ...string) error {
-	path := filepath.Join(cfg.Dir, name+".json")
+	n.settings = filepath.Join(cfg.Dir, name+".json")
+	if err := n.writeSettings(settings); err != nil {
+		return err
+	}
+	n.name, n.log = name, filepath.Join(cfg.Dir, name+".log")
+	n.args = append(append([]string{filepath.Join(cfg.Bin, binary)}, args...), "--settings", n.settings)
+	return n.start()
+}
+
+// writeSettings replaces a node's settings file.
+func (n *node) writeSettings(settings map[string]any) error {
 	data, err := json.Marshal(settings)
 	if err != nil {
 		return err
 	}
-	if err := os.WriteFile(path, data, 0o644); err != nil {
+	next := n.settings + ".new"
+	if err := os.WriteFile(next, data, 0o644); err != nil {
 		return err
 	}
-	n.name, n.log = name, filepath.Join(cfg.Dir, name+".log")
-	n.args = append(append([]string{filepath.Join(cfg.Bin, binary)}, args...), "--settings", path)
-	return n.start()
+	return os.Rename(next, n.settings)
 }
 
 // hostPort returns an address in the format of the settings.
--- a/soak/quic.go
+++ b/soak/quic.go
@@ -43,7 +43,7 @@
 		defer wg.Done()
 		watchRevisions(s, rec, done)
 	}()
-	injectFaults(s, cfg, quicFaults, rand.New(rand.NewPCG(cfg.Seed, 1)), rec)
+	injectFaults(s, cfg, quicFaults, rand.New(rand.NewPCG(cfg.Seed, 1)), rec, func() {})
 	undrainAll(s, rec)
 	time.Sleep(settleTime)
 	close(done)
--- a/soak/quicsite.go
+++ b/soak/quicsite.go
@@ -178,7 +178,7 @@
 	t, err := standin.NewTarget(standin.TargetOptions{
 		Name: fmt.Sprintf("%s %s %d", services[n.service], n.host, n.targetStarts), Slots: targetSlots,
 		Labels: catalog.Labels{labelService: services[n.service]},
-		Agent:  "http://" + hostPort(n.addr, portApp), Heartbeat: heartbeatEvery, ServiceTime: targetWork,
+		Agent:  "http://" + hostPort(n.addr, portApp), Heartbeat: shortHeartbeatPeriod, ServiceTime: targetWork,
 	})
 	if err != nil {
 		return errors.Wrapf(err, "target beside %s", n.name)
--- a/soak/site.go
+++ b/soak/site.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -31,8 +32,9 @@
 // zones are the availability zones that nodes are distributed over.
 var zones = []string{"z1", "z2", "z3"}
 
-// services are the names of the services. Service i has the address frontOf(i).
-var services = []string{"alpha", "beta"}
+// services are the names of the services, of which a 32-bit hash is the same. Service i has the address
+// frontOf(i).
+var services = []string{"gojo24a", "huzu17b"}
 
 // frontOf returns the address of service i.
 func frontOf(i int) flow.Front { return flow.Front{IP: 0xc6120001 + flow.IPv4(i), Port: 443} }
@@ -46,6 +48,8 @@
 	// mu guards target.
 	mu     sync.Mutex
 	target *platformtest.Target
+	// crashedAt is when the last target ended.
+	crashedAt time.Time
 	// targetStarts is the number of targets started beside the agent.
 	targetStarts int
 }
@@ -67,6 +71,8 @@
 	version   int64
 	// idleRoutes is the number of configured routes without traffic.
 	idleRoutes int
+	// quiet is set while no client sends anything.
+	quiet atomic.Bool
 }
 
 // address returns the loopback address of a node. Runs with different slots have
@@ -167,12 +173,24 @@
 		"name": "agent", "zone": n.zone, "service": services[n.service], "data": hostPort(n.addr, portData),
 		"internal": hostPort(n.addr, portInternal), "outbound": hostPort(n.addr, portOutbound), "target": hostPort(n.addr, portApp),
 		"control": hostPort(n.addr, portControl), "seeds": s.seedAddrs(), "store": n.storeProxy.Addr(),
-		"heartbeatEvery": heartbeatEvery.String(), "log": map[string]any{"level": "info"},
+		"heartbeatEvery": s.cfg.heartbeatPeriod().String(), "log": map[string]any{"level": "info"},
 	}
 }
 
-// heartbeatEvery is the interval between heartbeats of a target.
-const heartbeatEvery = 600 * time.Millisecond
+// Intervals between heartbeats of a target. The long one is the platform's: addresses are used again
+// before two of them are missed.
+const (
+	shortHeartbeatPeriod = 600 * time.Millisecond
+	longHeartbeatPeriod  = 1200 * time.Millisecond
+)
+
+// heartbeatPeriod returns the interval between heartbeats of a target.
+func (c *Config) heartbeatPeriod() time.Duration {
+	if c.Reuses > 0 {
+		return longHeartbeatPeriod
+	}
+	return shortHeartbeatPeriod
+}
 
 // drainGrace is how long after the acknowledgement a new flow may still reach a
 // draining target. A restarted agent receives the drain with the next heartbeat.
@@ -187,7 +205,11 @@
 const lateTargetDelay = 500 * time.Millisecond
 
 // startTarget starts a new target beside an agent.
-func (s *site) startTarget(n *packetAgent) error {
+func (s *site) startTarget(n *packetAgent) error { return s.startTargetThatReports(n, 0) }
+
+// startTargetThatReports starts a new target beside an agent, which reports for the first time after the
+// given time.
+func (s *site) startTargetThatReports(n *packetAgent, after time.Duration) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	id := fmt.Sprintf("%s-%s-%d", n.name, services[n.service], n.targetStarts/incarnationsPerID)
@@ -195,7 +217,7 @@
 	target, err := platformtest.StartTarget(id, platformtest.TargetConfig{
 		Service: services[n.service], ListenAddr: netip.AddrPortFrom(n.addr, portApp),
 		AgentAddr: netip.AddrPortFrom(n.addr, portOutbound), AgentControlAddr: hostPort(n.addr, portControl),
-		Slots: 5, HeartbeatEvery: heartbeatEvery, Grace: drainGrace,
+		Slots: 5, HeartbeatEvery: s.cfg.heartbeatPeriod(), FirstHeartbeat: after, Grace: drainGrace,
 	})
 	if err != nil {
 		return errors.Wrapf(err, "target beside %s", n.name)
@@ -210,7 +232,7 @@
 	defer n.mu.Unlock()
 	if n.target != nil {
 		n.target.Crash()
-		n.target = nil
+		n.target, n.crashedAt = nil, time.Now()
 	}
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -28,6 +28,9 @@
 	// Faults is the number of faults to inject. They start one after the other, and
 	// some overlap.
 	Faults int
+	// Reuses is the number of addresses that go to another service's target beside a running agent, in
+	// addition to Faults; packet front only.
+	Reuses int
 }
 
 // Report is the outcome of a run.
@@ -116,7 +119,9 @@
 			c.run(done)
 		}()
 	}
-	injectFaults(s, cfg, packetFaults, rand.New(rand.NewPCG(cfg.Seed, 1)), rec)
+	reuser := newAddressReuser(s, cfg, rec)
+	injectFaults(s, cfg, packetFaults, rand.New(rand.NewPCG(cfg.Seed, 1)), rec, reuser.step)
+	reuser.finish()
 	time.Sleep(settleTime)
 	settledAt := time.Now()
 	time.Sleep(evacuationWatch)
@@ -195,6 +200,9 @@
 			return
 		case <-time.After(time.Duration(c.rnd.IntN(60)) * time.Millisecond):
 		}
+		if c.site.quiet.Load() {
+			continue
+		}
 		active := c.activeFlows()
 		if len(active) < activeFlows {
 			c.openFlow()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -18,7 +18,7 @@
 		require.NoError(t, err, string(out))
 	}
 	for name, front := range map[string]func(Config) (Report, error){"packets": Run, "QUIC": RunQUIC} {
-		report, err := front(Config{Bin: bin, Dir: t.TempDir(), Seed: 7, AddressSlot: 90, Balancers: 3, Agents: 4, Clients: 4, Faults: 8})
+		report, err := front(Config{Bin: bin, Dir: t.TempDir(), Seed: 7, AddressSlot: 90, Balancers: 3, Agents: 4, Clients: 4, Faults: 8, Reuses: 2})
 		require.NoError(t, err, name)
 		require.Empty(t, report.Violations, "%s: %q", name, report.Events)
 		require.Positive(t, report.Requests, name)
