agent: a flow that the target has bounced is not delivered to it again

Cause: an agent that does not know its target's flows asked the target with every packet, although a bounce had answered before.

Change: the agent remembers which flows its target has bounced, 4,096 of them, told apart from later ones between the same ports by the sequence window, and passes them on with certainty until it delivers a SYN of that flow. A target gets a flow only by such a SYN, so a bounce stays true.

--- a/agent/packetfront/core.go
+++ b/agent/packetfront/core.go
@@ -82,6 +82,7 @@
 	evacuations flow.Evacuations
 	flows       *flows
 	deliveries  *deliveryRing
+	denied      deniedFlows
 	target      target
 
 	acks      acks
@@ -131,7 +132,7 @@
 	}
 	c := &Core{
 		opts: opts, port: port, codec: codec, events: events,
-		view: fleet.NewView(), deliveries: newDeliveryRing(), acks: newAcks(), health: newHealth(),
+		view: fleet.NewView(), deliveries: newDeliveryRing(), denied: newDeniedFlows(), acks: newAcks(), health: newHealth(),
 		estimate: backlog.NewServiceEstimate(defaultServiceTime, defaultSlots),
 		buf:      make([]byte, 0, 2048), relays: newRelayState(opts, events.ZoneRelayed),
 	}
@@ -226,6 +227,7 @@
 // SYNs of the flow sent before it.
 func (c *Core) admit(now time.Time, key flow.Key, h *flow.Header, packet []byte) {
 	c.cold.window.Add(now)
+	c.denied.remove(key)
 	if r := c.flows.get(key); r != nil && r.supersededBy(now, now.Add(-backlog.RetransmissionAge(h.Ack))) {
 		r.request = c.requestParamsOf(now, h)
 	}
@@ -349,9 +351,11 @@
 // deliverUnknownFlow handles a packet of a flow without a matching record. An agent that saw its
 // target start has records of all flows and passes the packet on; any other agent delivers it,
 // and the target bounces what it does not hold. An agent that has not probed its target yet has
-// usually just restarted beside a target that runs.
+// usually just restarted beside a target that runs. A flow that the target has bounced before is passed
+// on: while its own agent keeps its data, balancers that have just started search for it with each
+// packet, and none of these may reach this target.
 func (c *Core) deliverUnknownFlow(now time.Time, key flow.Key, h *flow.Header, packet []byte) {
-	if c.target.ended || (c.target.sawStart && !c.flows.overflowed) {
+	if c.target.ended || (c.target.sawStart && !c.flows.overflowed) || c.denied.has(key, h.Ack) {
 		c.denyFlow(now, key, packet, true)
 		return
 	}
--- a/agent/packetfront/fromtarget.go
+++ b/agent/packetfront/fromtarget.go
@@ -151,6 +151,9 @@
 	if r != nil && (r.stage == offered || (r.stage.awaitsTarget() && !h.IsOpening())) {
 		c.flows.remove(key, r)
 	}
+	if !h.IsOpening() {
+		c.denied.add(key, h.Ack)
+	}
 	c.env = *env
 	c.events.Bounced(key, h.IsOpening())
 	c.passToNextCandidate(packet, true)
--- a/agent/packetfront/identity.go
+++ b/agent/packetfront/identity.go
@@ -95,7 +95,7 @@
 		c.events.TargetReport("report may be a late one, another one is needed", b)
 	case i.unproven:
 		i.prove(sent)
-		c.events.TargetReport("target is of the agent's service again", b)
+		c.events.TargetReport("target has reported its service", b)
 	default:
 		i.prove(sent)
 	}
