--- a/settings/settingstest/template.go
+++ b/settings/settingstest/template.go
@@ -19,12 +19,12 @@
 	"node-name": "node-1", "zone": "z1", "ip": "10.0.0.1", "internal-ports.0": 7720, "service": "alpha",
 	"listen.data-addr": "10.0.0.1:8172", "listen.ready": "10.0.0.1:8167", "listen.outbound": "10.0.0.1:8162",
 	"listen.control": "10.0.0.1:8166", "app": "10.0.0.1:8165", "seeds": []string{"10.0.0.1:8166", "10.0.0.2:8166"},
-	"platform.address": "10.200.1.7:8169", "heartbeat-ms": 1200, "bounds.flow-ttl-s": 60,
+	"platform.address": "10.200.1.7:8169", "heartbeat-ms": 1200, "bounds.flow-ttl-s": 60, "bounds.addr-reuse-s": 3,
 	"bounds.stable-ms": 4000,
 }
 
 // optionalValues name the values that a deployment may omit.
-var optionalValues = []string{"seeds", "heartbeat-ms", "bounds.flow-ttl-s", "bounds.stable-ms"}
+var optionalValues = []string{"seeds", "heartbeat-ms", "bounds.addr-reuse-s", "bounds.flow-ttl-s", "bounds.stable-ms"}
 
 var (
 	sectionPattern = regexp.MustCompile(`(?s)\{\{#([\w.-]+)\}\}(.*?)\{\{/[\w.-]+\}\}`)
